--- /dev/null
+++ b/internal/fennelerr/http.go
@@ -0,0 +1,39 @@
+package fennelerr
+
+import "net/http"
+
+// statusByCode maps codes to HTTP statuses; codes not listed are 500.
+var statusByCode = map[Code]int{
+	InvalidRequest:   http.StatusBadRequest,
+	Unauthenticated:  http.StatusUnauthorized,
+	PermissionDenied: http.StatusForbidden,
+	NotFound:         http.StatusNotFound,
+	ModelNotFound:    http.StatusNotFound,
+	TooLarge:         http.StatusRequestEntityTooLarge,
+	Conflict:         http.StatusConflict,
+	KeyReused:        http.StatusUnprocessableEntity,
+	KeyInProgress:    http.StatusConflict,
+	KeyExpired:       http.StatusGone,
+	KeyRequired:      http.StatusBadRequest,
+	OutcomeUnknown:   http.StatusBadGateway,
+	AlreadyRun:       http.StatusConflict,
+	Quarantined:      http.StatusUnprocessableEntity,
+	Overloaded:       http.StatusTooManyRequests,
+	LimitExceeded:    http.StatusTooManyRequests,
+	DeadlineTooShort: http.StatusServiceUnavailable,
+	NoReplica:        http.StatusServiceUnavailable,
+	StoreUnavailable: http.StatusServiceUnavailable,
+	BackendFailed:    http.StatusBadGateway,
+	StreamTruncated:  http.StatusBadGateway,
+	AnswerMismatch:   http.StatusBadGateway,
+	NotReady:         http.StatusServiceUnavailable,
+	Timeout:          http.StatusGatewayTimeout,
+}
+
+// HTTPStatus returns the status that a response with this code is served with.
+func (c Code) HTTPStatus() int {
+	if s, ok := statusByCode[c]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/routing/types.go
@@ -0,0 +1,49 @@
+// Package routing chooses the replica that serves a request.
+//
+// The Table holds one entry per committed replica and is fed by the health check
+// (whole or not), by load reports and by the gateway (begin and end of each
+// request). A Policy picks among candidates; policies are interchangeable.
+package routing
+
+import (
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+// Request is what a replica is chosen for.
+type Request struct {
+	Group  cluster.GroupName
+	Prefer rules.Prefer
+	// PrefixHashes are the hashes of the prompt's prefixes, longest first, as in
+	// engine.CacheEvent; may be empty.
+	PrefixHashes []uint64
+	// Exclude lists replicas that failed this request already.
+	Exclude []cluster.ReplicaID
+	// Alone asks for a replica on which no other suspect runs (see package suspect).
+	Alone bool
+}
+
+// Choice is the decision and why it fell.
+type Choice struct {
+	Replica cluster.Replica
+	// Addr is the ip:port of the serving VM.
+	Addr string
+	// Reason is one word or short phrase for the decision log.
+	Reason string
+	// Considered is how many candidates were compared.
+	Considered int
+}
+
+// Result is how a dispatched request ended, for straggler detection and counts.
+type Result struct {
+	// OK is true for a whole answer.
+	OK bool
+	// Canceled is true when the caller went away; it says nothing about the replica.
+	Canceled bool
+	// FirstToken is the time to the first event; zero when none came.
+	FirstToken time.Duration
+	Tokens     int
+	Duration   time.Duration
+}
--- /dev/null
+++ b/internal/rules/match.go
@@ -0,0 +1,81 @@
+package rules
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// index holds the lookups built once by a successful Parse.
+type index struct {
+	teamByToken map[string]*Team
+	limitByTeam map[cluster.TeamID]*Limit
+	groupByName map[cluster.GroupName]*Group
+}
+
+func (s *Set) buildIndex() {
+	s.index = index{
+		teamByToken: make(map[string]*Team, len(s.Teams)),
+		limitByTeam: make(map[cluster.TeamID]*Limit, len(s.Limits)),
+		groupByName: make(map[cluster.GroupName]*Group, len(s.Groups)),
+	}
+	for i := range s.Teams {
+		s.index.teamByToken[s.Teams[i].TokenSHA256] = &s.Teams[i]
+	}
+	for i := range s.Limits {
+		s.index.limitByTeam[s.Limits[i].Team] = &s.Limits[i]
+	}
+	for i := range s.Groups {
+		s.index.groupByName[s.Groups[i].Name] = &s.Groups[i]
+	}
+}
+
+// TeamByToken returns the team whose rule holds the token's hash, or nil.
+func (s *Set) TeamByToken(token string) *Team {
+	sum := sha256.Sum256([]byte(token))
+	return s.index.teamByToken[hex.EncodeToString(sum[:])]
+}
+
+// LimitOf returns the team's limit rule, or the defaults when it has none.
+func (s *Set) LimitOf(team cluster.TeamID) Limit {
+	if l := s.index.limitByTeam[team]; l != nil {
+		return *l
+	}
+	return Limit{Team: team, Share: DefaultShare}
+}
+
+// GroupByName returns the group's rule, or nil.
+func (s *Set) GroupByName(name cluster.GroupName) *Group { return s.index.groupByName[name] }
+
+// Request is what a route is matched against.
+type Request struct {
+	Path  string
+	Model string // empty when the request has none
+	Team  cluster.TeamID
+}
+
+// Match returns the first route in file order that covers the request, or nil.
+func (s *Set) Match(r Request) *Route {
+	for i := range s.Routes {
+		if s.Routes[i].Matches(r) {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
+// Matches reports whether the route covers the request.
+func (r *Route) Matches(req Request) bool {
+	return matchPattern(r.Path, req.Path) && matchName(r.Model, req.Model) && matchName(string(r.Team), string(req.Team))
+}
+
+func matchPattern(pattern, path string) bool {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
+
+func matchName(pattern, name string) bool { return pattern == "*" || pattern == name }
