rules: parse, check and compare rules files

Change: Parse reads one rule a line and collects every fault with line, column, what was found and what would be right; the whole file is accepted or none of it. Names, references, unreachable routes, ranges and the size the store can hold are checked. Match looks routes up by path and by the lengths of the prefixes in use; the same index finds the earlier route that covers a new one.

Ruled out: comparing each route with each earlier one (quadratic), and a search for close names for every bad reference of a file that has lost all its declarations (bounded to the first faults).

--- /dev/null
+++ b/internal/rules/fields.go
@@ -0,0 +1,166 @@
+package rules
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// maxNameLen bounds names, models and versions, in bytes.
+const maxNameLen = 128
+
+// field is one key=value of a line; offset is the byte offset of its key.
+type field struct {
+	key, value string
+	offset     int
+	used       bool
+}
+
+// fields gives typed access to the key=value pairs of one line and collects
+// the faults found on the way.
+type fields struct {
+	origin Origin
+	line   string // as in the file, for columns
+	kind   string
+	end    int // byte offset behind the last word before the comment
+	list   []field
+	errs   *Errors
+}
+
+// fail records a fault at a byte offset of the line.
+func (f *fields) fail(offset int, problem Problem, found, want string) {
+	*f.errs = append(*f.errs, &LineError{
+		Line: f.origin.Line, Column: column(f.line, offset), Problem: problem, Found: found, Want: want,
+	})
+}
+
+func column(line string, offset int) int { return utf8.RuneCountInString(line[:offset]) + 1 }
+
+// take returns the field with the key, or nil; a missing required key is a fault.
+func (f *fields) take(key string, required bool, want string) *field {
+	for i := range f.list {
+		if f.list[i].key == key {
+			f.list[i].used = true
+			return &f.list[i]
+		}
+	}
+	if required {
+		f.fail(f.end, ProblemMissing, "", fmt.Sprintf("%s=%s on a %s rule", key, want, f.kind))
+	}
+	return nil
+}
+
+func (f *fields) badValue(fd *field, want string) {
+	f.fail(fd.offset+len(fd.key)+1, ProblemValue, fd.value, want)
+}
+
+// checked returns the value if ok accepts it, else the fallback and a fault.
+func (f *fields) checked(key string, required bool, fallback, want string, ok func(string) bool) (string, *field) {
+	fd := f.take(key, required, want)
+	if fd == nil {
+		return fallback, nil
+	}
+	if !ok(fd.value) {
+		f.badValue(fd, want)
+		return fallback, nil
+	}
+	return fd.value, fd
+}
+
+const (
+	wantName  = "a name of letters, digits, '.', '_', '-'"
+	wantModel = "a model name of letters, digits, '.', '_', '-', ':', '/'"
+	wantPath  = "a path that starts with '/', with '*' only as its last character"
+	wantToken = "sha256: and 64 lower-case hex digits, the hash of the bearer token"
+)
+
+func (f *fields) name(key string) (string, *field) {
+	return f.checked(key, true, "", wantName, isName)
+}
+
+// nameOrStar returns "*" when the key is absent.
+func (f *fields) nameOrStar(key, want string, ok func(string) bool) (string, *field) {
+	return f.checked(key, false, "*", want+", or * for all", func(v string) bool { return v == "*" || ok(v) })
+}
+
+func (f *fields) choice(key, fallback string, choices ...string) string {
+	fd := f.take(key, false, "")
+	if fd == nil {
+		return fallback
+	}
+	if !slices.Contains(choices, fd.value) {
+		f.badValue(fd, oneOf(fd.value, choices))
+		return fallback
+	}
+	return fd.value
+}
+
+func (f *fields) integer(key string, required bool, fallback, low, high int) int {
+	want := fmt.Sprintf("a whole number from %d to %d", low, high)
+	fd := f.take(key, required, want)
+	if fd == nil {
+		return fallback
+	}
+	n, err := strconv.Atoi(fd.value)
+	if err != nil || n < low || n > high {
+		f.badValue(fd, want)
+		return fallback
+	}
+	return n
+}
+
+func (f *fields) names(key string) []string {
+	fd := f.take(key, false, "")
+	if fd == nil {
+		return nil
+	}
+	list := strings.Split(fd.value, ",")
+	for _, n := range list {
+		if !isModel(n) {
+			f.badValue(fd, "names with ',' between them")
+			return nil
+		}
+	}
+	return list
+}
+
+func (f *fields) tokenHash(key string) (string, *field) {
+	value, fd := f.checked(key, true, "", wantToken, isTokenHash)
+	return strings.TrimPrefix(value, tokenPrefix), fd
+}
+
+const tokenPrefix = "sha256:"
+
+func isTokenHash(v string) bool {
+	digits, ok := strings.CutPrefix(v, tokenPrefix)
+	sum, err := hex.DecodeString(digits)
+	return ok && err == nil && len(sum) == 32 && digits == strings.ToLower(digits)
+}
+
+func isName(v string) bool { return isWord(v, ".-_") }
+
+func isModel(v string) bool { return isWord(v, ".-_:/") }
+
+func isWord(v, punctuation string) bool {
+	if v == "" || len(v) > maxNameLen {
+		return false
+	}
+	for i := range len(v) {
+		if !isAlphanumeric(v[i]) && (i == 0 || strings.IndexByte(punctuation, v[i]) < 0) {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+}
+
+func isPathPattern(v string) bool {
+	star := strings.IndexByte(v, '*')
+	return strings.HasPrefix(v, "/") && (star < 0 || star == len(v)-1)
+}
--- a/internal/rules/match.go
+++ b/internal/rules/match.go
@@ -13,13 +13,20 @@
 	teamByToken map[string]*Team
 	limitByTeam map[cluster.TeamID]*Limit
 	groupByName map[cluster.GroupName]*Group
+	fenceChecks map[string]bool
+	routes      routeIndex
 }
 
-func (s *Set) buildIndex() {
+func (s *Set) buildIndex(routes routeIndex) {
 	s.index = index{
 		teamByToken: make(map[string]*Team, len(s.Teams)),
 		limitByTeam: make(map[cluster.TeamID]*Limit, len(s.Limits)),
 		groupByName: make(map[cluster.GroupName]*Group, len(s.Groups)),
+		fenceChecks: make(map[string]bool, len(s.Fences)),
+		routes:      routes,
+	}
+	for _, f := range s.Fences {
+		s.index.fenceChecks[f.Servers] = f.Checks
 	}
 	for i := range s.Teams {
 		s.index.teamByToken[s.Teams[i].TokenSHA256] = &s.Teams[i]
@@ -49,6 +56,11 @@
 // GroupByName returns the group's rule, or nil.
 func (s *Set) GroupByName(name cluster.GroupName) *Group { return s.index.groupByName[name] }
 
+// ChecksFence reports whether the servers of the group or service refuse orders
+// that carry an old fencing number. Without a fence rule they are taken to ignore
+// it, which is the assumption that cannot do harm.
+func (s *Set) ChecksFence(servers string) bool { return s.index.fenceChecks[servers] }
+
 // Request is what a route is matched against.
 type Request struct {
 	Path  string
@@ -58,6 +70,17 @@
 
 // Match returns the first route in file order that covers the request, or nil.
 func (s *Set) Match(r Request) *Route {
+	if len(s.Routes) <= smallFile {
+		return s.matchInOrder(r)
+	}
+	if i := s.index.routes.first(r.Path, r.Model, string(r.Team)); i != noRoute {
+		return &s.Routes[i]
+	}
+	return nil
+}
+
+// matchInOrder tries every route, and is what Match is compared with in tests.
+func (s *Set) matchInOrder(r Request) *Route {
 	for i := range s.Routes {
 		if s.Routes[i].Matches(r) {
 			return &s.Routes[i]
