Gateway: requests to replicas and plain services, resumed, refused and claimed honestly

Cause: the request path has to keep its promises under faults from the start. Change: one session a request, an attempt at a time; a pure decision says what follows a failed attempt. Not yet run against an engine.

--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Defaults of PoolOptions.
+const (
+	DefaultDialTimeout = time.Second
+	// DefaultIdleTimeout is short: the longer a connection idles, the likelier
+	// something between the two ends has forgotten it.
+	DefaultIdleTimeout = 20 * time.Second
+	maxIdlePerHost     = 64
+	poolShards         = 16
+)
+
+// PoolOptions sets how connections to backend servers are made; zero fields take the defaults.
+type PoolOptions struct {
+	DialTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+// Pools keeps one connection pool per backend server address.
+//
+// An open connection can go silent for good while new ones work. Whoever
+// notices calls Renew: from then on nobody takes an idle connection of the old
+// pool, which may have been forgotten in the same way.
+type Pools struct {
+	opts   PoolOptions
+	shards [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu     sync.Mutex
+	byAddr map[string]*http.Transport
+}
+
+// NewPools returns an empty set of pools.
+func NewPools(opts PoolOptions) *Pools {
+	if opts.DialTimeout <= 0 {
+		opts.DialTimeout = DefaultDialTimeout
+	}
+	if opts.IdleTimeout <= 0 {
+		opts.IdleTimeout = DefaultIdleTimeout
+	}
+	p := &Pools{opts: opts}
+	for i := range p.shards {
+		p.shards[i].byAddr = make(map[string]*http.Transport)
+	}
+	return p
+}
+
+// Get returns the pool of addr.
+func (p *Pools) Get(addr string) *http.Transport {
+	s := p.shard(addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.byAddr[addr]
+	if t == nil {
+		t = p.newTransport()
+		s.byAddr[addr] = t
+	}
+	return t
+}
+
+// Renew replaces the pool of addr if it is still old. Requests in flight on old
+// connections go on; each notices for itself whether its connection is silent.
+func (p *Pools) Renew(addr string, old *http.Transport) {
+	s := p.shard(addr)
+	s.mu.Lock()
+	current := s.byAddr[addr]
+	if current == old {
+		s.byAddr[addr] = p.newTransport()
+	}
+	s.mu.Unlock()
+	if old != nil {
+		old.CloseIdleConnections()
+	}
+}
+
+// Close closes idle connections of all pools.
+func (p *Pools) Close() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for _, t := range s.byAddr {
+			t.CloseIdleConnections()
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Fresh returns a transport that opens a new connection for every request: for
+// probes, and for calls that must not meet a connection gone silent.
+func (p *Pools) Fresh() *http.Transport {
+	t := p.newTransport()
+	t.DisableKeepAlives = true
+	return t
+}
+
+func (p *Pools) shard(addr string) *poolShard {
+	return &p.shards[xxhash.Sum64String(addr)%poolShards]
+}
+
+func (p *Pools) newTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: p.opts.DialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, addr)
+		},
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     p.opts.IdleTimeout,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/internal/gateway/models.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+const modelsPath = "/v1/models"
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelCard `json:"data"`
+}
+
+type modelCard struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models that a rule serves to the caller's team.
+func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request, c caller) {
+	if r.Method != http.MethodGet {
+		g.refuse(w, r, c, fennelerr.New(fennelerr.InvalidRequest, "%s takes GET", modelsPath).WithRun(fennelerr.NotRun))
+		return
+	}
+	list := modelList{Object: "list", Data: []modelCard{}}
+	for _, name := range modelsOf(c.set, c.team) {
+		list.Data = append(list.Data, modelCard{ID: name, Object: "model", OwnedBy: "fennelcourse"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // the caller may be gone: nothing left to tell
+}
+
+func modelsOf(set *rules.Set, team *rules.Team) []string {
+	var names []string
+	for i := range set.Groups {
+		model := set.Groups[i].Model
+		rt := set.Match(rules.Request{Path: engine.ChatPath, Model: model, Team: team.Name})
+		if rt != nil && rt.Group != "" {
+			names = append(names, model)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/gateway/respond.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+)
+
+// Headers of answers to callers.
+const (
+	// HeaderRun says whether a backend server executed the request: not-run, ran or unknown.
+	HeaderRun = "Fennel-Run"
+	// HeaderReplayed is "true" on the recorded answer of an earlier run.
+	HeaderReplayed = "Fennel-Replayed"
+	// HeaderTimeoutMs is set by a caller: how long it waits for the first token, in milliseconds.
+	HeaderTimeoutMs = "Fennel-Timeout-Ms"
+	// HeaderIdempotencyKey names a call that may be sent again but must not run again.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// errorBody is the OpenAI-shaped error document.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string             `json:"message"`
+	Type      string             `json:"type"`
+	Code      fennelerr.Code     `json:"code"`
+	Param     string             `json:"param,omitempty"`
+	Run       fennelerr.RunState `json:"fennel_run,omitempty"`
+	RequestID string             `json:"request_id,omitempty"`
+}
+
+// typed returns err as an *Error with a run state.
+func typed(err error) *fennelerr.Error {
+	e, ok := errors.Into[*fennelerr.Error](err)
+	if !ok {
+		e = fennelerr.Wrap(err, fennelerr.Internal, "unexpected failure")
+	}
+	if e.Run == "" {
+		copied := *e
+		copied.Run = fennelerr.Unknown
+		e = &copied
+	}
+	return e
+}
+
+func errorDocument(e *fennelerr.Error, requestID string) []byte {
+	message := e.Message
+	if message == "" {
+		message = string(e.Code)
+	}
+	doc, err := json.Marshal(errorBody{Error: errorDetail{
+		Message: message, Type: string(e.Code), Code: e.Code, Param: e.Field, Run: e.Run, RequestID: requestID,
+	}})
+	if err != nil {
+		panic(err) // strings only: cannot fail
+	}
+	return doc
+}
+
+// refuse answers with err as a whole HTTP response. Nothing may have been written before.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c caller, err error) {
+	e := typed(err)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRun, string(e.Run))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfterSeconds(e))
+	}
+	w.WriteHeader(e.Code.HTTPStatus())
+	_, _ = w.Write(errorDocument(e, c.id)) // the caller may be gone: nothing left to tell
+	countRefusal(e)
+	g.opts.Log.Info("refuse", "request", c.id, "team", c.teamName(), "path", r.URL.Path,
+		"code", e.Code, "run", e.Run, "retry_after", e.RetryAfter, "err", e.Error())
+}
+
+func retryAfterSeconds(e *fennelerr.Error) string {
+	d := min(e.RetryAfter, maxRefusalRetryAfter)
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func (c caller) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return string(c.team.Name)
+}
--- /dev/null
+++ b/internal/gateway/session.go
@@ -0,0 +1,360 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
+)
+
+// errFirstTokenLate cancels a request whose first token missed its deadline.
+var errFirstTokenLate = fennelerr.New(fennelerr.Timeout, "no token came before the deadline")
+
+// callerGoneError says that the caller left or takes no bytes any more.
+type callerGoneError struct{ err error }
+
+// Error implements error.
+func (e *callerGoneError) Error() string { return "caller gone: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *callerGoneError) Unwrap() error { return e.err }
+
+// session sees one completion request through to its end, over as many
+// attempts as it takes.
+type session struct {
+	g      *Gateway
+	c      caller
+	req    *modelRequest
+	route  *rules.Route
+	sink   sink
+	fp     suspect.Fingerprint
+	prog   *progress
+	run    fennelerr.RunState
+	info   engine.StreamInfo
+	target *target
+	// resume is set when the next attempt goes to the same replica again.
+	resume bool
+	// carryOn is set when the next attempt goes on at another replica.
+	carryOn   bool
+	exclude   []cluster.ReplicaID
+	fruitless int
+	tokens    int
+	started   time.Time
+	firstSeen time.Time
+	stopClock func()
+}
+
+// target is the replica that a session runs on, with what must be undone after.
+type target struct {
+	choice  routing.Choice
+	endMark func(crashed bool)
+	began   time.Time
+	first   time.Time
+	tokens  int
+}
+
+// serve runs the request. It returns nil once the caller has its whole answer.
+func (s *session) serve(ctx context.Context, deadline time.Time) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	clock := time.AfterFunc(time.Until(deadline), func() { cancel(errFirstTokenLate) })
+	s.stopClock = func() { clock.Stop() }
+	defer clock.Stop()
+
+	for {
+		if s.target == nil {
+			if err := s.choose(ctx); err != nil {
+				return err
+			}
+		}
+		err := s.attempt(ctx)
+		if err == nil {
+			s.leave(routing.Result{OK: true}, false)
+			return s.sink.finish()
+		}
+		if gone := s.gone(ctx, err); gone != nil {
+			s.cancelAtReplica()
+			s.leave(routing.Result{Canceled: true}, false)
+			return gone
+		}
+		if err := s.recover(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// choose takes the next replica.
+func (s *session) choose(ctx context.Context) error {
+	alone, err := s.g.opts.Quarantine.Admit(ctx, s.fp)
+	if err != nil {
+		if gone := s.gone(ctx, err); gone != nil {
+			return gone
+		}
+		return s.withRun(err)
+	}
+	choice, err := s.g.opts.Router.Choose(routing.Request{
+		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude, Alone: alone,
+	})
+	if err != nil {
+		return s.withRun(err)
+	}
+	end := s.g.opts.Quarantine.Begin(s.fp, choice.Replica.ID, choice.Replica.Generation, alone)
+	s.target = &target{choice: choice, endMark: end, began: time.Now()}
+	s.resume = false
+	s.g.opts.Log.Info("route", "request", s.c.id, "team", s.c.team.Name, "group", s.route.Group, "rule_line", s.route.Line,
+		"replica", choice.Replica.ID, "generation", choice.Replica.Generation, "addr", choice.Addr, "reason", choice.Reason,
+		"considered", choice.Considered, "alone", alone, "after_event", s.prog.lastID)
+	return nil
+}
+
+// attempt runs one exchange with the target.
+func (s *session) attempt(ctx context.Context) error {
+	body, err := s.req.engineBody(s.prefix())
+	if err != nil {
+		return err
+	}
+	replica := s.target.choice.Replica
+	before := s.prog.lastID
+	err = s.g.opts.Streamer.Stream(ctx, engine.StreamRequest{
+		Addr: s.target.choice.Addr, Path: s.req.path, RequestID: s.c.id, Replica: replica.ID, Generation: replica.Generation,
+		Priority: s.c.team.Priority, Body: body, ResumeAfter: s.prog.lastID, Resume: s.resume, Continue: s.carryOn,
+	}, func(info engine.StreamInfo) { s.info = info }, s.take)
+	if _, notStarted := errors.Into[*engine.NotStartedError](err); !notStarted && s.run == fennelerr.NotRun {
+		s.run = fennelerr.Unknown
+	}
+	if s.prog.lastID > before {
+		s.fruitless = 0
+	} else {
+		s.fruitless++
+	}
+	return err
+}
+
+// prefix is the text to continue from at another replica; empty otherwise.
+func (s *session) prefix() string {
+	if !s.carryOn {
+		return ""
+	}
+	return s.prog.text.String()
+}
+
+// take checks one event and passes it on.
+func (s *session) take(ev engine.Event) error {
+	addr := s.target.choice.Addr
+	if ev.Done {
+		if !s.prog.whole(s.req.choices) {
+			return &engine.BrokenError{Addr: addr, Err: errors.New("end marker before the end of the answer")}
+		}
+		return nil
+	}
+	c := &chunk{}
+	if err := json.Unmarshal(ev.Data, c); err != nil {
+		return &engine.BrokenError{Addr: addr, Err: err}
+	}
+	if want := chunkID(s.req.path, s.c.id); c.ID != want {
+		return &engine.MismatchError{Addr: addr, Want: want, Got: c.ID}
+	}
+	s.run = fennelerr.Ran
+	s.noteToken()
+	if err := s.sink.event(ev.Data, c); err != nil {
+		return &callerGoneError{err}
+	}
+	s.prog.add(ev.ID, c)
+	return nil
+}
+
+func (s *session) noteToken() {
+	s.tokens++
+	s.target.tokens++
+	if s.target.first.IsZero() {
+		s.target.first = time.Now()
+	}
+	if s.firstSeen.IsZero() {
+		s.firstSeen = s.target.first
+		s.stopClock()
+		firstByteSeconds.Update(s.firstSeen.Sub(s.started).Seconds())
+	}
+}
+
+// gone returns an error when the caller left or the first token is too late.
+func (s *session) gone(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		if errors.Is(cause, errFirstTokenLate) {
+			late := *errFirstTokenLate
+			return late.WithRun(s.run).WithRetryAfter(time.Second)
+		}
+		return &callerGoneError{cause}
+	}
+	if g, ok := errors.Into[*callerGoneError](err); ok {
+		return g
+	}
+	return nil
+}
+
+// recover decides what follows a failed attempt and prepares it. It returns an
+// error when the request is given up.
+func (s *session) recover(ctx context.Context, err error) error {
+	now := s.classify(ctx, err)
+	st := nextStep(now)
+	t := s.target.choice
+	s.g.opts.Log.Warn("attempt failed", "request", s.c.id, "replica", t.Replica.ID, "addr", t.Addr,
+		"after_event", s.prog.lastID, "next", st.reason, "err", err.Error())
+	if st.kind == stepResume {
+		resumesSame.Inc()
+		s.resume = true
+		return nil
+	}
+	s.noteReplicaFailure(now, err)
+	if now.fate != fateCrashed {
+		s.cancelAtReplica()
+	}
+	s.leave(routing.Result{}, now.fate == fateCrashed)
+	if st.kind == stepGiveUp {
+		return s.giveUp(st, err)
+	}
+	if !s.g.opts.Admitter.AllowRetry(s.c.team.Name) {
+		return fennelerr.Wrap(err, fennelerr.Overloaded, "the team's retry budget is spent").
+			WithRun(s.run).WithRetryAfter(retryBudgetWait)
+	}
+	s.exclude = append(s.exclude, t.Replica.ID)
+	s.moveOn(st)
+	return nil
+}
+
+// retryBudgetWait is when a caller without retry budget may come back.
+const retryBudgetWait = 2 * time.Second
+
+func (s *session) moveOn(st step) {
+	s.carryOn = st.kind == stepContinue
+	if s.carryOn {
+		resumesOther.Inc()
+		return
+	}
+	restarts.Inc()
+	s.sink.restart()
+	s.prog = newProgress()
+}
+
+// classify turns an attempt's error, and a probe where it matters, into a situation.
+func (s *session) classify(ctx context.Context, err error) situation {
+	now := situation{
+		events: s.prog.lastID, committed: s.sink.committed(), repeatable: s.route.Once != rules.OnceRequired,
+		canContinue: s.info.CanContinue && s.req.choices == 1 && s.prog.plain,
+		fruitless:   s.fruitless, maxFruitless: s.g.opts.MaxAttempts,
+	}
+	if _, ok := errors.Into[*engine.NotStartedError](err); ok {
+		now.failure = failedNotStarted
+		if s.resume {
+			now.fate = fateCrashed // it had the request and cannot be reached any more
+		}
+		return now
+	}
+	if r, ok := errors.Into[*engine.RejectedError](err); ok {
+		now.failure = failedRejected
+		now.lostByReplica = s.resume || s.carryOn
+		if r.NotStarted && s.prog.lastID == 0 && !s.resume {
+			s.run = fennelerr.NotRun
+		}
+		return now
+	}
+	now.failure = failedInterrupted
+	countInterruption(err)
+	now.fate = s.probe(ctx)
+	return now
+}
+
+func countInterruption(err error) {
+	if _, ok := errors.Into[*engine.MismatchError](err); ok {
+		mismatches.Inc()
+	}
+	if _, ok := errors.Into[*engine.SilentError](err); ok {
+		silentStreams.Inc()
+	}
+}
+
+// probe asks the target over a new connection whether it is still what it was.
+func (s *session) probe(ctx context.Context) fate {
+	ctx, cancel := context.WithTimeout(ctx, s.g.opts.ProbeTimeout)
+	defer cancel()
+	state, err := s.g.opts.Prober.State(ctx, s.target.choice.Addr)
+	replica := s.target.choice.Replica
+	if err != nil || state.Assignment.Replica != replica.ID || state.Assignment.Generation != replica.Generation {
+		return fateCrashed
+	}
+	return fateAlive
+}
+
+func (s *session) noteReplicaFailure(now situation, err error) {
+	t := s.target.choice
+	if now.fate == fateCrashed {
+		replicaCrashes.Inc()
+	}
+	if now.fate == fateCrashed || now.failure == failedNotStarted {
+		s.g.opts.OnReplicaFailed(t.Replica, err.Error())
+	}
+}
+
+// leave ends the session's stay on its target.
+func (s *session) leave(res routing.Result, crashed bool) {
+	t := s.target
+	if t == nil {
+		return
+	}
+	s.target = nil
+	res.Tokens = t.tokens
+	res.Duration = time.Since(t.began)
+	if !t.first.IsZero() {
+		res.FirstToken = t.first.Sub(t.began)
+	}
+	t.endMark(crashed)
+	s.g.opts.Router.End(t.choice, res)
+}
+
+// cancelAtReplica tells the engine to stop, in the background.
+func (s *session) cancelAtReplica() {
+	if s.target == nil {
+		return
+	}
+	addr, id := s.target.choice.Addr, s.c.id
+	s.g.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := s.g.opts.Prober.Cancel(ctx, addr, id); err != nil {
+			s.g.opts.Log.Warn("cancel not delivered", "request", id, "addr", addr, "err", err.Error())
+		}
+	})
+}
+
+// giveUp turns the last failure into the caller's final answer.
+func (s *session) giveUp(st step, err error) error {
+	if r, ok := errors.Into[*engine.RejectedError](err); ok && !s.resume && !s.carryOn {
+		return s.rejected(r)
+	}
+	return fennelerr.Wrap(err, st.code, "%s", st.reason).WithRun(s.run).WithRetryAfter(time.Second)
+}
+
+// rejected passes on an engine's word about the request itself.
+func (s *session) rejected(r *engine.RejectedError) error {
+	var doc errorBody
+	message := "the model engine rejected the request"
+	if json.Unmarshal(r.Body, &doc) == nil && doc.Error.Message != "" {
+		message = doc.Error.Message
+	}
+	return fennelerr.New(fennelerr.InvalidRequest, "%s", message).WithField(doc.Error.Param).WithRun(s.run)
+}
+
+// withRun puts the session's run state on a refusal by a neighbour: a refusal to
+// go on does not undo that an earlier attempt may have run.
+func (s *session) withRun(err error) error {
+	e := *typed(err)
+	e.Run = s.run
+	return &e
+}
