--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -97,6 +97,9 @@
 	Model      string            `json:"model,omitempty"`
 	Version    string            `json:"version,omitempty"`
 	Adapters   []string          `json:"adapters,omitempty"`
+	// Addrs gives the members' ip:port, so that the serving VM can watch its
+	// members; a member without an entry is looked up by the engine's own means.
+	Addrs map[cluster.VMID]string `json:"addrs,omitempty"`
 }
 
 // MemberDigest is the serving VM's view of one member, taken on the fabric.
