--- /dev/null
+++ b/internal/standin/engine/members.go
@@ -0,0 +1,244 @@
+package standinengine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+)
+
+// sighting is what the serving VM last heard from one member.
+type sighting struct {
+	at         time.Time
+	replica    cluster.ReplicaID
+	generation int64
+}
+
+func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	st := s.stateLocked(time.Now())
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, st)
+}
+
+func (s *Server) stateLocked(now time.Time) engine.State {
+	st := engine.State{
+		VM: s.opts.VM, Boot: s.boot, Assignment: s.assignment, Loaded: s.loadedLocked(now),
+		Fence: s.fence, ChecksFence: s.opts.ChecksFence, Load: s.load,
+		MaxGapMs: s.opts.MaxGap.Milliseconds(),
+	}
+	if s.assignment.Role != engine.RoleServing {
+		return st
+	}
+	for _, vm := range s.assignment.Members {
+		if vm == s.opts.VM {
+			st.Members = append(st.Members, engine.MemberDigest{VM: vm, Replica: s.assignment.Replica, Generation: s.assignment.Generation})
+			continue
+		}
+		if seen, ok := s.seen[vm]; ok {
+			st.Members = append(st.Members, engine.MemberDigest{
+				VM: vm, Replica: seen.replica, Generation: seen.generation,
+				SeenAgoMs: now.Sub(seen.at).Milliseconds(),
+			})
+		}
+	}
+	return st
+}
+
+func (s *Server) loadedLocked(now time.Time) bool {
+	return s.assignment.Role != engine.RoleIdle && !now.Before(s.loadedAt)
+}
+
+// wholeLocked reports whether every member was heard lately and agrees.
+func (s *Server) wholeLocked(now time.Time) bool {
+	a := s.assignment
+	for _, vm := range a.Members {
+		if vm == s.opts.VM {
+			continue
+		}
+		seen, ok := s.seen[vm]
+		if !ok || now.Sub(seen.at) > s.opts.MemberTimeout {
+			return false
+		}
+		if seen.replica != a.Replica || seen.generation != a.Generation {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, false, err.Error())
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	reason := s.applyLocked(o, now)
+	st := s.stateLocked(now)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, engine.OrderResult{Accepted: reason == "", Reason: reason, State: st})
+}
+
+// applyLocked carries out the order or returns why it is refused.
+func (s *Server) applyLocked(o engine.Order, now time.Time) (refused string) {
+	if o.VM != s.opts.VM {
+		return "order is for another vm"
+	}
+	if s.opts.ChecksFence && o.Fence < s.fence {
+		return "stale fence"
+	}
+	if o.Kind == engine.OrderLoad && s.assignment.Replica != o.Assignment.Replica {
+		return "not in that replica"
+	}
+	next := s.assignment
+	switch o.Kind {
+	case engine.OrderAssign:
+		next = o.Assignment
+	case engine.OrderRelease:
+		next = engine.Assignment{Role: engine.RoleIdle}
+	case engine.OrderLoad:
+		next.Version, next.Adapters = o.Assignment.Version, o.Assignment.Adapters
+	default:
+		return "unknown order"
+	}
+	s.fence = max(s.fence, o.Fence)
+	s.assumeLocked(next, now)
+	return ""
+}
+
+func (s *Server) assumeLocked(next engine.Assignment, now time.Time) {
+	prev := s.assignment
+	sameWeights := prev.Role != engine.RoleIdle && prev.Model == next.Model &&
+		prev.Version == next.Version && slices.Equal(prev.Adapters, next.Adapters)
+	sameMembers := prev.Replica == next.Replica && prev.Serving == next.Serving &&
+		slices.Equal(prev.Members, next.Members)
+	if !sameWeights {
+		s.loadedAt = now.Add(s.opts.LoadTime)
+	}
+	if !sameMembers {
+		s.abortAllLocked()
+		s.seen = nil
+	}
+	s.assignment = next
+}
+
+// watchMembers asks the members of the replica that this VM serves, and aborts
+// all streams when one is missing: without its share of the weights no token
+// can be made.
+func (s *Server) watchMembers() {
+	defer s.wg.Done()
+	tick := time.NewTicker(s.opts.MemberPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-tick.C:
+		}
+		select {
+		case <-s.thawed():
+		case <-s.done:
+			return
+		}
+		s.askMembers()
+		now := time.Now()
+		s.mu.Lock()
+		if s.assignment.Role == engine.RoleServing && !s.wholeLocked(now) {
+			s.abortAllLocked()
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) askMembers() {
+	s.mu.Lock()
+	a, crashed := s.assignment, s.crashed
+	s.mu.Unlock()
+	if a.Role != engine.RoleServing || crashed {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, vm := range a.Members {
+		addr := s.memberAddr(a, vm)
+		if vm == s.opts.VM || addr == "" {
+			continue
+		}
+		wg.Go(func() { s.askMember(vm, addr) })
+	}
+	wg.Wait()
+}
+
+func (s *Server) memberAddr(a engine.Assignment, vm cluster.VMID) string {
+	if addr := a.Addrs[vm]; addr != "" {
+		return addr
+	}
+	if s.opts.PeerAddr != nil {
+		return s.opts.PeerAddr(vm)
+	}
+	return ""
+}
+
+func (s *Server) askMember(vm cluster.VMID, addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.MemberTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+engine.StatePath, nil)
+	if err != nil {
+		return
+	}
+	resp, err := s.peers.Do(req)
+	if err != nil {
+		return // a member that stays silent ages out by MemberTimeout
+	}
+	defer resp.Body.Close()
+	var st engine.State
+	if json.NewDecoder(resp.Body).Decode(&st) != nil || st.VM != vm {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen == nil {
+		s.seen = map[cluster.VMID]sighting{}
+	}
+	s.seen[vm] = sighting{at: time.Now(), replica: st.Assignment.Replica, generation: st.Assignment.Generation}
+}
+
+// sampleLoad takes the load reports, so that a report is up to LoadLag old.
+func (s *Server) sampleLoad() {
+	defer s.wg.Done()
+	tick := time.NewTicker(s.opts.LoadLag)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-tick.C:
+			s.takeLoad(now)
+		}
+	}
+}
+
+func (s *Server) takeLoad(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.MuteLoad {
+		return
+	}
+	made := s.tokens.Load()
+	elapsed := now.Sub(s.load.AsOf).Seconds()
+	next := engine.Load{AsOf: now, Running: s.running, Waiting: len(s.waiting), MaxRunning: s.opts.MaxRunning}
+	next.KVUsed = float64(s.running) / float64(s.opts.MaxRunning)
+	if elapsed > 0 {
+		next.TokensPerSecond = float64(made-s.loadTokens) / elapsed
+	}
+	if s.faults.LieIdle {
+		next.Running, next.Waiting, next.KVUsed = 0, 0, 0
+	}
+	s.load, s.loadTokens = next, made
+}
