--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -33,3 +33,9 @@
 
 // LedgerPrefix holds the zone's outage ledger batches.
 func LedgerPrefix(zone cluster.ZoneID) string { return zonesPrefix + string(zone) + "/ledger/" }
+
+// GroupingHeadKey is written by every transaction that changes the zone's
+// replicas and guards it: a late write by an earlier attempt then fails.
+func GroupingHeadKey(zone cluster.ZoneID) string {
+	return zonesPrefix + string(zone) + "/grouping-head"
+}
