--- /dev/null
+++ b/cmd/fennel-standin/engine.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
+)
+
+func engineCommand(log *slog.Logger) *ff.Command {
+	fs := ff.NewFlagSet("engine")
+	listen := fs.StringLong("listen", "127.0.0.1:0", "ip:port to serve on")
+	vm := fs.StringLong("vm", "", "id of the VM this engine runs on (required)")
+	checks := fs.BoolLong("checks-fence", "refuse orders with an old fencing number")
+	canContinue := fs.BoolLong("can-continue", "continue streams that another replica began")
+	var opts standinengine.Options
+	fs.DurationVar(&opts.TokenInterval, 0, "token-interval", standinengine.DefaultTokenInterval, "time between two tokens")
+	fs.DurationVar(&opts.PrefillPerBlock, 0, "prefill-per-block", 0, "time each uncached prompt block adds to the first token")
+	fs.IntVar(&opts.MaxRunning, 0, "max-running", standinengine.DefaultMaxRunning, "requests batched at once")
+	fs.IntVar(&opts.MaxWaiting, 0, "max-waiting", 0, "requests waiting beyond (0: four times max-running)")
+	fs.DurationVar(&opts.MaxGap, 0, "max-gap", standinengine.DefaultMaxGap, "promised longest silence within a stream")
+	fs.DurationVar(&opts.LoadTime, 0, "load-time", 0, "time to load a model or version")
+	fs.DurationVar(&opts.LoadLag, 0, "load-lag", standinengine.DefaultLoadLag, "age that a load report can reach")
+	fs.DurationVar(&opts.CacheEventLag, 0, "cache-event-lag", 0, "delay of cache events")
+	fs.IntVar(&opts.CacheEventGap, 0, "cache-event-gap", 0, "every n-th cache event is lost (0: none)")
+	fs.StringVar(&opts.CrashMarker, 0, "crash-marker", "", "text in a request body that crashes the engine")
+	fs.DurationVar(&opts.ResumeGrace, 0, "resume-grace", 30*time.Second, "how long a request without a connection is kept")
+	return &ff.Command{
+		Name: "engine", Usage: "fennel-standin engine --vm ID [FLAGS]", ShortHelp: "a model engine on one VM", Flags: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			if *vm == "" {
+				return fennelerr.New(fennelerr.InvalidRequest, "a VM id is required").WithField("--vm")
+			}
+			opts.VM, opts.ChecksFence, opts.CanContinue = cluster.VMID(*vm), *checks, *canContinue
+			opts.OnCrash = func() {
+				log.Error("engine crash", "vm", *vm)
+				os.Exit(crashExitCode)
+			}
+			s := standinengine.New(opts)
+			defer s.Close()
+			return serve(ctx, log.With("standin", "engine", "vm", *vm), *listen, s.Handler(), s.Close)
+		},
+	}
+}
