--- /dev/null
+++ b/internal/grouping/orders.go
@@ -0,0 +1,131 @@
+package grouping
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+// desired returns what each VM's engine should believe, by the committed table.
+// VMs of no replica have no entry: they should be idle.
+func desired(replicas []cluster.Replica, set *rules.Set, addr func(cluster.VMID) string) map[cluster.VMID]engine.Assignment {
+	out := make(map[cluster.VMID]engine.Assignment)
+	for _, r := range replicas {
+		base := engine.Assignment{
+			Replica: r.ID, Generation: r.Generation, Members: r.Members, Serving: r.Serving,
+			Model: r.Model, Addrs: make(map[cluster.VMID]string, len(r.Members)),
+		}
+		if g := set.GroupByName(r.Group); g != nil {
+			base.Version, base.Adapters = g.Version, g.Adapters
+		}
+		for _, id := range r.Members {
+			base.Addrs[id] = addr(id)
+		}
+		for _, id := range r.Members {
+			a := base
+			a.Role = engine.RoleWorker
+			if id == r.Serving {
+				a.Role = engine.RoleServing
+			}
+			out[id] = a
+		}
+	}
+	return out
+}
+
+// orderFor returns the order that takes an engine from have to want, or "" when
+// none is needed. An idle engine is wanted when assigned is false.
+func orderFor(have engine.Assignment, want engine.Assignment, assigned bool) engine.OrderKind {
+	switch {
+	case !assigned && have.Replica != "":
+		return engine.OrderRelease
+	case !assigned:
+		return ""
+	case have.Replica != want.Replica || have.Generation != want.Generation ||
+		have.Role != want.Role || have.Model != want.Model:
+		return engine.OrderAssign
+	case have.Version != want.Version || !slices.Equal(have.Adapters, want.Adapters):
+		return engine.OrderLoad
+	default:
+		return ""
+	}
+}
+
+// needsWeights reports whether the order makes the engine read the weight store.
+func needsWeights(have engine.State, order engine.Order) bool {
+	if order.Kind == engine.OrderRelease {
+		return false
+	}
+	a := order.Assignment
+	same := have.Assignment.Model == a.Model && have.Assignment.Version == a.Version &&
+		slices.Equal(have.Assignment.Adapters, a.Adapters)
+	return !same || !have.Loaded
+}
+
+// sendOrders sends each order if the lease still has orderLife left at that
+// moment. An engine that ignores fencing numbers has no other protection from a
+// holder that was paused: the check stands right before the call, and the call
+// itself ends with the order's life.
+func (c *Controller) sendOrders(ctx context.Context, t *tenure, orders []addressedOrder) {
+	var group errgroup.Group
+	group.SetLimit(parallelCalls)
+	results := make([]orderAnswer, len(orders))
+	for i, o := range orders {
+		group.Go(func() error {
+			results[i] = c.sendOrder(ctx, t, o)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for i, o := range orders {
+		c.orderDone(t, o, results[i])
+	}
+}
+
+type addressedOrder struct {
+	addr  string
+	order engine.Order
+}
+
+type orderAnswer struct {
+	sent   time.Time
+	result engine.OrderResult
+	err    error
+}
+
+func (c *Controller) sendOrder(ctx context.Context, t *tenure, o addressedOrder) orderAnswer {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.OrderLife)
+	defer cancel()
+	sent := time.Now()
+	if t.lease.Left(sent) < c.opts.OrderLife {
+		return orderAnswer{sent: sent, err: &CommitError{Kind: CommitLeaseLost, Err: context.DeadlineExceeded}}
+	}
+	result, err := c.opts.Engines.Order(ctx, o.addr, o.order)
+	return orderAnswer{sent: sent, result: result, err: err}
+}
+
+func (c *Controller) orderDone(t *tenure, o addressedOrder, a orderAnswer) {
+	log := c.opts.Log.With("zone", c.opts.Zone, "order", o.order.ID, "kind", o.order.Kind, "vm", o.order.VM,
+		"replica", o.order.Assignment.Replica, "generation", o.order.Assignment.Generation, "fence", o.order.Fence)
+	switch {
+	case a.err != nil:
+		ordersFailed.Inc()
+		log.Warn("order failed", "error", a.err)
+	case !a.result.Accepted:
+		ordersRefused.Inc()
+		log.Warn("order refused", "reason", a.result.Reason)
+	default:
+		ordersAccepted.Inc()
+		log.Info("order accepted")
+	}
+	view := t.fleet.views[o.order.VM]
+	if a.err == nil && view != nil && a.result.State.VM == o.order.VM {
+		t.fleet.answered(view, a.result.State, a.sent)
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -15,7 +15,8 @@
 type VM struct {
 	ID     cluster.VMID
 	Domain cluster.DomainID
-	// Listed is false for a VM that the platform's list no longer holds.
+	// Listed is false for a VM that the platform's list does not hold (any more).
+	// The list lags, so a VM that answers counts as present without being listed.
 	Listed  bool
 	Leaving bool
 	// LastSeen is the last answer of the engine; zero if it never answered.
@@ -30,7 +31,7 @@
 }
 
 // Broken reports whether a replica that holds the VM cannot serve because of it.
-func (v VM) Broken() bool { return !v.Listed || v.Leaving || !v.DownSince.IsZero() }
+func (v VM) Broken() bool { return v.Leaving || !v.DownSince.IsZero() }
 
 // Load is the work on one replica.
 type Load struct {
