--- /dev/null
+++ b/internal/engine/prober.go
@@ -0,0 +1,14 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+)
+
+// NewProber returns a Client that opens a new connection for every call. A probe
+// over a pooled connection would ask the very connection that may have gone silent.
+func NewProber(timeout time.Duration) *Client {
+	c := NewClient(timeout)
+	c.http.Transport.(*http.Transport).DisableKeepAlives = true
+	return c
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -35,13 +34,13 @@
 
 // modelFields are the fields that the gateway itself reads.
 type modelFields struct {
-	Model               string          `json:"model"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Stream              bool            `json:"stream"`
-	N                   *int            `json:"n"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Model               string           `json:"model"`
+	Messages            []engine.Message `json:"messages"`
+	Prompt              json.RawMessage  `json:"prompt"`
+	Stream              bool             `json:"stream"`
+	N                   *int             `json:"n"`
+	MaxTokens           *int             `json:"max_tokens"`
+	MaxCompletionTokens *int             `json:"max_completion_tokens"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
@@ -53,9 +52,6 @@
 // bytesPerToken turns prompt bytes into an estimate of prompt tokens.
 const bytesPerToken = 4
 
-// maxPrefixHashes bounds how many prefixes of a prompt are looked up.
-const maxPrefixHashes = 64
-
 func invalid(field, format string, args ...any) error {
 	return fennelerr.New(fennelerr.InvalidRequest, format, args...).WithField(field).WithRun(fennelerr.NotRun)
 }
@@ -83,8 +79,7 @@
 	if err := json.Unmarshal(body, &req.fields); err != nil || req.fields == nil {
 		return nil, invalid("", "the body is not a JSON object")
 	}
-	prompt, err := f.prompt(path)
-	if err != nil {
+	if err := f.checkPrompt(path); err != nil {
 		return nil, err
 	}
 	if f.Model == "" {
@@ -105,22 +100,28 @@
 		}
 		req.maxTokens = *bound
 	}
-	req.prefixHashes = prefixHashes(prompt)
+	req.prefixHashes = engine.PrefixHashes(f.promptText(path))
 	return req, nil
 }
 
-func (f *modelFields) prompt(path string) (json.RawMessage, error) {
-	name, value := "messages", f.Messages
+func (f *modelFields) checkPrompt(path string) error {
 	if path == engine.CompletionsPath {
-		name, value = "prompt", f.Prompt
+		if len(f.Prompt) == 0 || bytes.Equal(f.Prompt, []byte("null")) {
+			return invalid("prompt", "%s takes a prompt", path)
+		}
+		return nil
 	}
-	if len(value) == 0 || bytes.Equal(value, []byte("null")) {
-		return nil, invalid(name, "%s takes %q", path, name)
+	if len(f.Messages) == 0 {
+		return invalid("messages", "%s takes a list of at least one message", path)
 	}
-	if name == "messages" && (value[0] != '[' || bytes.Equal(bytes.Join(bytes.Fields(value), nil), []byte("[]"))) {
-		return nil, invalid(name, "messages must be a list of at least one message")
+	return nil
+}
+
+func (f *modelFields) promptText(path string) string {
+	if path == engine.CompletionsPath {
+		return engine.PromptText(nil, f.Prompt)
 	}
-	return value, nil
+	return engine.PromptText(f.Messages, nil)
 }
 
 func jsonField(err error) string {
@@ -155,18 +156,6 @@
 	return json.Marshal(fields)
 }
 
-// prefixHashes returns the hashes of the prompt's prefixes, longest first.
-func prefixHashes(prompt []byte) []uint64 {
-	blocks := min(len(prompt)/engine.PrefixBlock, maxPrefixHashes)
-	hashes := make([]uint64, blocks)
-	digest := xxhash.New()
-	for i := range blocks {
-		_, _ = digest.Write(prompt[i*engine.PrefixBlock : (i+1)*engine.PrefixBlock]) // never fails
-		hashes[blocks-1-i] = digest.Sum64()
-	}
-	return hashes
-}
-
 // fingerprintOf identifies a request by team, path and body.
 func fingerprintOf(team cluster.TeamID, path string, body []byte) suspect.Fingerprint {
 	h := sha256.New()
