--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -94,8 +94,11 @@
 		b.remove(old)
 		return Change{Replica: old, Removed: true}, nil
 	case Drain:
+		// The generation stays: a new one would have the engines reassigned in
+		// the middle of the streams that the drain lets finish.
 		old.Leaving = true
-		return b.change(a.Kind, old, s)
+		b.replicas[old.ID] = old
+		return Change{Replica: old}, nil
 	case Replace:
 		return b.replace(a, old, s)
 	default:
@@ -135,16 +138,10 @@
 	}
 	next.Leaving = false
 	next.Serving = next.Members[0]
-	return b.change(Replace, next, s)
-}
-
-// change replaces a replica by its next generation; on error the book is as before.
-func (b *Book) change(kind Kind, next cluster.Replica, s Stamp) (Change, error) {
-	old := b.replicas[next.ID]
 	next.Generation = old.Generation + 1
 	next.Fence = s.Fence
 	b.remove(old)
-	if err := b.add(kind, next); err != nil {
+	if err := b.add(Replace, next); err != nil {
 		b.insert(old)
 		return Change{}, err
 	}
