--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,212 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+)
+
+var (
+	keyA = Key{ID: 1, Secret: []byte("0123456789abcdef")}
+	keyB = Key{ID: 2, Secret: []byte("fedcba9876543210")}
+)
+
+func ring(t testing.TB, keys ...Key) *Keyring {
+	t.Helper()
+	k, err := NewKeyring(keys...)
+	require.NoError(t, err)
+	return k
+}
+
+func sample(sequence uint64, sent time.Time) *wirepb.Datagram {
+	return &wirepb.Datagram{Node: "n1", Zone: "z1", Incarnation: 7, Sequence: sequence, SentUnixMs: sent.UnixMilli()}
+}
+
+func reasonOf(err error) Reason {
+	if d, ok := err.(*DropError); ok {
+		return d.Reason
+	}
+	return ""
+}
+
+// Packets arrive damaged by the network, cut short, or made by someone without
+// the key. Taken at face value, one of them could declare nodes dead or bar
+// callers' requests.
+func TestOpenDropsWhatIsNotAuthentic(t *testing.T) {
+	keys := ring(t, keyA)
+	good, err := keys.Seal(sample(1, time.Now()))
+	require.NoError(t, err)
+	flipped := bytes.Clone(good)
+	flipped[len(flipped)-1] ^= 1
+	wrongVersion := bytes.Clone(good)
+	wrongVersion[0] = 9
+	stranger, err := ring(t, keyB).Seal(sample(1, time.Now()))
+	require.NoError(t, err)
+	sameID, err := ring(t, Key{ID: keyA.ID, Secret: keyB.Secret}).Seal(sample(1, time.Now()))
+	require.NoError(t, err)
+	nameless, err := keys.Seal(&wirepb.Datagram{Zone: "z1"})
+	require.NoError(t, err)
+
+	for name, c := range map[string]struct {
+		packet []byte
+		want   Reason
+	}{
+		"whole":            {good, ""},
+		"empty":            {nil, Truncated},
+		"header only half": {good[:headerSize-1], Truncated},
+		"body cut":         {good[:len(good)-3], Forged},
+		"bit flipped":      {flipped, Forged},
+		"other version":    {wrongVersion, UnknownVersion},
+		"unknown key":      {stranger, UnknownKey},
+		"wrong secret":     {sameID, Forged},
+		"no sender":        {nameless, Malformed},
+		"too long":         {append(bytes.Clone(good), make([]byte, MaxPacket)...), Oversized},
+	} {
+		_, err := keys.Open(c.packet)
+		require.Equal(t, c.want, reasonOf(err), name)
+	}
+}
+
+func TestSealRefusesTooLarge(t *testing.T) {
+	d := sample(1, time.Now())
+	d.Members = []*wirepb.Member{{Node: string(make([]byte, MaxBody))}}
+	_, err := ring(t, keyA).Seal(d)
+	sendErr, ok := err.(*SendError)
+	require.True(t, ok)
+	require.Greater(t, sendErr.Size, MaxBody)
+}
+
+// Operators rotate the datagram keys while nodes run. If a node signed with a
+// key that others do not know yet, they would take it for dead.
+func TestKeyRotationLosesNothing(t *testing.T) {
+	sender, receiver := ring(t, keyA), ring(t, keyA)
+	pass := func() {
+		packet, err := sender.Seal(sample(1, time.Now()))
+		require.NoError(t, err)
+		_, err = receiver.Open(packet)
+		require.NoError(t, err)
+	}
+	steps := [][]Key{{keyA, keyB}, {keyB, keyA}, {keyB}}
+	for _, keys := range steps {
+		require.NoError(t, receiver.Swap(keys...))
+		pass()
+		require.NoError(t, sender.Swap(keys...))
+		pass()
+	}
+	require.Error(t, sender.Swap())
+	require.Error(t, sender.Swap(keyA, keyA))
+	require.Error(t, sender.Swap(Key{ID: 3, Secret: []byte("short")}))
+	pass()
+}
+
+// Someone records datagrams and sends them again, at once or later, or a node's
+// old process wakes up after its successor has spoken. A dead node would look
+// alive, or a lifted quarantine would come back.
+func TestWindow(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	steps := []struct {
+		name        string
+		incarnation uint64
+		sequence    uint64
+		sent        time.Duration
+		want        Reason
+	}{
+		{"first", 7, 10, 0, ""},
+		{"again", 7, 10, 0, Replayed},
+		{"overtaken", 7, 8, 0, ""},
+		{"overtaken again", 7, 8, 0, Replayed},
+		{"jump", 7, 500, 0, ""},
+		{"edge of the window", 7, 437, 0, ""},
+		{"behind the window", 7, 436, 0, TooOld},
+		{"kept too long", 7, 501, -DefaultMaxAge - DefaultMaxSkew - time.Millisecond, TooOld},
+		{"just in time", 7, 502, -DefaultMaxAge - DefaultMaxSkew, ""},
+		{"clock ahead", 7, 503, DefaultMaxSkew + time.Millisecond, FromFuture},
+		{"clock ahead within the allowance", 7, 503, DefaultMaxSkew, ""},
+		{"restarted", 8, 1, 0, ""},
+		{"old process wakes up", 7, 600, 0, OldIncarnation},
+	}
+	w := NewWindow(0, 0)
+	for _, s := range steps {
+		d := &wirepb.Datagram{Node: "n1", Incarnation: s.incarnation, Sequence: s.sequence, SentUnixMs: now.Add(s.sent).UnixMilli()}
+		require.Equal(t, s.want, reasonOf(w.Accept(d, now)), s.name)
+	}
+}
+
+// The table of senders is bounded. It must not forget a sender while that
+// sender's recorded datagrams could still be accepted.
+func TestWindowForgetsOnlyTheLongSilent(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	w := NewWindow(0, 0)
+	accept := func(node int, at time.Time) Reason {
+		d := &wirepb.Datagram{Node: string(rune('0' + node)), Incarnation: 1, Sequence: 1, SentUnixMs: at.UnixMilli()}
+		return reasonOf(w.Accept(d, at))
+	}
+	for i := range maxSenders {
+		require.Empty(t, accept(i, now))
+	}
+	require.Equal(t, TooManySenders, accept(maxSenders, now))
+	require.Equal(t, Replayed, accept(0, now))
+	require.Empty(t, accept(maxSenders, now.Add(time.Minute)))
+}
+
+func FuzzOpen(f *testing.F) {
+	keys := ring(f, keyA)
+	good, err := keys.Seal(sample(1, time.Unix(1_800_000_000, 0)))
+	require.NoError(f, err)
+	f.Add(good, false)
+	f.Add(good[:headerSize], false)
+	f.Add([]byte{}, false)
+	f.Add(protowire.AppendVarint([]byte{0x52, 0x05}, 1<<40), true)
+	f.Fuzz(func(t *testing.T, data []byte, sign bool) {
+		packet := data
+		if sign {
+			packet = make([]byte, headerSize, headerSize+len(data))
+			packet[0], packet[4] = version1, byte(keyA.ID)
+			packet = append(packet, data...)
+			keys.set.Load().signing.tag(packet[headSize:headSize], packet[:headSize], packet[headerSize:])
+		}
+		d, err := keys.Open(packet)
+		if err != nil {
+			require.NotEmpty(t, reasonOf(err))
+			return
+		}
+		if size := proto.Size(d); size <= MaxBody {
+			_, err = keys.Seal(d)
+			require.NoError(t, err)
+		}
+		_ = NewWindow(0, 0).Accept(d, time.Unix(1_800_000_000, 0))
+	})
+}
+
+// benchDatagram has the size of a heartbeat in a zone of 25 nodes.
+func benchDatagram() *wirepb.Datagram {
+	d := sample(1, time.Now())
+	for range 12 {
+		d.Replicas = append(d.Replicas, &wirepb.ReplicaStatus{Replica: "assistente-fit-serra-a-12", Generation: 4711, Running: 3})
+	}
+	return d
+}
+
+func BenchmarkSeal(b *testing.B) {
+	keys, d := ring(b, keyA), benchDatagram()
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = keys.Seal(d)
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	keys := ring(b, keyA)
+	packet, err := keys.Seal(benchDatagram())
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = keys.Open(packet)
+	}
+}
