peer: PeerService over connect-go, with timeouts and mutual TLS

Cause: rules and groupings are too large for datagrams, and a peer that is frozen or cut off must not hold its caller.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/wire"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
+)
+
+// DefaultTimeout bounds one call to a peer.
+const DefaultTimeout = 2 * time.Second
+
+// maxResponse bounds an answer, in bytes: twice the platform's largest value.
+const maxResponse = 2 << 20
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// TLS carries the node's certificate for mutual TLS. Nil is refused unless Plain is set.
+	TLS *wire.TLSConfig
+	// ServerName is the name that peers' certificates carry; empty means their IP number.
+	ServerName string
+	// Plain allows calls without TLS.
+	Plain bool
+	// Timeout bounds one call; zero means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Client calls the PeerService of other nodes. It is safe for concurrent use.
+type Client struct {
+	http    *http.Client
+	scheme  string
+	timeout time.Duration
+}
+
+// NewClient returns a client, or an InvalidRequest error when neither TLS nor Plain is set.
+func NewClient(opts ClientOptions) (*Client, error) {
+	c := &Client{timeout: opts.Timeout}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	switch {
+	case opts.TLS != nil:
+		c.scheme = "https://"
+		c.http = &http.Client{Transport: opts.TLS.HTTPTransport(opts.ServerName)}
+	case opts.Plain:
+		c.scheme = "http://"
+		c.http = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}
+	default:
+		return nil, fennelerr.New(fennelerr.InvalidRequest, "calls to peers need TLS files, or plain must be allowed").WithField("peer.tls")
+	}
+	return c, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// FetchRules asks the peer at addr, an ip:port, for its rules in force.
+func (c *Client) FetchRules(ctx context.Context, addr string, haveRevision int64) (*wirepb.FetchRulesResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req := connect.NewRequest(&wirepb.FetchRulesRequest{HaveRevision: haveRevision})
+	resp, err := c.service(addr).FetchRules(ctx, req)
+	if err != nil {
+		return nil, fromConnect(err, "peer.fetch_rules", addr)
+	}
+	return resp.Msg, nil
+}
+
+// FetchGrouping asks the peer at addr, an ip:port, for the newest grouping it knows of a zone.
+func (c *Client) FetchGrouping(ctx context.Context, addr string, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req := connect.NewRequest(&wirepb.FetchGroupingRequest{Zone: string(zone)})
+	resp, err := c.service(addr).FetchGrouping(ctx, req)
+	if err != nil {
+		return nil, fromConnect(err, "peer.fetch_grouping", addr)
+	}
+	return resp.Msg, nil
+}
+
+func (c *Client) service(addr string) wirepbconnect.PeerServiceClient {
+	return wirepbconnect.NewPeerServiceClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxResponse))
+}
+
+// fennelCodes is the reverse of connectCodes; other codes mean the peer was not reached or failed.
+var fennelCodes = map[connect.Code]fennelerr.Code{
+	connect.CodeInvalidArgument:  fennelerr.InvalidRequest,
+	connect.CodeNotFound:         fennelerr.NotFound,
+	connect.CodeDeadlineExceeded: fennelerr.Timeout,
+	connect.CodeCanceled:         fennelerr.Canceled,
+}
+
+func fromConnect(err error, op, addr string) error {
+	code, known := fennelCodes[connect.CodeOf(err)]
+	if !known {
+		code = fennelerr.NotReady
+	}
+	return fennelerr.Wrap(err, code, "peer %s", addr).WithOp(op)
+}
