Routing table and policies: load, prefix, zone, stragglers

Cause: requests need the replica that fits them while load reports lag, stop or lie. Own and peers' outstanding requests are the floor of every estimate, a report adds to it and fades out within 5 s, a claimed capacity counts up to twice the group's median. Four replicas of the own zone, two others and the holders of the longest cached prefix are compared, so a decision does not grow with the group. Stragglers are judged against the group's median once a second, avoided for 5 s doubling to 160 s, and tried again one request at a time.

Ruled out on the way: a full list offered from its start sent all ties to the first replica; it now begins at a random place.

go test -race ./internal/routing: ok.

--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,422 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+)
+
+// Options shape a Table. Zero fields take the defaults below.
+type Options struct {
+	// Zone is this node's availability zone.
+	Zone cluster.ZoneID
+	// Policy picks among replicas; default DefaultPolicy.
+	Policy Policy
+	// Seed makes the picks repeatable.
+	Seed uint64
+	// ReportExpiry is the age at which a load report says nothing any more.
+	ReportExpiry time.Duration
+	// PeerExpiry is the age at which a peer's outstanding count is dropped.
+	PeerExpiry time.Duration
+	// MaxLag bounds how late a report is believed to be.
+	MaxLag time.Duration
+	// PrefixEntries bounds the prefix index; PrefixExpiry ends an entry nobody renews.
+	PrefixEntries int
+	PrefixExpiry  time.Duration
+	// ReviewEvery is how often a group's medians are taken and stragglers judged.
+	ReviewEvery time.Duration
+	// Now is the clock of Choose and End; default time.Now.
+	Now func() time.Time
+}
+
+// Defaults of Options.
+const (
+	DefaultReportExpiry  = 5 * time.Second
+	DefaultPeerExpiry    = 5 * time.Second
+	DefaultMaxLag        = 2 * time.Second
+	DefaultPrefixEntries = 1 << 16
+	DefaultPrefixExpiry  = 10 * time.Minute
+	DefaultReviewEvery   = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Policy == nil {
+		o.Policy = DefaultPolicy()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	setDefault(&o.ReportExpiry, DefaultReportExpiry)
+	setDefault(&o.PeerExpiry, DefaultPeerExpiry)
+	setDefault(&o.MaxLag, DefaultMaxLag)
+	setDefault(&o.PrefixEntries, DefaultPrefixEntries)
+	setDefault(&o.PrefixExpiry, DefaultPrefixExpiry)
+	setDefault(&o.ReviewEvery, DefaultReviewEvery)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Entry is one committed replica with the address of its serving VM.
+type Entry struct {
+	Replica cluster.Replica
+	// Addr is empty while the serving VM is not in the VM list.
+	Addr string
+}
+
+// Table knows the replicas of all groups and what runs on them. All methods are
+// safe for concurrent use.
+type Table struct {
+	opts   Options
+	shards [tableShards]tableShard
+	prefix *prefixIndex
+	draws  atomic.Uint64
+
+	// feed serializes SetReplicas; groups is replaced, never changed.
+	feed   sync.Mutex
+	zones  map[cluster.ZoneID]map[cluster.ReplicaID]bool
+	groups atomic.Pointer[map[cluster.GroupName]*group]
+}
+
+const tableShards = 64
+
+type tableShard struct {
+	mu      sync.Mutex
+	entries map[cluster.ReplicaID]*entry
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	opts = opts.withDefaults()
+	t := &Table{
+		opts: opts, prefix: newPrefixIndex(opts.PrefixEntries, opts.PrefixExpiry),
+		zones: map[cluster.ZoneID]map[cluster.ReplicaID]bool{},
+	}
+	for i := range t.shards {
+		t.shards[i].entries = map[cluster.ReplicaID]*entry{}
+	}
+	t.groups.Store(&map[cluster.GroupName]*group{})
+	return t
+}
+
+func (t *Table) shard(id cluster.ReplicaID) *tableShard {
+	return &t.shards[xxhash.Sum64String(string(id))%tableShards]
+}
+
+// with runs f on the replica's entry under its shard's lock; false when unknown.
+func (t *Table) with(id cluster.ReplicaID, f func(*entry)) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	if e == nil {
+		return false
+	}
+	f(e)
+	return true
+}
+
+// SetReplicas replaces the committed replicas of one availability zone. Counts
+// of requests in flight survive a new generation of the same replica.
+func (t *Table) SetReplicas(zone cluster.ZoneID, entries []Entry) {
+	t.feed.Lock()
+	defer t.feed.Unlock()
+	now := make(map[cluster.ReplicaID]bool, len(entries))
+	for _, in := range entries {
+		now[in.Replica.ID] = true
+		t.put(in)
+	}
+	for id := range t.zones[zone] {
+		if !now[id] {
+			t.drop(id)
+		}
+	}
+	t.zones[zone] = now
+	t.regroup()
+}
+
+func (t *Table) put(in Entry) {
+	s := t.shard(in.Replica.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[in.Replica.ID]
+	if e == nil {
+		e = &entry{lock: &s.mu}
+		s.entries[in.Replica.ID] = e
+	}
+	if e.addr != in.Addr || e.replica.Serving != in.Replica.Serving {
+		// Another engine process serves now: what was learnt of the old one is void.
+		e.cacheEpoch++
+		e.speed = speed{}
+		e.report = report{}
+	}
+	e.replica, e.addr = in.Replica, in.Addr
+}
+
+func (t *Table) drop(id cluster.ReplicaID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[id]; e != nil {
+		e.removed = true
+		delete(s.entries, id)
+	}
+}
+
+// regroup rebuilds the lists of members; the caller holds t.feed.
+func (t *Table) regroup() {
+	members := map[cluster.GroupName][]*entry{}
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			members[e.replica.Group] = append(members[e.replica.Group], e)
+		}
+		s.mu.Unlock()
+	}
+	old := *t.groups.Load()
+	next := make(map[cluster.GroupName]*group, len(members))
+	for name, list := range members {
+		g := old[name]
+		if g == nil {
+			g = &group{}
+		}
+		g.setMembers(list)
+		next[name] = g
+	}
+	t.groups.Store(&next)
+}
+
+// SetWhole says whether the health check confirms every member of the replica's
+// generation. Only the committed generation counts.
+func (t *Table) SetWhole(id cluster.ReplicaID, generation int64, whole bool) {
+	var changed cluster.GroupName
+	t.with(id, func(e *entry) {
+		before := e.eligible()
+		switch {
+		case whole:
+			e.wholeGeneration = generation
+		case e.wholeGeneration == generation || e.replica.Generation == generation:
+			e.wholeGeneration = 0
+		}
+		if e.eligible() != before {
+			changed = e.replica.Group
+		}
+	})
+	if g := (*t.groups.Load())[changed]; g != nil {
+		g.dirty.Store(true)
+	}
+}
+
+// ReportLoad takes an engine's load report, which lags by receivedAt - load.AsOf.
+func (t *Table) ReportLoad(id cluster.ReplicaID, load engine.Load, receivedAt time.Time) {
+	t.with(id, func(e *entry) {
+		last := e.report
+		expired := receivedAt.Sub(last.receivedAt) >= t.opts.ReportExpiry
+		setBack := expired && load.AsOf.Before(last.load.AsOf)
+		if !load.AsOf.After(last.load.AsOf) && !setBack {
+			// Overtaken by a newer report, or the engine repeats an old one, which
+			// must go on ageing. An earlier time after a long silence is a clock
+			// that was set back.
+			return
+		}
+		lag := min(max(receivedAt.Sub(load.AsOf), 0), t.opts.MaxLag)
+		e.report = report{
+			load: load, receivedAt: receivedAt,
+			ownThen: e.history.countAt(receivedAt.Add(-lag), e.outstanding),
+		}
+	})
+}
+
+// ObservePeerOutstanding takes another node's count of its requests on the replica.
+func (t *Table) ObservePeerOutstanding(node cluster.NodeID, id cluster.ReplicaID, n int, now time.Time) {
+	t.with(id, func(e *entry) { e.setPeer(node, n, now, t.opts.PeerExpiry) })
+}
+
+// CacheEvents takes an engine's cache events. A new Boot voids all that was
+// known of the replica's cache; a gap in Seq may hide evictions, which is why
+// entries also expire.
+func (t *Table) CacheEvents(id cluster.ReplicaID, events engine.CacheEvents, now time.Time) {
+	var target *entry
+	var epoch uint32
+	t.with(id, func(e *entry) {
+		if e.cacheBoot != events.Boot {
+			if e.cacheBoot != "" {
+				e.cacheEpoch++
+			}
+			e.cacheBoot, e.cacheSeq = events.Boot, 0
+		}
+		e.cacheSeq = max(e.cacheSeq, events.Next)
+		target, epoch = e, e.cacheEpoch
+	})
+	if target == nil {
+		return
+	}
+	for _, ev := range events.Events {
+		if ev.Evicted {
+			t.prefix.remove(ev.PrefixHash, target)
+		} else {
+			t.prefix.add(ev.PrefixHash, target, epoch, now)
+		}
+	}
+}
+
+// CacheSeq is the number of the last cache event taken, for the next poll.
+func (t *Table) CacheSeq(id cluster.ReplicaID) (seq int64) {
+	t.with(id, func(e *entry) { seq = e.cacheSeq })
+	return seq
+}
+
+var (
+	chosenTotal  = metrics.NewCounter("fennel_routing_chosen_total")
+	refusedTotal = metrics.NewCounter("fennel_routing_refused_total")
+	avoidedTotal = metrics.NewCounter("fennel_routing_straggler_avoided_total")
+)
+
+// Choose picks a replica and counts the request on it until End.
+func (t *Table) Choose(req Request) (Choice, error) { return t.ChooseAt(t.opts.Now(), req) }
+
+// chooseAttempts bounds how often a pick is repeated when the picked replica
+// stopped being whole in between.
+const chooseAttempts = 4
+
+// ChooseAt is Choose at a given time.
+func (t *Table) ChooseAt(now time.Time, req Request) (Choice, error) {
+	rnd := Random{state: t.opts.Seed + t.draws.Add(1)*0x9e3779b97f4a7c15}
+	for range chooseAttempts {
+		pick := t.peek(now, req, &rnd)
+		if !pick.Found {
+			break
+		}
+		if choice, ok := t.begin(now, req, pick); ok {
+			chosenTotal.Inc()
+			return choice, nil
+		}
+	}
+	refusedTotal.Inc()
+	return Choice{}, fennelerr.New(fennelerr.NoReplica, "no whole replica of group %s may take the request", req.Group).
+		WithOp("routing.choose").WithRun(fennelerr.NotRun).WithRetryAfter(noReplicaRetry)
+}
+
+// noReplicaRetry is when a caller may find a replica again: a member that is
+// replaced takes at least this long to be confirmed.
+const noReplicaRetry = 2 * time.Second
+
+// Peek returns the decision for the request without counting anything.
+func (t *Table) Peek(req Request) (Choice, bool) {
+	rnd := Random{state: t.opts.Seed}
+	p := t.peek(t.opts.Now(), req, &rnd)
+	if !p.Found {
+		return Choice{Considered: p.Considered}, false
+	}
+	e := p.Candidate.entry
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return Choice{Replica: e.replica, Addr: e.addr, Reason: p.Reason, Considered: p.Considered}, true
+}
+
+func (t *Table) peek(now time.Time, req Request, rnd *Random) Pick {
+	g := (*t.groups.Load())[req.Group]
+	if g == nil {
+		return Pick{}
+	}
+	v := view{table: t, snap: g.current(t.opts, now), group: req.Group, now: now}
+	return t.opts.Policy.Pick(v, req, rnd)
+}
+
+// begin counts the request on the picked replica, if that is still whole.
+func (t *Table) begin(now time.Time, req Request, pick Pick) (Choice, bool) {
+	e := pick.Candidate.entry
+	choice, epoch, ok := e.begin(now, req, pick)
+	if !ok {
+		return Choice{}, false
+	}
+	for _, h := range req.PrefixHashes {
+		t.prefix.add(h, e, epoch, now)
+	}
+	return choice, true
+}
+
+func (e *entry) begin(now time.Time, req Request, pick Pick) (Choice, uint32, bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if !e.eligible() || (req.Alone && e.suspects > 0) {
+		return Choice{}, 0, false
+	}
+	e.history.note(now, e.outstanding)
+	e.outstanding++
+	trial := e.speed.onTrial && !e.speed.avoided(now)
+	if trial {
+		e.speed.trials++
+	}
+	if req.Alone {
+		e.suspects++
+	}
+	return Choice{
+		Replica: e.replica, Addr: e.addr, Reason: pick.Reason, Considered: pick.Considered,
+		Alone: req.Alone, entry: e, trial: trial,
+	}, e.cacheEpoch, true
+}
+
+// End counts the request back and learns from how it ended.
+func (t *Table) End(choice Choice, res Result) { t.EndAt(t.opts.Now(), choice, res) }
+
+// EndAt is End at a given time.
+func (t *Table) EndAt(now time.Time, choice Choice, res Result) {
+	e := choice.entry
+	if e == nil {
+		return
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.history.note(now, e.outstanding)
+	e.outstanding--
+	if choice.trial {
+		e.speed.trials = max(e.speed.trials-1, 0)
+	}
+	if choice.Alone {
+		e.suspects--
+	}
+	if e.replica.Serving == choice.Replica.Serving {
+		e.speed.note(res, now)
+	}
+}
+
+// Status is what the table knows of one replica, for operators and for gossip.
+type Status struct {
+	Replica     cluster.Replica
+	Whole       bool
+	Load        engine.Load
+	LoadAt      time.Time // zero when no report came
+	Outstanding int
+	InFlight    float64
+	Avoided     bool
+}
+
+// Statuses returns all replicas, in no particular order.
+func (t *Table) Statuses(now time.Time) []Status {
+	var out []Status
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			out = append(out, Status{
+				Replica: e.replica, Whole: e.eligible(), Load: e.report.load, LoadAt: e.report.receivedAt,
+				Outstanding: e.outstanding, InFlight: e.inFlight(now, t.opts), Avoided: e.speed.avoided(now),
+			})
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -34,6 +34,13 @@
 	Reason string
 	// Considered is how many candidates were compared.
 	Considered int
+	// Alone repeats Request.Alone.
+	Alone bool
+
+	// entry is where the table counted the request; End counts it back.
+	entry *entry
+	// trial marks a request that tests whether a straggler recovered.
+	trial bool
 }
 
 // Result is how a dispatched request ended, for straggler detection and counts.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -120,9 +120,7 @@
 // Close ends all runs and goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
-	select {
-	case <-s.done:
-	default:
+	if !s.closedLocked() {
 		close(s.done)
 	}
 	s.abortAllLocked()
@@ -131,6 +129,15 @@
 	s.peers.CloseIdleConnections()
 }
 
+func (s *Server) closedLocked() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Crash makes the engine die: every connection breaks and nothing is answered
 // until Restart.
 func (s *Server) Crash() {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -126,6 +126,8 @@
 func (s *Server) refusalLocked(r *http.Request, id string, now time.Time) string {
 	generation := strconv.FormatInt(s.assignment.Generation, 10)
 	switch {
+	case s.closedLocked():
+		return "stopping"
 	case s.runs[id] != nil:
 		return reasonRunning
 	case s.faults.Refuse:
