--- a/internal/grouping/commit.go
+++ b/internal/grouping/commit.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -49,6 +51,19 @@
 type headRecord struct {
 	WriteID string        `json:"write_id"`
 	Fence   cluster.Fence `json:"fence"`
+	// Digest is the tableDigest of the zone's replicas after the write, by which
+	// readers notice that their watch skipped an event.
+	Digest string `json:"digest"`
+}
+
+// tableDigest identifies a table by its replicas' ids, generations and leaving
+// marks, whatever their order.
+func tableDigest(replicas []cluster.Replica) string {
+	var sum uint64
+	for _, r := range replicas {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s/%d/%t", r.ID, r.Generation, r.Leaving))
+	}
+	return strconv.FormatUint(sum, 16)
 }
 
 // committer writes a zone's replicas. It is used by one goroutine.
@@ -89,7 +104,8 @@
 	return nil
 }
 
-// commit writes changes in one transaction and notes their new revisions.
+// commit writes changes, which the book has already, in one transaction and
+// notes their new revisions.
 func (c *committer) commit(ctx context.Context, changes []placement.Change) error {
 	writeID := newWriteID()
 	txn, err := c.transaction(changes, writeID)
@@ -109,7 +125,7 @@
 
 func (c *committer) transaction(changes []placement.Change, writeID string) (store.Txn, error) {
 	head := store.GroupingHeadKey(c.zone)
-	value, err := json.Marshal(headRecord{WriteID: writeID, Fence: c.lease.Fence()})
+	value, err := json.Marshal(headRecord{WriteID: writeID, Fence: c.lease.Fence(), Digest: tableDigest(c.book.Replicas())})
 	if err != nil {
 		return store.Txn{}, errors.Wrap(err, "encode head")
 	}
--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -240,22 +241,28 @@
 			c.opts.Log.Debug("placement", "zone", c.opts.Zone, "action", action.Kind, "group", action.Group, "vm", action.VM, "reason", action.Reason)
 			continue
 		}
+		if len(batch) == maxBatch || holds(batch, action.Replica) {
+			if err := c.commitBatch(ctx, t, batch); err != nil {
+				return err
+			}
+			batch = nil
+		}
 		change, err := t.commit.book.Apply(action, c.stamp(t, set, action))
 		if err != nil {
 			return err
 		}
 		c.logAction(t, action, change)
 		batch = append(batch, change)
-		if len(batch) == maxBatch {
-			if err := c.commitBatch(ctx, t, batch); err != nil {
-				return err
-			}
-			batch = nil
-		}
 	}
 	return c.commitBatch(ctx, t, batch)
 }
 
+// holds reports whether the batch changes the replica already; a store takes
+// only one write of a key in a transaction.
+func holds(batch []placement.Change, id cluster.ReplicaID) bool {
+	return slices.ContainsFunc(batch, func(c placement.Change) bool { return c.Replica.ID == id })
+}
+
 func (c *Controller) commitBatch(ctx context.Context, t *tenure, batch []placement.Change) error {
 	if len(batch) == 0 {
 		return nil
@@ -274,7 +281,7 @@
 	stamp := placement.Stamp{Fence: t.lease.Fence()}
 	if a.Kind == placement.Form {
 		stamp.NewID = cluster.ReplicaID(t.ids.next(string(a.Group)))
-		if g := set.GroupByName(a.Group); g != nil {
+		if g := placement.FindGroup(set.Groups, a.Group); g != nil {
 			stamp.Model = g.Model
 		}
 	}
--- a/internal/grouping/orders.go
+++ b/internal/grouping/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/placement"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
@@ -21,7 +22,7 @@
 			Replica: r.ID, Generation: r.Generation, Members: r.Members, Serving: r.Serving,
 			Model: r.Model, Addrs: make(map[cluster.VMID]string, len(r.Members)),
 		}
-		if g := set.GroupByName(r.Group); g != nil {
+		if g := placement.FindGroup(set.Groups, r.Group); g != nil {
 			base.Version, base.Adapters = g.Version, g.Adapters
 		}
 		for _, id := range r.Members {
--- a/internal/grouping/table.go
+++ b/internal/grouping/table.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -39,16 +40,16 @@
 	Watches func() bool
 	// Retry is the pause after a failed read, before jitter; zero means DefaultRetry.
 	Retry time.Duration
-	// Resync is the time between two full reads, which mend a watch that
-	// skipped an event; zero means DefaultResync.
-	Resync time.Duration
+	// HeadCheck is the time between two comparisons with the zone's head key,
+	// which show a watch that skipped an event; zero means DefaultHeadCheck.
+	HeadCheck time.Duration
 }
 
 // Defaults of a Table.
 const (
-	DefaultRetry  = time.Second
-	DefaultResync = time.Minute
-	readTimeout   = 5 * time.Second
+	DefaultRetry     = time.Second
+	DefaultHeadCheck = 10 * time.Second
+	readTimeout      = 5 * time.Second
 )
 
 // Table is a node's view of one zone's committed grouping. It serves from memory
@@ -71,8 +72,8 @@
 	if opts.Retry <= 0 {
 		opts.Retry = DefaultRetry
 	}
-	if opts.Resync <= 0 {
-		opts.Resync = DefaultResync
+	if opts.HeadCheck <= 0 {
+		opts.HeadCheck = DefaultHeadCheck
 	}
 	if opts.Watches == nil {
 		opts.Watches = func() bool { return true }
@@ -144,7 +145,7 @@
 	for ctx.Err() == nil {
 		if t.opts.Watches() || t.opts.Peers == nil {
 			if err := t.follow(ctx); err != nil && ctx.Err() == nil {
-				t.opts.Log.Warn("grouping read failed", "zone", t.opts.Zone, "error", err)
+				t.opts.Log.Warn("grouping watch ended", "zone", t.opts.Zone, "error", err)
 			}
 		}
 		t.askPeers(ctx)
@@ -168,10 +169,10 @@
 	t.Offer(g)
 }
 
-// follow reads the whole zone and then applies watch events until the resync
-// time or an error. A watch that skipped an event is mended by the next read.
+// follow reads the whole zone and then applies watch events until an error, or
+// until the head key shows that the watch has skipped something.
 func (t *Table) follow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, t.opts.Resync)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	read, err := Read(ctx, t.opts.Store, t.opts.Zone)
 	if err != nil {
@@ -182,16 +183,65 @@
 	if err != nil {
 		return err
 	}
-	for batch := range events {
-		if batch.Err != nil {
-			return batch.Err
-		}
-		if next, err := applyEvents(t.Current(), batch); err != nil {
-			return err
-		} else if next.Revision > 0 {
-			t.set(next, "watch")
+	check := time.NewTicker(t.opts.HeadCheck)
+	defer check.Stop()
+	for {
+		select {
+		case batch, open := <-events:
+			if !open {
+				return ctx.Err()
+			}
+			if err := t.apply(batch); err != nil {
+				return err
+			}
+		case <-check.C:
+			if err := t.compareHead(ctx); err != nil {
+				return err
+			}
 		}
 	}
+}
+
+func (t *Table) apply(batch store.WatchBatch) error {
+	if batch.Err != nil {
+		return batch.Err
+	}
+	next, err := applyEvents(t.Current(), batch)
+	if err != nil {
+		return err
+	}
+	if next.Revision > 0 {
+		t.set(next, "watch")
+	}
+	return nil
+}
+
+// SkippedError says that the watch did not bring what the head key shows.
+type SkippedError struct{ Revision, HeadRevision int64 }
+
+// Error implements error.
+func (e *SkippedError) Error() string {
+	return fmt.Sprintf("grouping: watch skipped events: have revision %d, head is at %d", e.Revision, e.HeadRevision)
+}
+
+// compareHead fails when the head key names another table than this one. An
+// event that is still on its way looks the same; the read that follows is
+// harmless then.
+func (t *Table) compareHead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	kv, _, err := t.opts.Store.Get(ctx, store.GroupingHeadKey(t.opts.Zone))
+	if err != nil || kv == nil {
+		return err
+	}
+	var head headRecord
+	if err := json.Unmarshal(kv.Value, &head); err != nil {
+		return &DecodeError{Key: kv.Key, Err: err}
+	}
+	current := t.Current()
+	if kv.ModRevision > current.Revision || head.Digest != tableDigest(current.Replicas) {
+		return &SkippedError{Revision: current.Revision, HeadRevision: kv.ModRevision}
+	}
 	return nil
 }
 
--- a/internal/placement/naive.go
+++ b/internal/placement/naive.go
@@ -49,7 +49,7 @@
 	if r.Leaving {
 		return "replica-leaving"
 	}
-	if g := findGroup(groups, r.Group); g == nil || g.VMs != len(r.Members) || g.Model != r.Model {
+	if g := FindGroup(groups, r.Group); g == nil || g.VMs != len(r.Members) || g.Model != r.Model {
 		return "group-rule-changed"
 	}
 	for _, id := range r.Members {
@@ -91,7 +91,8 @@
 	return index
 }
 
-func findGroup(groups []rules.Group, name cluster.GroupName) *rules.Group {
+// FindGroup returns the group's rule, or nil.
+func FindGroup(groups []rules.Group, name cluster.GroupName) *rules.Group {
 	for i := range groups {
 		if groups[i].Name == name {
 			return &groups[i]
