gateway: Slot is declared in admission

Cause: admission cannot import gateway, and Acquire's result type must be the same type on both sides for the controller to be a gateway.Admitter.

--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -18,3 +18,10 @@
 	// Cost is the expected work in tokens, prompt plus answer; at least 1.
 	Cost int
 }
+
+// Slot is held while a request runs. Release must be called exactly once.
+type Slot interface {
+	// Release returns the slot; tokens is the work done, for cost estimates, and
+	// zero for a request that gave no answer.
+	Release(tokens int)
+}
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -41,11 +41,8 @@
 	AllowRetry(team cluster.TeamID) bool
 }
 
-// Slot is held while a request runs. Release must be called exactly once.
-type Slot interface {
-	// Release returns the slot; tokens is the work done, for cost estimates.
-	Release(tokens int)
-}
+// Slot is held while a request runs.
+type Slot = admission.Slot
 
 // Claimer makes calls with an idempotency key run at most once.
 type Claimer interface {
