--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -18,7 +18,8 @@
 type fate int
 
 const (
-	fateNotProbed fate = iota
+	// Zero: it was not asked.
+	_ fate = iota
 	// fateAlive: it answers and still belongs to the same replica and generation.
 	fateAlive
 	// fateCrashed: it does not answer, or no longer is what it was.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -291,7 +291,10 @@
 	return reply{resp.StatusCode, resp.Header, string(text), err}
 }
 
-func (b *bench) chat(body string) reply { b.t.Helper(); return b.send(http.MethodPost, engine.ChatPath, body) }
+func (b *bench) chat(body string) reply {
+	b.t.Helper()
+	return b.send(http.MethodPost, engine.ChatPath, body)
+}
 
 // streamText is the text of a stream's chunks; whole tells whether it ended with the marker.
 func streamText(body string) (text string, whole bool) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,7 +28,6 @@
 	choices      int
 	maxTokens    int
 	includeUsage bool
-	deadline     time.Time
 	prefixHashes []uint64
 }
 
