Gateway: honest refusals and at most one run, counted at the back ends

Cause: callers decide by Fennel-Run whether to send again. Found by the tests: refusals of the router carried no Retry-After; a default is set. Seen red, each protection switched off alone in a scratch copy: run state not raised, broken answer taken for not started (engine and plain service), unsafe repeat to a second server, echo of a plain service unchecked, claim released though unknown, and a pooled, rewindable request, which net/http itself sent a second time because of its Idempotency-Key (ran twice).

--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -34,8 +34,9 @@
 			w.Header().Set(HeaderStarted, StartedNo)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, new(*NotStartedError)},
-		"failed without a word on starting": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway) }, new(*BrokenError)},
-		"rejected":                          {func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) }, new(*RejectedError)},
+		"failed without a word on starting":     {func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway) }, new(*BrokenError)},
+		"read and broken off without an answer": {func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, new(*BrokenError)},
+		"rejected":                              {func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) }, new(*RejectedError)},
 		"event without id": {func(w http.ResponseWriter) {
 			w.Header().Set(HeaderRequestID, "r")
 			fmt.Fprintf(w, "data: {}\n\n")
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -37,18 +38,27 @@
 	RequestID string             `json:"request_id,omitempty"`
 }
 
-// typed returns err as an *Error with a run state.
+// defaultRetryAfter is told where a refusal for lack of capacity names no time.
+const defaultRetryAfter = time.Second
+
+// typed returns err as an *Error with a run state and, where it makes sense to
+// come back, a time to do so.
 func typed(err error) *fennelerr.Error {
-	e, ok := errors.Into[*fennelerr.Error](err)
+	found, ok := errors.Into[*fennelerr.Error](err)
 	if !ok {
-		e = fennelerr.Wrap(err, fennelerr.Internal, "unexpected failure")
+		found = fennelerr.Wrap(err, fennelerr.Internal, "unexpected failure")
 	}
+	e := *found
 	if e.Run == "" {
-		copied := *e
-		copied.Run = fennelerr.Unknown
-		e = &copied
+		e.Run = fennelerr.Unknown
+	}
+	switch e.Code.HTTPStatus() {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if e.RetryAfter == 0 {
+			e.RetryAfter = defaultRetryAfter
+		}
 	}
-	return e
+	return &e
 }
 
 func errorDocument(e *fennelerr.Error, requestID string) []byte {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -354,7 +354,5 @@
 // withRun puts the session's run state on a refusal by a neighbour: a refusal to
 // go on does not undo that an earlier attempt may have run.
 func (s *session) withRun(err error) error {
-	e := *typed(err)
-	e.Run = s.run
-	return &e
+	return typed(err).WithRun(s.run)
 }
