--- /dev/null
+++ b/internal/rulestore/errors.go
@@ -0,0 +1,97 @@
+package rulestore
+
+import (
+	"fmt"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// ConflictError refuses a change because another one came first. Nothing of the
+// change took effect.
+type ConflictError struct {
+	// Base is the revision that the refused change was made from.
+	Base int64
+	// Revision, Text and Author are the newest accepted file; Revision is zero
+	// when the store has no rules.
+	Revision int64
+	Text     string
+	Author   string
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Revision == 0 {
+		return fmt.Sprintf("the change was made from revision %d, but the store has no rules: apply it with base 0", e.Base)
+	}
+	return fmt.Sprintf("the change was made from revision %d, but %s has since changed the rules to revision %d", e.Base, e.Author, e.Revision)
+}
+
+// OutcomeUnknownError says that a change may or may not have been accepted. A
+// repeat with the same write id settles it without applying the change twice.
+type OutcomeUnknownError struct {
+	WriteID string
+	Err     error
+}
+
+// Error implements error.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("the store did not say whether the change was accepted (write id %s): apply it again with the same write id: %v", e.WriteID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Err }
+
+// RequestError refuses an incomplete request.
+type RequestError struct {
+	Field, Want string
+}
+
+// Error implements error.
+func (e *RequestError) Error() string { return fmt.Sprintf("%s: want %s", e.Field, e.Want) }
+
+// RevisionError says that a revision's text can't be had any more.
+type RevisionError struct {
+	Revision int64
+	Reason   string
+}
+
+// Error implements error.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("rules revision %d: %s", e.Revision, e.Reason)
+}
+
+// RecordError is a record that can't be read or written.
+type RecordError struct {
+	Key string
+	Err error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return fmt.Sprintf("rules record %s: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Err }
+
+// ChecksumError is a text that is not the one that was accepted.
+type ChecksumError struct {
+	// Source is a store key or a peer.
+	Source   string
+	Revision int64
+}
+
+// Error implements error.
+func (e *ChecksumError) Error() string {
+	return fmt.Sprintf("rules revision %d from %s does not have its checksum", e.Revision, e.Source)
+}
+
+// PeerError is a failed fetch from a peer.
+type PeerError struct {
+	Node cluster.NodeID
+	Err  error
+}
+
+// Error implements error.
+func (e *PeerError) Error() string { return fmt.Sprintf("rules from %s: %v", e.Node, e.Err) }
+
+// Unwrap returns the cause.
+func (e *PeerError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/rulestore/holder_test.go
@@ -0,0 +1,420 @@
+package rulestore
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// TestRestartTakesTheNewestAmongPeers: all entry VMs are replaced at any time, and
+// the platform's store may be down just then. A new node that took the first rules
+// it was offered would, next to a peer that had missed a change, serve callers by
+// rules that the operators had replaced, until somebody told it better.
+func TestRestartTakesTheNewestAmongPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		f := newFleet(t, s)
+		defer f.stopAll()
+		old := f.start("old", true, Timing{})
+		first := mustApply(t, old.Holder, 0, text("caixa"))
+		old.stop()
+		current := f.start("current", true, Timing{})
+		second := mustApply(t, current.Holder, first, text("caixa", "reservas"))
+		require.Equal(t, first, old.Revision())
+		s.SetFaults(memstore.Faults{Down: true})
+
+		n := f.start("new", true, Timing{})
+		synctest.Wait()
+		n.ObservePeer("old", first)
+		time.Sleep(1500 * time.Millisecond)
+		require.Nil(t, n.Current(), "the newest revision isn't known yet")
+		n.ObservePeer("current", second)
+		time.Sleep(5 * time.Second)
+		require.Len(t, n.history(), 1)
+		require.Equal(t, second, n.Revision())
+		require.Equal(t, text("caixa", "reservas"), n.Current().Text)
+	})
+}
+
+// TestRestartRefusesLessThanPeersShow: the peer with the newest rules is heard but
+// its connections fail. Rules known to be replaced must not come back in its place.
+func TestRestartRefusesLessThanPeersShow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		f := newFleet(t, s)
+		defer f.stopAll()
+		old := f.start("old", true, Timing{})
+		first := mustApply(t, old.Holder, 0, text("caixa"))
+		s.SetFaults(memstore.Faults{Down: true})
+		n := f.start("new", false, Timing{})
+		for range 20 {
+			n.ObservePeer("old", first)
+			n.ObservePeer("gone", first+7)
+			time.Sleep(time.Second)
+		}
+		require.Nil(t, n.Current())
+		// Once the other hasn't been heard for a while, the zone goes on with what there is.
+		for range 40 {
+			n.ObservePeer("old", first)
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, first, n.Revision())
+	})
+}
+
+// TestWatchThatRepeatsAndSkips: a watch opened again after a cut repeats events,
+// and one between two ends that lost each other skips some. Repeats must not take
+// the node back, and edits that follow on a skipped change must not be applied to
+// the wrong text: callers would then meet rules that nobody accepted.
+func TestWatchThatRepeatsAndSkips(t *testing.T) {
+	for name, pass := range map[string]func(i int) int{
+		"each event twice":    func(int) int { return 2 },
+		"every second lost":   func(i int) int { return i % 2 },
+		"two lost, one twice": func(i int) int { return []int{0, 0, 2}[i%3] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var kept []store.WatchBatch
+				var healthy atomic.Bool
+				s := &badWatch{Store: memstore.New(memstore.Options{}), alter: func(in <-chan store.WatchBatch, out chan<- store.WatchBatch) {
+					i := 0
+					for b := range in {
+						kept = append(kept, b)
+						times := pass(i)
+						if healthy.Load() {
+							times = 1
+						}
+						for range times {
+							out <- kept[max(0, len(kept)-2)]
+							out <- b
+						}
+						i++
+					}
+				}}
+				f := newFleet(t, s)
+				defer f.stopAll()
+				timing := DefaultTiming()
+				timing.CheckEvery = time.Hour // what is tested must not be hidden by the check
+				reader := f.start("reader", true, timing)
+				writer := f.start("writer", false, timing)
+				names := []string{"a", "b", "c"}
+				last := mustApply(t, writer.Holder, 0, text(names...))
+				accepted := map[int64]string{last: text(names...)}
+				time.Sleep(5 * time.Second)
+				for i := range 12 {
+					healthy.Store(i == 11)
+					names[i%len(names)] = fmt.Sprintf("s%d", i)
+					last = mustApply(t, writer.Holder, last, text(names...))
+					accepted[last] = text(names...)
+					time.Sleep(time.Second)
+				}
+				time.Sleep(5 * time.Second)
+				require.Equal(t, last, reader.Revision())
+				require.Equal(t, text(names...), reader.Current().Text)
+				history := reader.history()
+				require.Greater(t, len(history), 2)
+				for _, set := range history {
+					require.Equal(t, accepted[set.Revision], set.Text)
+				}
+			})
+		})
+	}
+}
+
+// TestLateAnswerDoesNotGoBack: a node asks the store, whose answer is slow. Before
+// it comes, a peer has brought newer rules, which the late answer must not undo.
+func TestLateAnswerDoesNotGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lateRead{Store: memstore.New(memstore.Options{}), release: make(chan struct{})}
+		f := newFleet(t, s)
+		defer f.stopAll()
+		writer := f.start("writer", false, Timing{})
+		first := mustApply(t, writer.Holder, 0, text("a"))
+		reader := f.start("reader", false, Timing{})
+		time.Sleep(time.Second) // the read of the first file is under way
+		second := mustApply(t, writer.Holder, first, text("a", "b"))
+		reader.ObservePeer("writer", second)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, second, reader.Revision())
+		close(s.release)
+		time.Sleep(time.Second)
+		require.Equal(t, second, reader.Revision())
+		require.Len(t, reader.history(), 1)
+	})
+}
+
+// TestSilentWatch: something between a node and the store has lost track of the
+// watch's connection, which stays open and silent for good. An accepted change
+// would never arrive.
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &badWatch{Store: memstore.New(memstore.Options{}), alter: func(in <-chan store.WatchBatch, _ chan<- store.WatchBatch) {
+			for range in { //nolint:revive // drops everything
+			}
+		}}
+		f := newFleet(t, s)
+		defer f.stopAll()
+		reader := f.start("reader", true, Timing{})
+		writer := f.start("writer", false, Timing{})
+		last := mustApply(t, writer.Holder, 0, text("a"))
+		hear := func() { // a peer that knows no better keeps the node from feeling alone
+			for range 16 {
+				reader.ObservePeer("p", 0)
+				time.Sleep(time.Second)
+			}
+		}
+		hear()
+		require.Equal(t, last, reader.Revision())
+		last = mustApply(t, writer.Holder, last, text("a", "b"))
+		hear()
+		require.Equal(t, last, reader.Revision())
+	})
+}
+
+// TestReturnAfterLongOutage: the platform's store was down for a long time and a whole
+// fleet comes back to it, part of it new. If all nodes asked at once and again at
+// each failure, the store would drown and stay away.
+func TestReturnAfterLongOutage(t *testing.T) {
+	const nodes, watchers = 40, 6
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		f := newFleet(t, s)
+		defer f.stopAll()
+		for i := range nodes {
+			f.start(cluster.NodeID(fmt.Sprint("n", i)), i < watchers, Timing{})
+		}
+		last := mustApply(t, f.nodes["n0"].Holder, 0, text("a"))
+		run := func(seconds int) (most int64) {
+			for range seconds {
+				before := total(s.Calls())
+				f.gossip()
+				time.Sleep(time.Second)
+				most = max(most, total(s.Calls())-before)
+			}
+			return most
+		}
+		run(10)
+		s.SetFaults(memstore.Faults{Down: true})
+		mostDown := run(600)
+		for i := range 10 {
+			id := cluster.NodeID(fmt.Sprint("n", nodes-1-i))
+			f.nodes[id].stop()
+			f.start(id, false, Timing{})
+		}
+		run(10)
+		s.SetFaults(memstore.Faults{})
+		before := total(s.Calls())
+		mostBack := run(60)
+		calls := total(s.Calls()) - before
+		last = mustApply(t, f.nodes["n0"].Holder, last, text("a", "b"))
+		run(16)
+		for id, n := range f.nodes {
+			require.Equal(t, last, n.Revision(), id)
+		}
+		t.Logf("%d nodes, %d watching: at most %d calls/s while down, %d calls/s in the minute after, %d calls in that minute", nodes, watchers, mostDown, mostBack, calls)
+		require.LessOrEqual(t, mostDown, int64(2*watchers))
+		require.LessOrEqual(t, mostBack, int64(4*watchers))
+		require.LessOrEqual(t, calls, int64(15*watchers))
+	})
+}
+
+func total(calls map[memstore.Kind]int64) int64 {
+	n := int64(0)
+	for _, c := range calls {
+		n += c
+	}
+	return n
+}
+
+// TestSilentZoneAsksTheStoreSparingly: a zone loses its peers and its watchers at
+// the same moment but not the store. Each node asks for itself, spread over time.
+func TestSilentZoneAsksTheStoreSparingly(t *testing.T) {
+	const nodes = 50
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		f := newFleet(t, s)
+		defer f.stopAll()
+		first := mustApply(t, New(Options{Store: s, Peers: f}), 0, text("a"))
+		for i := range nodes {
+			f.start(cluster.NodeID(fmt.Sprint("n", i)), false, Timing{})
+		}
+		for range 120 {
+			f.gossip()
+			time.Sleep(time.Second)
+		}
+		last := mustApply(t, New(Options{Store: s, Peers: f}), first, text("a", "b"))
+		before, most := total(s.Calls()), int64(0)
+		for range 60 {
+			start := total(s.Calls())
+			time.Sleep(time.Second)
+			most = max(most, total(s.Calls())-start)
+		}
+		for id, n := range f.nodes {
+			require.Equal(t, last, n.Revision(), id)
+		}
+		calls := total(s.Calls()) - before
+		t.Logf("%d silent nodes: %d calls in a minute, at most %d in a second", nodes, calls, most)
+		require.LessOrEqual(t, calls, int64(nodes*6))
+		require.LessOrEqual(t, most, int64(nodes/2))
+	})
+}
+
+// TestRevisionsNeverFallAndAllConverge drives nodes through random histories of
+// changes, restarts, cuts and outages. Whatever happens, a node never goes back
+// while it lives, and once all is well the newest accepted file holds everywhere.
+func TestRevisionsNeverFallAndAllConverge(t *testing.T) {
+	ids := []cluster.NodeID{"a", "b", "c", "d"}
+	rapid.Check(t, func(rt *rapid.T) {
+		history := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) randomStep {
+			return randomStep{
+				kind:   rapid.SampledFrom([]string{"apply", "apply", "gossip", "gossip", "restart", "cut", "store", "lose", "wait"}).Draw(rt, "kind"),
+				node:   rapid.SampledFrom(ids).Draw(rt, "node"),
+				faults: memstore.Faults{Down: rapid.Bool().Draw(rt, "down"), DownUnknown: rapid.Bool().Draw(rt, "unknown"), LoseAnswers: rapid.IntRange(0, 3).Draw(rt, "lost"), DropWrites: rapid.IntRange(0, 3).Draw(rt, "dropped")},
+				pause:  time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond,
+			}
+		}), 5, 30).Draw(rt, "history")
+		var found failures
+		synctest.Test(t, func(*testing.T) { replay(&found, ids, history) })
+		if len(found.text) > 0 {
+			rt.Fatal(strings.Join(slices.Compact(found.text), "\n"))
+		}
+	})
+}
+
+type randomStep struct {
+	kind   string
+	node   cluster.NodeID
+	faults memstore.Faults
+	pause  time.Duration
+}
+
+// replay runs a history, lets all become well and compares with the store.
+func replay(found *failures, ids []cluster.NodeID, history []randomStep) {
+	ctx := context.Background()
+	s := memstore.New(memstore.Options{})
+	f := newFleet(found, s)
+	defer f.stopAll()
+	for _, id := range ids {
+		f.start(id, id < "c", Timing{})
+	}
+	for i, step := range history {
+		n := f.nodes[step.node]
+		switch step.kind {
+		case "apply":
+			_, _ = n.Apply(ctx, ApplyRequest{BaseRevision: n.Revision(), Text: text("s", fmt.Sprint("n", i)), Author: "Ana", WriteID: fmt.Sprint(i)})
+		case "gossip":
+			f.gossip()
+		case "restart":
+			n.stop()
+			f.start(n.id, n.id < "c", Timing{})
+		case "cut":
+			f.setCut(n.id, !f.cut[n.id])
+		case "store":
+			s.SetFaults(memstore.Faults{Down: step.faults.Down, DownUnknown: step.faults.DownUnknown})
+		case "lose":
+			s.SetFaults(memstore.Faults{LoseAnswers: step.faults.LoseAnswers, DropWrites: step.faults.DropWrites})
+		}
+		time.Sleep(step.pause)
+	}
+	s.SetFaults(memstore.Faults{})
+	for _, id := range ids {
+		f.setCut(id, false)
+	}
+	for range 100 { // the longest pause of a watcher, then a gossip
+		f.gossip()
+		time.Sleep(time.Second)
+	}
+	want := File{}
+	if kv, _, err := s.Get(ctx, store.RulesKey); err == nil && kv != nil {
+		record, _ := decodeFile(kv)
+		want = File{Revision: kv.ModRevision, Text: record.Text}
+	}
+	for id, n := range f.nodes {
+		got := File{Revision: n.Revision()}
+		if set := n.Current(); set != nil {
+			got.Text = set.Text
+		}
+		assert.Equal(found, want, got, "%s", id)
+	}
+}
+
+// TestFetchRulesGivesEditsToThoseWhoCanUseThem also checks that edits for another
+// text are refused by their checksum.
+func TestFetchRulesGivesEditsToThoseWhoCanUseThem(t *testing.T) {
+	s := memstore.New(memstore.Options{})
+	h := New(Options{Store: s, Peers: newFleet(t, s)})
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	revisions := []int64{mustApply(t, h, 0, text(names...))}
+	var texts []string
+	for i := range maxRecentSteps + 2 {
+		texts = append(texts, h.Current().Text)
+		names[i%len(names)] = fmt.Sprint("x", i)
+		revisions = append(revisions, mustApply(t, h, revisions[i], text(names...)))
+	}
+	last := len(revisions) - 1
+	res := h.FetchRules(revisions[last-1])
+	require.NotNil(t, res.Delta)
+	o, err := openAnswer(res, revisions[last-1], texts[last-1])
+	require.NoError(t, err)
+	require.Equal(t, h.Current().Text, o.text)
+
+	_, err = openAnswer(res, revisions[last-1], texts[last-2])
+	var sum *ChecksumError
+	require.ErrorAs(t, err, &sum)
+	_, err = openAnswer(res, revisions[last-2], texts[last-2])
+	var revision *RevisionError
+	require.ErrorAs(t, err, &revision)
+
+	require.Nil(t, h.FetchRules(revisions[last]).Delta)
+	require.Empty(t, h.FetchRules(revisions[last]).Text)
+	require.Equal(t, h.Current().Text, h.FetchRules(revisions[0]).Text, "too far back for edits")
+	require.Equal(t, h.Current().Text, h.FetchRules(0).Text)
+	damaged := h.FetchRules(0)
+	damaged.Text += "#"
+	_, err = openAnswer(damaged, 0, "")
+	require.ErrorAs(t, err, &sum)
+}
+
+// TestConcurrentUse lets the race detector look at readers beside changes.
+func TestConcurrentUse(t *testing.T) {
+	s := memstore.New(memstore.Options{})
+	f := newFleet(t, s)
+	n := f.start("n", true, Timing{})
+	defer f.stopAll()
+	var readers sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		readers.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					n.FetchRules(n.Revision())
+					n.ObservePeer("p", 1)
+				}
+			}
+		})
+	}
+	last := int64(0)
+	for i := range 50 {
+		last = mustApply(t, n.Holder, last, text("a", fmt.Sprint("b", i)))
+	}
+	close(done)
+	readers.Wait()
+	require.Equal(t, last, n.Revision())
+}
