wirepb: crashes are told as one mark with all fingerprints

The change: CrashMark names the crash once and 8 bytes of each fingerprint (about 560 bytes for 64).

--- a/internal/membership/section.go
+++ b/internal/membership/section.go
@@ -12,6 +12,7 @@
 type Section struct {
 	Replicas    []*wirepb.ReplicaStatus
 	Quarantines []*wirepb.QuarantineMark
+	Crashes     []*wirepb.CrashMark
 	Suspects    []*wirepb.SuspectMark
 	Demands     []*wirepb.TeamDemand
 }
@@ -24,7 +25,8 @@
 // SectionSize is the encoded size of a section in a datagram, in bytes.
 func SectionSize(s Section) int {
 	return proto.Size(&wirepb.Datagram{
-		Replicas: s.Replicas, Quarantines: s.Quarantines, Suspects: s.Suspects, Demands: s.Demands,
+		Replicas: s.Replicas, Quarantines: s.Quarantines, Crashes: s.Crashes,
+		Suspects: s.Suspects, Demands: s.Demands,
 	})
 }
 
@@ -46,6 +48,7 @@
 		room -= size
 		d.Replicas = append(d.Replicas, section.Replicas...)
 		d.Quarantines = append(d.Quarantines, section.Quarantines...)
+		d.Crashes = append(d.Crashes, section.Crashes...)
 		d.Suspects = append(d.Suspects, section.Suspects...)
 		d.Demands = append(d.Demands, section.Demands...)
 	}
