--- /dev/null
+++ b/internal/suspect/crash.go
@@ -0,0 +1,158 @@
+package suspect
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// crash is one crash of one replica and the fingerprints in flight on it.
+type crash struct {
+	id         uint64
+	replica    cluster.ReplicaID
+	generation int64
+	at         time.Time
+	keys       []key
+	// tells counts for each part of chunkKeys fingerprints.
+	tells [crashKeys / chunkKeys]tells
+}
+
+const (
+	// crashKeys bounds the fingerprints of one crash.
+	crashKeys = 128
+	// chunkKeys is how many of them one mark carries, so that it fits beside others.
+	chunkKeys = 16
+	// crashesPerShard bounds the crashes remembered.
+	crashesPerShard = 64
+	// crashWindow is how long after a crash a request that was in flight on the
+	// replica may notice it: a silent connection takes a while.
+	crashWindow = time.Minute
+	// sameCrashGap is how far apart two nodes may date one crash.
+	sameCrashGap = 5 * time.Second
+	// crashTold is for how long a crash is passed on.
+	crashTold = time.Minute
+)
+
+// crashShard holds the crashes of some replicas, and where suspects run.
+type crashShard struct {
+	mu      sync.Mutex
+	crashes []*crash // oldest first
+	// alone holds the suspects that run on a replica, here or elsewhere, with the
+	// time until which that is believed.
+	alone map[cluster.ReplicaID]map[key]time.Time
+}
+
+// local finds or adds the crash that ended a run of this node which began at began.
+// A run that began after a crash of the same replica met another crash.
+func (s *crashShard) local(replica cluster.ReplicaID, generation int64, k key, began, now time.Time, newID uint64) *crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.crashes {
+		if c.replica == replica && c.generation == generation && !began.After(c.at) && now.Sub(c.at) <= crashWindow {
+			c.add(k)
+			return c
+		}
+	}
+	c := s.insert(newID, replica, generation, now)
+	c.add(k)
+	return c
+}
+
+// remote finds or adds a crash that a peer told of, adds its fingerprints and
+// returns it with those that are news. Both nodes may have named the same crash.
+func (s *crashShard) remote(id uint64, replica cluster.ReplicaID, generation int64, at time.Time, keys []key) (*crash, []key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at0 := slices.IndexFunc(s.crashes, func(c *crash) bool {
+		return c.id == id || c.replica == replica && c.generation == generation && at.Sub(c.at).Abs() <= sameCrashGap
+	})
+	var c *crash
+	if at0 >= 0 {
+		c = s.crashes[at0]
+	} else {
+		c = s.insert(id, replica, generation, at)
+	}
+	var news []key
+	for _, k := range keys {
+		if c.add(k) {
+			news = append(news, k)
+		}
+	}
+	return c, news
+}
+
+func (s *crashShard) insert(id uint64, replica cluster.ReplicaID, generation int64, at time.Time) *crash {
+	if len(s.crashes) == crashesPerShard {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+	c := &crash{id: id, replica: replica, generation: generation, at: at}
+	s.crashes = append(s.crashes, c)
+	return c
+}
+
+func (c *crash) add(k key) bool {
+	if slices.Contains(c.keys, k) || len(c.keys) == crashKeys {
+		return false
+	}
+	c.tells[len(c.keys)/chunkKeys] = tells{}
+	c.keys = append(c.keys, k)
+	return true
+}
+
+// keysOf returns the fingerprints known to have been in flight in a crash.
+func (s *crashShard) keysOf(id uint64) []key {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.crashes {
+		if c.id == id {
+			return slices.Clone(c.keys)
+		}
+	}
+	return nil
+}
+
+// exonerate takes a cleared fingerprint off a crash, so that it is told no more.
+func (s *crashShard) exonerate(id uint64, k key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.crashes {
+		if c.id == id {
+			c.keys = slices.DeleteFunc(c.keys, func(other key) bool { return other == k })
+		}
+	}
+}
+
+// setAlone notes that a suspect runs on a replica until a time; the zero time ends it.
+func (s *crashShard) setAlone(replica cluster.ReplicaID, k key, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.IsZero() {
+		delete(s.alone[replica], k)
+		if len(s.alone[replica]) == 0 {
+			delete(s.alone, replica)
+		}
+		return
+	}
+	if s.alone[replica] == nil {
+		s.alone[replica] = make(map[key]time.Time)
+	}
+	s.alone[replica][k] = until
+}
+
+// runsSuspect reports whether a suspect runs on the replica, as far as is known.
+func (s *crashShard) runsSuspect(replica cluster.ReplicaID, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, until := range s.alone[replica] {
+		if now.Before(until) {
+			return true
+		}
+		delete(s.alone[replica], k)
+	}
+	if len(s.alone[replica]) == 0 {
+		delete(s.alone, replica)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/suspect/sim_test.go
@@ -0,0 +1,324 @@
+package suspect_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
+	"github.com/fennelcourse/fennelcourse/internal/wire"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wiretest"
+)
+
+// quarantine is gateway.Quarantine.
+type quarantine interface {
+	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(crashed bool))
+}
+
+// naive suspects nobody.
+type naive struct{}
+
+func (naive) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
+func (naive) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(bool) {
+	return func(bool) {}
+}
+
+// scenario is one run of some nodes before some replicas, on the fake clock.
+type scenario struct {
+	nodes, replicas int
+	loss            float64
+	seed            uint64
+	naive           bool
+	// poisons is how many callers send the poison request at once, each again
+	// and again, every time through the next node.
+	poisons int
+	// cut keeps the first half of the nodes from hearing the second, and the other way round.
+	cut    bool
+	length time.Duration
+}
+
+type outcome struct {
+	kills            int
+	innocentsRefused int
+	innocentsDone    int
+	poisonRefused    int
+	// known is when the last node refused the poison, after the first kill.
+	known time.Duration
+	// lastKill is when, after the first kill, the last replica died.
+	lastKill time.Duration
+	// slowRefusals counts poison sends after known that took longer than 10 ms.
+	slowRefusals int
+	// together counts poison runs that began while another one was running alone.
+	together int
+}
+
+type fakeReplica struct {
+	id         cluster.ReplicaID
+	generation int64
+	down       bool
+	// crash is closed when this generation dies.
+	crash chan struct{}
+	// suspects counts retries alone that run on it, by node, as its router counts them.
+	suspects map[int]int
+}
+
+type sim struct {
+	scenario
+	mu        sync.Mutex
+	rng       *rand.Rand
+	replicas  []*fakeReplica
+	trackers  []quarantine
+	members   []*membership.Service
+	out       outcome
+	first     time.Time
+	refusedBy map[int]bool
+	running   int
+}
+
+var poison = fingerprint(1)
+
+func fingerprint(n uint64) (fp suspect.Fingerprint) {
+	binary.BigEndian.PutUint64(fp[:], n)
+	return fp
+}
+
+// run plays a scenario. Innocent requests come to each node all the time.
+func run(t *testing.T, sc scenario) (out outcome) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 2)), refusedBy: make(map[int]bool)}
+		for i := range sc.replicas {
+			s.replicas = append(s.replicas, &fakeReplica{
+				id: cluster.ReplicaID(fmt.Sprintf("replica-%d", i)), generation: 1,
+				crash: make(chan struct{}), suspects: make(map[int]int),
+			})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s.startNodes(ctx, t, &wg)
+		time.Sleep(10 * time.Second)
+		loads, stopLoads := context.WithTimeout(ctx, sc.length)
+		for i := range sc.nodes {
+			wg.Go(func() { s.innocents(loads, &wg, i) })
+		}
+		time.Sleep(3 * time.Second)
+		for p := range sc.poisons {
+			wg.Go(func() { s.sendPoison(loads, p) })
+		}
+		<-loads.Done()
+		stopLoads()
+		cancel()
+		wg.Wait()
+		out = s.out
+	})
+	return out
+}
+
+func (s *sim) startNodes(ctx context.Context, t *testing.T, wg *sync.WaitGroup) {
+	net := wiretest.New(s.seed)
+	net.SetLoss(s.loss)
+	keys, err := wire.NewKeyring(wire.Key{ID: 1, Secret: []byte("0123456789abcdef")})
+	require.NoError(t, err)
+	quiet := slog.New(slog.DiscardHandler)
+	addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+	side := make(map[string]bool)
+	for i := range s.nodes {
+		side[addr(i)] = i < s.nodes/2
+	}
+	if s.cut {
+		net.Block(func(from, to string) bool { return side[from] != side[to] })
+	}
+	for i := range s.nodes {
+		transport, err := wire.NewTransport(net.Attach(addr(i)), wire.Options{Keys: keys, Log: quiet})
+		require.NoError(t, err)
+		name := cluster.NodeID(fmt.Sprintf("node-%d", i))
+		m := membership.New(membership.Options{
+			Node: name, Zone: "zone-a", Seeds: []string{addr(0), addr(s.nodes - 1)}, Transport: transport,
+			Rand: rand.New(rand.NewPCG(s.seed, uint64(i))), Log: quiet,
+		})
+		s.members = append(s.members, m)
+		if s.naive {
+			s.trackers = append(s.trackers, naive{})
+			continue
+		}
+		tracker := suspect.New(suspect.Options{Node: name, Peers: func() int { return len(m.Members()) }, Nudge: m.Nudge, Log: quiet})
+		m.AddSource(tracker.Section)
+		m.OnDatagram(tracker.Receive)
+		s.trackers = append(s.trackers, tracker)
+		wg.Go(func() { m.Run(ctx) })
+	}
+}
+
+// innocents sends requests through one node until ctx ends.
+func (s *sim) innocents(ctx context.Context, wg *sync.WaitGroup, node int) {
+	for n := uint64(0); ctx.Err() == nil; n++ {
+		fp := fingerprint(1_000_000*uint64(node+1) + n)
+		wg.Go(func() {
+			err := s.request(ctx, node, fp)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			switch {
+			case err == nil:
+				s.out.innocentsDone++
+			case fennelerr.Is(err, fennelerr.Quarantined):
+				s.out.innocentsRefused++
+			}
+		})
+		time.Sleep(s.between(50*time.Millisecond, 250*time.Millisecond))
+	}
+}
+
+// sendPoison is a caller that sends the poison again as soon as it is answered.
+func (s *sim) sendPoison(ctx context.Context, caller int) {
+	for n := caller; ctx.Err() == nil; n++ {
+		node := n % s.nodes
+		began := time.Now()
+		err := s.request(ctx, node, poison)
+		s.mu.Lock()
+		if fennelerr.Is(err, fennelerr.Quarantined) {
+			s.out.poisonRefused++
+			switch {
+			case len(s.refusedBy) == s.nodes && time.Since(began) > 10*time.Millisecond:
+				s.out.slowRefusals++
+			case !s.refusedBy[node]:
+				s.refusedBy[node] = true
+				s.out.known = time.Since(s.first)
+			}
+		}
+		s.mu.Unlock()
+		time.Sleep(s.between(20*time.Millisecond, 100*time.Millisecond))
+	}
+}
+
+// request does what the gateway does: admit, choose, run, and again after a crash.
+func (s *sim) request(ctx context.Context, node int, fp suspect.Fingerprint) error {
+	for {
+		alone, err := s.trackers[node].Admit(ctx, fp)
+		if err != nil {
+			return err
+		}
+		replica, generation, died := s.choose(ctx, node, alone)
+		if replica == nil {
+			return ctx.Err()
+		}
+		end := s.trackers[node].Begin(fp, replica.id, generation, alone)
+		crashed := s.execute(ctx, replica, died, fp, alone)
+		if alone {
+			s.mu.Lock()
+			replica.suspects[node]--
+			s.mu.Unlock()
+		}
+		end(crashed)
+		if !crashed {
+			return ctx.Err()
+		}
+	}
+}
+
+// choose waits for a live replica; for a suspect, one without other suspects as
+// far as this node knows.
+func (s *sim) choose(ctx context.Context, node int, alone bool) (*fakeReplica, int64, chan struct{}) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		order := s.rng.Perm(len(s.replicas))
+		for _, i := range order {
+			r := s.replicas[i]
+			if r.down || alone && (r.suspects[node] > 0 || s.runsSuspect(node, r.id)) {
+				continue
+			}
+			if alone {
+				r.suspects[node]++
+			}
+			defer s.mu.Unlock()
+			return r, r.generation, r.crash
+		}
+		s.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, 0, nil
+}
+
+func (s *sim) runsSuspect(node int, id cluster.ReplicaID) bool {
+	tracker, ok := s.trackers[node].(*suspect.Tracker)
+	return ok && tracker.RunsSuspect(id)
+}
+
+// execute runs one request and reports whether the replica crashed under it.
+func (s *sim) execute(ctx context.Context, r *fakeReplica, died chan struct{}, fp suspect.Fingerprint, alone bool) bool {
+	if fp == poison {
+		s.mu.Lock()
+		if s.running > 0 && alone {
+			s.out.together++
+		}
+		s.running++
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.running--
+		}()
+		time.Sleep(s.between(20*time.Millisecond, 400*time.Millisecond))
+		s.kill(r, died)
+		<-died
+		return true
+	}
+	select {
+	case <-died:
+		// Not all notice at the same moment.
+		time.Sleep(s.between(0, 100*time.Millisecond))
+		return true
+	case <-time.After(s.between(200*time.Millisecond, 3*time.Second)):
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// kill ends one generation of a replica; it is back with the next one after a while.
+func (s *sim) kill(r *fakeReplica, died chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.crash != died || r.down {
+		return
+	}
+	close(r.crash)
+	r.down = true
+	s.out.kills++
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	s.out.lastKill = time.Since(s.first)
+	time.AfterFunc(10*time.Second, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		r.down, r.crash = false, make(chan struct{})
+		r.generation++
+	})
+}
+
+func (s *sim) between(low, high time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return low + time.Duration(s.rng.Int64N(int64(high-low)+1))
+}
+
+func sorted(outs []outcome, of func(outcome) time.Duration) []time.Duration {
+	var all []time.Duration
+	for _, o := range outs {
+		all = append(all, of(o))
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/suspect/tracker.go
@@ -0,0 +1,407 @@
+package suspect
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+)
+
+// shards is the number of locks over fingerprints, and of those over replicas.
+const shards = 16
+
+// recordsPerShard bounds the memory: a record is some 300 bytes.
+const recordsPerShard = 1024
+
+// Options configures a Tracker.
+type Options struct {
+	Node cluster.NodeID
+	// Peers counts the live nodes that may run the same request; nil means none.
+	Peers func() int
+	// Nudge asks for a datagram soon; it must not block. Nil means none.
+	Nudge func()
+	// Clock is the time; nil means time.Now.
+	Clock  func() time.Time
+	Timing Timing
+	Log    *slog.Logger
+}
+
+// Tracker knows the suspects and quarantines of one node. All methods are safe
+// for concurrent use.
+type Tracker struct {
+	node   cluster.NodeID
+	peers  func() int
+	nudge  func()
+	now    func() time.Time
+	timing Timing
+	log    *slog.Logger
+
+	byKey     [shards]keyShard
+	byReplica [shards]crashShard
+	telling   telling
+}
+
+type keyShard struct {
+	mu      sync.Mutex
+	records map[key]*record
+}
+
+var (
+	metricCrashed     = metrics.NewCounter(`fennel_suspect_crashed_runs_total`)
+	metricRetried     = metrics.NewCounter(`fennel_suspect_retried_alone_total`)
+	metricCleared     = metrics.NewCounter(`fennel_suspect_cleared_total`)
+	metricQuarantined = metrics.NewCounter(`fennel_suspect_quarantined_total`)
+	metricRefused     = metrics.NewCounter(`fennel_suspect_refused_requests_total`)
+	metricEvicted     = metrics.NewCounter(`fennel_suspect_evicted_records_total`)
+)
+
+// New returns a tracker that suspects nothing.
+func New(opts Options) *Tracker {
+	t := &Tracker{
+		node: opts.Node, peers: opts.Peers, nudge: opts.Nudge, now: opts.Clock,
+		timing: opts.Timing.withDefaults(), log: opts.Log,
+	}
+	if t.peers == nil {
+		t.peers = func() int { return 0 }
+	}
+	if t.nudge == nil {
+		t.nudge = func() {}
+	}
+	if t.now == nil {
+		t.now = time.Now
+	}
+	if t.log == nil {
+		t.log = slog.Default()
+	}
+	for i := range shards {
+		t.byKey[i].records = make(map[key]*record)
+		t.byReplica[i].alone = make(map[cluster.ReplicaID]map[key]time.Time)
+	}
+	return t
+}
+
+func (t *Tracker) keyShard(k key) *keyShard { return &t.byKey[uint64(k)%shards] }
+
+func (t *Tracker) crashShard(replica cluster.ReplicaID) *crashShard {
+	return &t.byReplica[xxhash.Sum64String(string(replica))%shards]
+}
+
+// Admit refuses a quarantined fingerprint with a Quarantined error. For a suspect
+// it waits until nobody else retries it, claims the retry and returns alone set:
+// the caller then runs it on a replica without other suspects. A suspect that is
+// quarantined while it waits is refused at once.
+func (t *Tracker) Admit(ctx context.Context, fp Fingerprint) (alone bool, err error) {
+	k := fp.key()
+	for {
+		d, changed := t.ask(k)
+		switch d.action {
+		case free:
+			return false, nil
+		case refuse:
+			metricRefused.Inc()
+			t.log.Info("quarantined request refused", "fingerprint", k, "until", d.until)
+			return false, t.refusal(k, d.until)
+		case claim:
+			t.nudge()
+			if t.holdClaim(ctx, k) {
+				metricRetried.Inc()
+				t.log.Info("suspect retried alone", "fingerprint", k)
+				return true, nil
+			}
+		case wait:
+			t.sleep(ctx, changed, d.until)
+		}
+		if ctx.Err() != nil {
+			t.dropClaim(k)
+			return false, gaveUp(ctx)
+		}
+	}
+}
+
+// ask decides under the lock; a claim is entered and a refusal prolonged there too.
+func (t *Tracker) ask(k key) (decision, <-chan struct{}) {
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	if r == nil {
+		return decision{action: free}, nil
+	}
+	now := t.now()
+	if r.dead(t.node, now, t.timing) {
+		delete(s.records, k)
+		return decision{action: free}, nil
+	}
+	d := r.admit(t.node, now, t.timing)
+	switch d.action {
+	case refuse:
+		r.prolong(now, t.timing)
+		d.until = r.until
+	case claim:
+		r.run = run{node: t.node, heard: now}
+		r.tells = tells{}
+		r.notify()
+	case wait:
+		return d, r.wait()
+	}
+	return d, nil
+}
+
+// holdClaim waits for word of another node's claim and reports whether this one holds.
+func (t *Tracker) holdClaim(ctx context.Context, k key) bool {
+	if t.peers() == 0 {
+		return true
+	}
+	end := t.now().Add(t.timing.ClaimDelay)
+	for {
+		changed, mine := t.claimState(k)
+		if !mine {
+			return false
+		}
+		if !t.now().Before(end) {
+			return true
+		}
+		t.sleep(ctx, changed, end)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+func (t *Tracker) claimState(k key) (changed <-chan struct{}, mine bool) {
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	if r == nil || r.phase != suspected || r.run.node != t.node {
+		return nil, false
+	}
+	return r.wait(), true
+}
+
+func (t *Tracker) dropClaim(k key) {
+	t.update(k, func(r *record) {
+		if r.run.node == t.node && !r.run.begun {
+			r.run = run{}
+		}
+	})
+}
+
+func (t *Tracker) sleep(ctx context.Context, changed <-chan struct{}, until time.Time) {
+	timer := time.NewTimer(until.Sub(t.now()))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func gaveUp(ctx context.Context) error {
+	code := fennelerr.Canceled
+	if ctx.Err() == context.DeadlineExceeded {
+		code = fennelerr.Timeout
+	}
+	return fennelerr.Wrap(ctx.Err(), code, "waiting for another run of the same request, which was in flight when a replica crashed").
+		WithOp("suspect.admit").WithRun(fennelerr.NotRun)
+}
+
+func (t *Tracker) refusal(k key, until time.Time) error {
+	left := until.Sub(t.now()).Round(time.Second)
+	return fennelerr.New(fennelerr.Quarantined,
+		"replicas crashed while this request ran, the last one while it was the only suspect there; "+
+			"it was not run this time and is refused for %s (fingerprint %s)", left, k).
+		WithOp("suspect.admit").WithRun(fennelerr.NotRun).WithRetryAfter(left)
+}
+
+// Begin records that fp runs on the replica. The returned func ends it and must
+// be called once: crashed says that the replica crashed under it. A retry alone
+// that ends otherwise clears the fingerprint.
+func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(crashed bool)) {
+	k, began := fp.key(), t.now()
+	if alone {
+		t.beginAlone(k, replica)
+	}
+	var once sync.Once
+	return func(crashed bool) {
+		once.Do(func() {
+			if alone {
+				t.crashShard(replica).setAlone(replica, k, time.Time{})
+			}
+			switch {
+			case crashed:
+				t.crashed(k, replica, generation, began, alone)
+			case alone:
+				t.clear(k, t.now())
+			}
+		})
+	}
+}
+
+// aloneAtMost bounds belief in a run of this node whose end is never called.
+const aloneAtMost = time.Hour
+
+func (t *Tracker) beginAlone(k key, replica cluster.ReplicaID) {
+	now := t.now()
+	t.crashShard(replica).setAlone(replica, k, now.Add(aloneAtMost))
+	t.update(k, func(r *record) {
+		r.run = run{node: t.node, heard: now, begun: true, replica: replica}
+		r.tells = tells{}
+	})
+	t.nudge()
+}
+
+// RunsSuspect reports whether a suspect is being retried on the replica, by this
+// node or, as far as heard, by another.
+func (t *Tracker) RunsSuspect(replica cluster.ReplicaID) bool {
+	return t.crashShard(replica).runsSuspect(replica, t.now())
+}
+
+func (t *Tracker) crashed(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
+	metricCrashed.Inc()
+	now := t.now()
+	c := t.crashShard(replica).local(replica, generation, k, began, now, rand.Uint64())
+	var onTrial bool
+	t.change(k, func(r *record) {
+		r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing)
+		if alone {
+			r.accuse(now, t.timing)
+			onTrial = r.phase == accused
+		}
+	})
+	t.log.Warn("replica crashed under a request", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone, "crash", c.id)
+	t.nudge()
+	if !onTrial {
+		return
+	}
+	if t.peers() == 0 {
+		t.judge(k, c.id, replica)
+		return
+	}
+	time.AfterFunc(t.timing.VerdictDelay, func() { t.judge(k, c.id, replica) })
+}
+
+// judge looks at the others that were in flight in the crash, one lock at a time.
+func (t *Tracker) judge(k key, crash uint64, replica cluster.ReplicaID) {
+	otherSuspect := false
+	for _, other := range t.crashShard(replica).keysOf(crash) {
+		if other != k && t.hasPrior(other, crash) {
+			otherSuspect = true
+		}
+	}
+	guilty := false
+	var crashes int
+	t.update(k, func(r *record) {
+		guilty = r.judge(crash, otherSuspect, t.now(), t.timing)
+		crashes = len(r.evidence)
+	})
+	t.log.Warn("verdict on a suspect", "fingerprint", k, "guilty", guilty, "replica", replica, "crashes", crashes, "other_suspect", otherSuspect)
+	if guilty {
+		metricQuarantined.Inc()
+	}
+	t.nudge()
+}
+
+func (t *Tracker) hasPrior(k key, crash uint64) bool {
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	return r != nil && r.hasPrior(crash)
+}
+
+func (t *Tracker) clear(k key, at time.Time) {
+	var was []evidence
+	news := false
+	t.update(k, func(r *record) {
+		was = r.evidence
+		news = r.clear(at, t.now(), t.timing)
+	})
+	if !news {
+		return
+	}
+	metricCleared.Inc()
+	t.log.Info("suspect cleared", "fingerprint", k)
+	for _, e := range was {
+		t.crashShard(e.replica).exonerate(e.crash, k)
+	}
+	t.nudge()
+}
+
+// update applies f to the record of k if there is one, and wakes those who wait.
+func (t *Tracker) update(k key, f func(r *record)) {
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.records[k]; r != nil {
+		r.lapse(t.now(), t.timing)
+		f(r)
+		r.notify()
+	}
+}
+
+// change applies f to the record of k, which it adds if there is none.
+func (t *Tracker) change(k key, f func(r *record)) {
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	if r == nil {
+		s.makeRoom()
+		r = &record{key: k, until: t.now().Add(t.timing.SuspectFor)}
+		s.records[k] = r
+	}
+	r.lapse(t.now(), t.timing)
+	f(r)
+	r.notify()
+}
+
+// makeRoom evicts the least valuable record of a full shard: a cleared one, else
+// a suspect, else a quarantine, and of these the one that ends first.
+func (s *keyShard) makeRoom() {
+	if len(s.records) < recordsPerShard {
+		return
+	}
+	var victim *record
+	for _, r := range s.records {
+		if victim == nil || r.value() < victim.value() || r.value() == victim.value() && r.until.Before(victim.until) {
+			victim = r
+		}
+	}
+	victim.notify()
+	delete(s.records, victim.key)
+	metricEvicted.Inc()
+}
+
+func (r *record) value() int {
+	switch {
+	case r.phase == cleared:
+		return 0
+	case r.phase == suspected && !r.probation:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// wait returns a channel that closes with the next change.
+func (r *record) wait() <-chan struct{} {
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
+}
+
+func (r *record) notify() {
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
