routing: late news of others counts for a quarter of its difference

Change: what others run counts as the group's mean plus a quarter of the replica's difference from it; own requests count whole.

--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -52,24 +52,35 @@
 		e.wholeGeneration != 0 && e.wholeGeneration == e.replica.Generation
 }
 
-// inFlight estimates what runs and waits on the replica.
+// inFlight estimates what runs and waits on the replica, with usual as the
+// group's mean of what others run on one unit of capacity.
 //
-// A report lags and may stop or lie. Requests of this node and its peers are
-// known without it, so they are the floor: an engine that always reports zero
-// still fills up in this estimate and cannot absorb everything. What a report
-// says beyond that fades out as the report ages, for an old report says nothing
-// about now.
-func (e *entry) inFlight(now time.Time, o Options) float64 {
-	peers := e.peerTotal(now, o.PeerExpiry)
-	others := float64(peers)
-	if age := now.Sub(e.report.receivedAt); !e.report.receivedAt.IsZero() && age < o.ReportExpiry {
-		reported := float64(e.report.load.Running + e.report.load.Waiting - e.report.ownThen)
-		fresh := 1 - float64(age)/float64(o.ReportExpiry)
-		if extra := reported - others; extra > 0 {
-			others += extra * fresh
-		}
+// What others run is known late, and all nodes act on the same news: the replica
+// that looked emptiest would get everybody's next requests and be the fullest
+// before anyone hears of it, while others idle. One would notice replicas that
+// swing between empty and full once a gossip round. Therefore only a part of
+// a replica's difference from the usual counts. Own requests are known exactly
+// and count whole.
+func (e *entry) inFlight(now time.Time, o Options, capacity, usual float64) float64 {
+	expected := usual * capacity
+	return float64(e.outstanding) + expected + o.OthersWeight*(e.others(now, o)-expected)
+}
+
+// others is what others run on the replica as far as it is known.
+//
+// A report lags and may stop or lie. What peers say of themselves is the floor:
+// an engine that always reports zero still fills up in this estimate and cannot
+// absorb everything. What a report says beyond that fades out as the report
+// ages, for an old report says nothing about now.
+func (e *entry) others(now time.Time, o Options) float64 {
+	known := float64(e.peerTotal(now, o.PeerExpiry))
+	age := now.Sub(e.report.receivedAt)
+	if e.report.receivedAt.IsZero() || age >= o.ReportExpiry {
+		return known
 	}
-	return float64(e.outstanding) + others
+	reported := float64(e.report.load.Running + e.report.load.Waiting - e.report.ownThen)
+	fresh := 1 - float64(age)/float64(o.ReportExpiry)
+	return known + max(reported-known, 0)*fresh
 }
 
 func (e *entry) peerTotal(now time.Time, expiry time.Duration) (total int) {
@@ -94,20 +105,19 @@
 	e.peers = kept
 }
 
-// capacity bounds what the replica claims to batch by twice the group's median:
-// one that claims any number would look empty whatever runs on it.
-func (e *entry) capacity(groupMedian float64) float64 {
-	claimed := float64(e.report.load.MaxRunning)
-	if claimed < 1 {
-		claimed = assumedCapacity
-		if groupMedian > 0 {
-			claimed = groupMedian
-		}
-	}
-	if groupMedian > 0 {
-		return min(claimed, 2*groupMedian)
+// believedCapacity bounds what a replica claims to batch by twice the group's
+// median: one that claims any number would look empty whatever runs on it. A
+// replica that claims nothing counts as a median one.
+func believedCapacity(claimed int, median float64) float64 {
+	switch {
+	case claimed < 1 && median > 0:
+		return median
+	case claimed < 1:
+		return assumedCapacity
+	case median > 0:
+		return min(float64(claimed), 2*median)
 	}
-	return claimed
+	return float64(claimed)
 }
 
 // assumedCapacity stands in while no replica of the group has reported.
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -23,7 +23,9 @@
 	entries  []*entry
 	local    int
 	capacity float64 // median of the claimed capacities
-	takenAt  time.Time
+	// usual is the mean of what others run on one unit of capacity.
+	usual   float64
+	takenAt time.Time
 }
 
 func (g *group) setMembers(list []*entry) {
@@ -56,6 +58,7 @@
 	entry    *entry
 	zone     cluster.ZoneID
 	capacity int
+	others   float64
 	speed    speed
 	eligible bool
 }
@@ -66,7 +69,10 @@
 	views := make([]memberView, 0, len(members))
 	for _, e := range members {
 		e.lock.Lock()
-		v := memberView{entry: e, zone: e.replica.Zone, capacity: e.report.load.MaxRunning, speed: e.speed, eligible: e.eligible()}
+		v := memberView{
+			entry: e, zone: e.replica.Zone, capacity: e.report.load.MaxRunning,
+			others: e.others(now, o), speed: e.speed, eligible: e.eligible(),
+		}
 		e.lock.Unlock()
 		if v.eligible {
 			views = append(views, v)
@@ -74,6 +80,7 @@
 	}
 	judgeStragglers(views, now)
 	out := &snapshot{takenAt: now, entries: make([]*entry, 0, len(views)), capacity: medianCapacity(views)}
+	out.usual = usualOthers(views, out.capacity)
 	for _, v := range views {
 		if v.zone == o.Zone {
 			out.entries = append(out.entries, v.entry)
@@ -145,6 +152,18 @@
 	return float64(claims[len(claims)/2])
 }
 
+func usualOthers(views []memberView, median float64) float64 {
+	others, capacity := 0.0, 0.0
+	for _, v := range views {
+		others += v.others
+		capacity += believedCapacity(v.capacity, median)
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return others / capacity
+}
+
 // view is one decision's View of the table.
 type view struct {
 	table *Table
@@ -166,9 +185,10 @@
 // candidate reads the entry under its lock, which the caller holds.
 func (v view) candidate(e *entry) Candidate {
 	o := v.table.opts
+	capacity := believedCapacity(e.report.load.MaxRunning, v.snap.capacity)
 	return Candidate{
 		ID: e.replica.ID, Local: e.replica.Zone == o.Zone, Whole: e.eligible(),
-		InFlight: e.inFlight(v.now, o), Capacity: e.capacity(v.snap.capacity),
+		InFlight: e.inFlight(v.now, o, capacity, v.snap.usual), Capacity: capacity,
 		Avoided: e.speed.avoided(v.now) || e.speed.closedForTrial(),
 		Trial:   e.speed.onTrial, Suspects: e.suspects, entry: e,
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -25,6 +25,9 @@
 	ReportExpiry time.Duration
 	// PeerExpiry is the age at which a peer's outstanding count is dropped.
 	PeerExpiry time.Duration
+	// OthersWeight is the part that counts of a replica's difference from the
+	// group in what others run on it, above 0 and up to 1.
+	OthersWeight float64
 	// MaxLag bounds how late a report is believed to be.
 	MaxLag time.Duration
 	// PrefixEntries bounds the prefix index; PrefixExpiry ends an entry nobody renews.
@@ -40,6 +43,7 @@
 const (
 	DefaultReportExpiry  = 5 * time.Second
 	DefaultPeerExpiry    = 5 * time.Second
+	DefaultOthersWeight  = 0.25
 	DefaultMaxLag        = 2 * time.Second
 	DefaultPrefixEntries = 1 << 16
 	DefaultPrefixExpiry  = 10 * time.Minute
@@ -55,6 +59,7 @@
 	}
 	setDefault(&o.ReportExpiry, DefaultReportExpiry)
 	setDefault(&o.PeerExpiry, DefaultPeerExpiry)
+	setDefault(&o.OthersWeight, DefaultOthersWeight)
 	setDefault(&o.MaxLag, DefaultMaxLag)
 	setDefault(&o.PrefixEntries, DefaultPrefixEntries)
 	setDefault(&o.PrefixExpiry, DefaultPrefixExpiry)
@@ -62,7 +67,7 @@
 	return o
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
@@ -400,8 +405,9 @@
 	Load        engine.Load
 	LoadAt      time.Time // zero when no report came
 	Outstanding int
-	InFlight    float64
-	Avoided     bool
+	// InFlight is the own and all known other requests on it.
+	InFlight float64
+	Avoided  bool
 }
 
 // Statuses returns all replicas, in no particular order.
@@ -413,7 +419,7 @@
 		for _, e := range s.entries {
 			out = append(out, Status{
 				Replica: e.replica, Whole: e.eligible(), Load: e.report.load, LoadAt: e.report.receivedAt,
-				Outstanding: e.outstanding, InFlight: e.inFlight(now, t.opts), Avoided: e.speed.avoided(now),
+				Outstanding: e.outstanding, InFlight: float64(e.outstanding) + e.others(now, t.opts), Avoided: e.speed.avoided(now),
 			})
 		}
 		s.mu.Unlock()
