--- /dev/null
+++ b/internal/admission/overload_test.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+)
+
+// evenly offers times the capacity of the replicas, split over some teams.
+func evenly(replicas int, times float64) map[cluster.TeamID]float64 {
+	const teams = 5
+	out := map[cluster.TeamID]float64{}
+	for i := range teams {
+		out[team(i)] = times * capacityPerSecond(replicas) / teams
+	}
+	return out
+}
+
+func overload(seed uint64, times float64) load {
+	return load{replicas: 20, nodes: 4, seed: seed, perSecond: evenly(20, times), seconds: 60}
+}
+
+// Twice as many requests come as the replicas can serve, and callers who are
+// refused or wait in vain send again. Without a queue that refuses, each replica
+// works through requests whose callers are gone, and hardly anyone gets an
+// answer in time.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		full := runLoad(overload(seed, 1)).goodput()
+		double := runLoad(overload(seed, 2))
+		require.GreaterOrEqual(t, double.goodput(), 0.95*full, "seed %d", seed)
+
+		naive := overload(seed, 2)
+		naive.naive, naive.policy = true, routing.Naive{}
+		require.Less(t, runLoad(naive).goodput(), 0.5*full, "the failure this guards against, seed %d", seed)
+	}
+}
+
+// For a moment first tokens take longer than callers wait. Then the moment
+// passes, but a node that had learnt from it to refuse everything would run
+// nothing from which to learn better: callers are refused by an idle system.
+func TestABadMomentPasses(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		out := runLoad(overload(seed, 0.8))
+		require.GreaterOrEqual(t, out.good*100, out.sent*97, "seed %d", seed)
+	}
+	q := newQueue(DefaultMaxWait)
+	q.setSlots(epoch, 1)
+	q.start = startEstimate{known: true, mean: 60, dev: 60}
+	q.hold = holdEstimate{known: true, mean: 600, perCost: 600}
+	tk := &ticket{team: "t0", cost: 1, deadline: epoch.Add(patience), given: true, settled: make(chan struct{})}
+	require.Nil(t, q.arrive(epoch, tk, 1, noLimit{}))
+	require.Len(t, q.dispatch(epoch), 1)
+}
+
+// One team sends ten times its share. The others send less than theirs and must
+// hardly notice: their callers stand at the counter too.
+func TestOneTeamAtTenTimesItsShare(t *testing.T) {
+	l := overload(1, 0.8)
+	l.perSecond[team(0)] *= 10 / 0.8
+	out := runLoad(l)
+	for i := 1; i < 5; i++ {
+		require.GreaterOrEqual(t, out.goodOf[team(i)]*100, out.sentOf[team(i)]*95, "team %d: %v of %v", i, out.goodOf, out.sentOf)
+	}
+	require.GreaterOrEqual(t, out.goodput(), 0.93*capacityPerSecond(20), "and the large team uses the rest")
+}
+
+// Two teams with weights 3 and 1 both send more than their share: what they get
+// is in the proportion of the weights.
+func TestWeightsDecideUnderOverload(t *testing.T) {
+	l := overload(2, 0)
+	l.perSecond = map[cluster.TeamID]float64{team(0): 2 * capacityPerSecond(20), team(1): 2 * capacityPerSecond(20)}
+	l.weights = map[cluster.TeamID]float64{team(0): 30, team(1): 10}
+	out := runLoad(l)
+	require.InDelta(t, 3, float64(out.goodOf[team(0)])/float64(out.goodOf[team(1)]), 0.3)
+}
+
+// BenchmarkGoodput measures goodput (whole answers with the first token within
+// 3 s, a second) by offered load, in virtual time; one iteration is one seed.
+func BenchmarkGoodput(b *testing.B) {
+	for _, times := range []float64{0.5, 0.8, 1, 1.5, 2, 4} {
+		for _, name := range []string{"fennel", "naive", "naive-with-cancel"} {
+			b.Run(fmt.Sprintf("%s/load=%.1fx", name, times), func(b *testing.B) {
+				good, refused, late := 0.0, 0.0, 0.0
+				for i := range b.N {
+					l := overload(uint64(i+1), times)
+					if name != "fennel" {
+						l.naive, l.policy, l.cancels = true, routing.Naive{}, name == "naive-with-cancel"
+					}
+					out := runLoad(l)
+					good += out.goodput()
+					refused += float64(out.refused) / out.seconds
+					late += float64(out.late) / out.seconds
+				}
+				n := float64(b.N)
+				b.ReportMetric(good/n, "good/s")
+				b.ReportMetric(100*good/n/capacityPerSecond(20), "%capacity")
+				b.ReportMetric(refused/n, "refused/s")
+				b.ReportMetric(late/n, "late/s")
+			})
+		}
+	}
+}
+
+// BenchmarkPrefixHits measures how often a prompt's prefix is cached where it is
+// sent: 200 shared prefixes, 12 cached by each of 20 engines, 0.7 of the capacity.
+func BenchmarkPrefixHits(b *testing.B) {
+	noBonus := routing.DefaultPolicy()
+	noBonus.PrefixBonus = 0
+	for name, policy := range map[string]routing.Policy{"prefix": routing.DefaultPolicy(), "load-only": noBonus, "naive": routing.Naive{}} {
+		b.Run(name, func(b *testing.B) {
+			hits, good := 0.0, 0.0
+			for i := range b.N {
+				l := overload(uint64(i+1), 0.7)
+				l.prefixes, l.policy = 200, policy
+				out := runLoad(l)
+				hits += float64(out.hits) / float64(out.hits+out.misses)
+				good += float64(out.good) / float64(out.sent)
+			}
+			b.ReportMetric(100*hits/float64(b.N), "%hits")
+			b.ReportMetric(100*good/float64(b.N), "%good")
+		})
+	}
+}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -21,6 +21,9 @@
 
 // Slot is held while a request runs. Release must be called exactly once.
 type Slot interface {
+	// FirstToken says that the answer's first token came. From the time since
+	// the dispatch is learnt how early requests must leave the queue.
+	FirstToken()
 	// Release returns the slot; tokens is the work done, for cost estimates, and
 	// zero for a request that gave no answer.
 	Release(tokens int)
