gateway: tell the slot when the first token came

Cause: the queue must know how long a first token takes after the dispatch, or it dispatches requests whose callers are about to leave. go test -race ./internal/gateway: ok.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -93,6 +93,8 @@
 
 type openSlot struct{ o *openAdmitter }
 
+func (s openSlot) FirstToken() {}
+
 func (s openSlot) Release(int) { s.o.held.Add(-1) }
 
 // memoryClaims is a Claimer without faults.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -83,6 +83,7 @@
 		return s.withRun(err)
 	}
 	defer func() { slot.Release(s.tokens) }()
+	s.slot = slot
 	return s.serve(r.Context(), deadline)
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -47,6 +47,7 @@
 	exclude   []cluster.ReplicaID
 	fruitless int
 	tokens    int
+	slot      Slot
 	started   time.Time
 	firstSeen time.Time
 	stopClock func()
@@ -180,6 +181,7 @@
 	if s.firstSeen.IsZero() {
 		s.firstSeen = s.target.first
 		s.stopClock()
+		s.slot.FirstToken()
 		firstByteSeconds.Update(s.firstSeen.Sub(s.started).Seconds())
 	}
 }
