--- /dev/null
+++ b/internal/ctl/wait.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
+)
+
+const pollEvery = 500 * time.Millisecond
+
+func (a *app) waitCommand() *ff.Command {
+	return &ff.Command{
+		Name:      "wait",
+		Usage:     "fennelctl rules wait REVISION [--timeout 30s]",
+		ShortHelp: "wait until a revision is in force on all nodes",
+		LongHelp: `Says from how many nodes of how many the revision, or a later one, is in force and
+names those that can't be heard (exit code 4 when the time is up).
+
+EXAMPLES
+  fennelctl rules wait 1043 --timeout 30s`,
+		Flags: a.subFlags("wait"),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("found %d arguments, want one REVISION", len(args))
+			}
+			revision, err := parseRevision(args[0])
+			if err != nil {
+				return err
+			}
+			all, err := a.dial()
+			if err != nil {
+				return err
+			}
+			return a.wait(ctx, all, revision)
+		},
+	}
+}
+
+// inForceJSON is the output of a wait with --json.
+type inForceJSON struct {
+	Revision int64    `json:"revision"`
+	InForce  int32    `json:"in_force"`
+	Nodes    int32    `json:"nodes"`
+	Behind   []string `json:"behind,omitempty"`
+	Unheard  []string `json:"unheard,omitempty"`
+}
+
+func (a *app) wait(ctx context.Context, all nodes, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	var last *wirepb.RulesInForceResponse
+	var lastErr error
+	shown := ""
+	for {
+		res, err := call(ctx, all, wirepbconnect.OperatorServiceClient.RulesInForce, &wirepb.RulesInForceRequest{Revision: revision})
+		switch {
+		case err == nil:
+			last = res
+		case !tryNext(err):
+			return err
+		case ctx.Err() == nil:
+			lastErr = err
+		}
+		if last != nil && last.GetNodes() > 0 && last.GetInForce() == last.GetNodes() {
+			return a.reportWait(revision, last, true)
+		}
+		if line := progress(revision, last, lastErr); line != shown {
+			printf(a.log, "%s\n", line)
+			shown = line
+		}
+		if !pause(ctx, pollEvery) {
+			return a.reportWait(revision, last, false)
+		}
+	}
+}
+
+func progress(revision int64, res *wirepb.RulesInForceResponse, err error) string {
+	if res == nil {
+		return fmt.Sprintf("waiting for revision %d: %v", revision, err)
+	}
+	return fmt.Sprintf("waiting for revision %d: in force on %d of %d nodes", revision, res.GetInForce(), res.GetNodes())
+}
+
+func (a *app) reportWait(revision int64, res *wirepb.RulesInForceResponse, done bool) error {
+	report := inForceJSON{Revision: revision, InForce: res.GetInForce(), Nodes: res.GetNodes()}
+	for _, n := range res.GetDetail() {
+		name := fmt.Sprintf("%s (%s)", n.GetNode(), n.GetZone())
+		if !n.GetHeard() {
+			report.Unheard = append(report.Unheard, name)
+		} else if n.GetRevision() < revision {
+			report.Behind = append(report.Behind, fmt.Sprintf("%s at %d", name, n.GetRevision()))
+		}
+	}
+	if a.json {
+		if err := a.printJSON(report); err != nil {
+			return err
+		}
+	} else {
+		a.printWait(report)
+	}
+	if done {
+		return nil
+	}
+	return &exitError{code: ExitNotInForce, message: fmt.Sprintf("revision %d is not in force on all nodes after %s", revision, a.timeout)}
+}
+
+func (a *app) printWait(report inForceJSON) {
+	printf(a.out, "revision %d is in force on %d of %d nodes\n", report.Revision, report.InForce, report.Nodes)
+	if len(report.Behind) > 0 {
+		printf(a.out, "behind: %s\n", strings.Join(report.Behind, ", "))
+	}
+	if len(report.Unheard) > 0 {
+		printf(a.out, "can't be heard: %s\n", strings.Join(report.Unheard, ", "))
+	}
+}
