--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -93,6 +93,8 @@
 
 type openSlot struct{ o *openAdmitter }
 
+func (s openSlot) FirstToken() {}
+
 func (s openSlot) Release(int) { s.o.held.Add(-1) }
 
 // memoryClaims is a Claimer without faults.
@@ -196,7 +198,10 @@
 	}
 	b.opts.Services = b.services
 	b.gateway = New(b.opts)
-	b.server = httptest.NewServer(b.gateway)
+	b.server = httptest.NewUnstartedServer(b.gateway)
+	b.server.Listener = smallBuffers{b.server.Listener}
+	b.server.Start()
+	b.server.Client().Transport.(*http.Transport).DialContext = dialSmallBuffers
 	t.Cleanup(func() {
 		b.server.CloseClientConnections()
 		b.server.Close()
@@ -207,6 +212,40 @@
 	return b
 }
 
+// smallBuffers makes connections on which a reader that pauses is soon felt by the writer.
+type smallBuffers struct{ net.Listener }
+
+const smallBuffer = 8 << 10
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+	}
+	return c, err
+}
+
+func dialSmallBuffers(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err == nil {
+		err = c.(*net.TCPConn).SetReadBuffer(smallBuffer)
+	}
+	return c, err
+}
+
+// deadProbes is a Prober to which one address seems dead.
+type deadProbes struct {
+	Prober
+	addr string
+}
+
+func (d deadProbes) State(ctx context.Context, addr string) (engine.State, error) {
+	if addr == d.addr {
+		return engine.State{}, &engine.CallError{Kind: engine.CallNoAnswer, Addr: addr, Err: context.DeadlineExceeded}
+	}
+	return d.Prober.State(ctx, addr)
+}
+
 func (b *bench) addEngine(i int, opts standinengine.Options) {
 	opts.VM = cluster.VMID(fmt.Sprintf("vm-%d", i))
 	eng := standinengine.New(opts)
@@ -254,7 +293,10 @@
 	return reply{resp.StatusCode, resp.Header, string(text), err}
 }
 
-func (b *bench) chat(body string) reply { b.t.Helper(); return b.send(http.MethodPost, engine.ChatPath, body) }
+func (b *bench) chat(body string) reply {
+	b.t.Helper()
+	return b.send(http.MethodPost, engine.ChatPath, body)
+}
 
 // streamText is the text of a stream's chunks; whole tells whether it ended with the marker.
 func streamText(body string) (text string, whole bool) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -83,6 +83,7 @@
 		return s.withRun(err)
 	}
 	defer func() { slot.Release(s.tokens) }()
+	s.slot = slot
 	return s.serve(r.Context(), deadline)
 }
 
@@ -111,7 +112,6 @@
 	countRefusal(e)
 	log.Error("answer aborted", "code", e.Code, "run", e.Run, "err", err.Error())
 	s.sink.abort(e)
-	s.sink.close()
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -47,6 +47,7 @@
 	exclude   []cluster.ReplicaID
 	fruitless int
 	tokens    int
+	slot      Slot
 	started   time.Time
 	firstSeen time.Time
 	stopClock func()
@@ -180,6 +181,7 @@
 	if s.firstSeen.IsZero() {
 		s.firstSeen = s.target.first
 		s.stopClock()
+		s.slot.FirstToken()
 		firstByteSeconds.Update(s.firstSeen.Sub(s.started).Seconds())
 	}
 }
@@ -354,7 +356,5 @@
 // withRun puts the session's run state on a refusal by a neighbour: a refusal to
 // go on does not undo that an earlier attempt may have run.
 func (s *session) withRun(err error) error {
-	e := *typed(err)
-	e.Run = s.run
-	return &e
+	return typed(err).WithRun(s.run)
 }
