--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -224,11 +224,14 @@
 		request  *rulestore.RequestError
 		revision *rulestore.RevisionError
 		unknown  *rulestore.OutcomeUnknownError
+		behind   *rulestore.StoreBehindError
 		failure  *store.Error
 	)
 	switch {
 	case errors.As(err, &lines), errors.As(err, &size), errors.As(err, &request):
 		return connect.CodeInvalidArgument
+	case errors.As(err, &behind):
+		return connect.CodeFailedPrecondition
 	case errors.As(err, &revision):
 		return connect.CodeNotFound
 	case errors.As(err, &unknown):
--- a/internal/rulestore/apply.go
+++ b/internal/rulestore/apply.go
@@ -1,7 +1,9 @@
 package rulestore
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,7 +41,8 @@
 
 // Apply accepts a file if its base is still the newest, or fails with
 // rules.Errors, *rules.SizeError, *RequestError, *ConflictError,
-// *OutcomeUnknownError or *store.Error, which means that nothing was changed.
+// *OutcomeUnknownError, or *StoreBehindError or *store.Error, which mean that
+// nothing was changed.
 func (h *Holder) Apply(ctx context.Context, req ApplyRequest) (ApplyResult, error) {
 	if err := checkRequest(req); err != nil {
 		return ApplyResult{}, err
@@ -93,17 +96,24 @@
 // answer from memory may be behind the store; the transaction's guard sees that.
 // A base that is not the newest any more gives an empty text: the guard refuses it.
 func (h *Holder) baseText(ctx context.Context, req ApplyRequest) (string, error) {
-	if req.BaseRevision == 0 {
+	set := h.Current()
+	if set == nil && req.BaseRevision == 0 {
 		return "", nil
 	}
-	if set := h.Current(); set != nil && set.Revision == req.BaseRevision {
+	if set != nil && set.Revision == req.BaseRevision {
 		return set.Text, nil
 	}
-	kv, record, err := h.readFile(ctx)
-	if err != nil || kv == nil || kv.ModRevision != req.BaseRevision {
+	file, err := h.readFile(ctx)
+	if err != nil {
 		return "", err
 	}
-	return record.Text, nil
+	if inForce := h.Revision(); file.storeRevision < inForce {
+		return "", &StoreBehindError{Store: file.storeRevision, InForce: inForce}
+	}
+	if file.revision != req.BaseRevision {
+		return "", nil
+	}
+	return file.record.Text, nil
 }
 
 // applyTxn writes both records if the base is still the newest, else reads what
@@ -191,6 +201,9 @@
 	if newest == nil {
 		return ApplyResult{}, conflict
 	}
+	if newest.ModRevision < req.BaseRevision {
+		return ApplyResult{}, &StoreBehindError{Store: newest.ModRevision, InForce: req.BaseRevision}
+	}
 	file, err := decodeFile(newest)
 	if err != nil {
 		return ApplyResult{}, err
@@ -243,6 +256,7 @@
 
 // trimOps deletes the oldest records beyond HistoryKept.
 func trimOps(kvs []store.KV) []store.Op {
+	slices.SortFunc(kvs, func(a, b store.KV) int { return cmp.Compare(a.ModRevision, b.ModRevision) })
 	excess := min(len(kvs)-HistoryKept, maxTrim)
 	var ops []store.Op
 	for i := range max(excess, 0) {
--- a/internal/rulestore/apply_test.go
+++ b/internal/rulestore/apply_test.go
@@ -150,6 +150,40 @@
 	require.Equal(t, store.Refused, failure.Outcome)
 }
 
+// TestStoreRestoredFromABackup: the store comes back with an older state and lower
+// revisions. A change accepted there would come into force nowhere, as nodes don't
+// go to lower revisions, while the operator was told that it was accepted.
+func TestStoreRestoredFromABackup(t *testing.T) {
+	s := memstore.New(memstore.Options{})
+	h := New(Options{Store: s, Peers: newFleet(t, s)})
+	last := int64(0)
+	for i := range 5 {
+		last = mustApply(t, h, last, text(fmt.Sprint("a", i)))
+	}
+	backup := memstore.New(memstore.Options{})
+	first := mustApply(t, New(Options{Store: backup}), 0, text("a0"))
+	h.opts.Store = backup
+	var behind *StoreBehindError
+	for _, base := range []int64{first, 0, last} {
+		_, err := h.Apply(t.Context(), ApplyRequest{BaseRevision: base, Text: text("b"), Author: "Ana", WriteID: "w"})
+		require.ErrorAs(t, err, &behind)
+	}
+	require.Equal(t, last, h.Revision())
+
+	// A key that was only removed is put back, at a higher revision.
+	h.opts.Store = s
+	_, err := s.Txn(t.Context(), store.Txn{Then: []store.Op{store.Delete(store.RulesKey)}})
+	require.NoError(t, err)
+	_, err = h.Apply(t.Context(), ApplyRequest{BaseRevision: last, Text: text("b"), Author: "Ana", WriteID: "x"})
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	again := mustApply(t, h, 0, text("b"))
+	require.Greater(t, again, last)
+	history, err := h.History(t.Context(), 1)
+	require.NoError(t, err)
+	require.Equal(t, again, history[0].Revision)
+}
+
 func TestGetAndHistory(t *testing.T) {
 	s := memstore.New(memstore.Options{})
 	h := New(Options{Store: s, Peers: newFleet(t, s)})
--- a/internal/rulestore/errors.go
+++ b/internal/rulestore/errors.go
@@ -41,6 +41,18 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Err }
 
+// StoreBehindError refuses a change because the store's revisions are lower than
+// the one in force, as after it was restored from a backup: no node would take the
+// change, since none goes to a lower revision.
+type StoreBehindError struct {
+	Store, InForce int64
+}
+
+// Error implements error.
+func (e *StoreBehindError) Error() string {
+	return fmt.Sprintf("the store is at revision %d but revision %d of the rules is in force: was it restored from a backup?", e.Store, e.InForce)
+}
+
 // RequestError refuses an incomplete request.
 type RequestError struct {
 	Field, Want string
--- a/internal/rulestore/history.go
+++ b/internal/rulestore/history.go
@@ -1,6 +1,7 @@
 package rulestore
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -28,18 +29,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.opts.CallTimeout)
 	defer cancel()
-	kv, record, err := h.readFile(ctx)
+	file, err := h.readFile(ctx)
 	switch {
 	case err != nil && revision == 0 && set != nil:
 		return File{Revision: set.Revision, Text: set.Text, FromMemory: true}, nil
 	case err != nil:
 		return File{}, err
-	case kv == nil:
+	case file.revision == 0:
 		return File{}, &RevisionError{Revision: revision, Reason: "the store has no rules yet"}
-	case revision == 0 || revision == kv.ModRevision:
-		return File{Revision: kv.ModRevision, Text: record.Text}, nil
 	}
-	return h.past(ctx, File{Revision: kv.ModRevision, Text: record.Text}, revision)
+	newest := File{Revision: file.revision, Text: file.record.Text}
+	if revision == 0 || revision == newest.Revision {
+		return newest, nil
+	}
+	return h.past(ctx, newest, revision)
 }
 
 // past undoes changes from the newest file back to a revision.
@@ -129,5 +132,7 @@
 		}
 		changes = append(changes, pastChange{base: base, revision: kv.ModRevision, record: record})
 	}
+	// By base, as the keys are, a file put back into an emptied store would come first.
+	slices.SortFunc(changes, func(a, b pastChange) int { return cmp.Compare(a.revision, b.revision) })
 	return changes, nil
 }
--- a/internal/rulestore/holder.go
+++ b/internal/rulestore/holder.go
@@ -192,27 +192,35 @@
 func (h *Holder) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.opts.CallTimeout)
 	defer cancel()
-	kv, record, err := h.readFile(ctx)
+	file, err := h.readFile(ctx)
 	if err != nil {
 		h.log.Warn("rules read failed", "event", "rules_read_failed", "err", err)
 		h.post(storeRead{})
 		return
 	}
-	if kv != nil {
-		err = h.offer(offer{revision: kv.ModRevision, text: record.Text, source: "store"})
+	if file.revision != 0 {
+		err = h.offer(offer{revision: file.revision, text: file.record.Text, source: "store"})
 	}
 	h.post(storeRead{ok: err == nil})
 }
 
-// readFile returns nil without error when the store has no rules.
-func (h *Holder) readFile(ctx context.Context) (*store.KV, fileRecord, error) {
+// storedFile is the file as read from the store.
+type storedFile struct {
+	// revision is zero when the store has no rules.
+	revision int64
+	record   fileRecord
+	// storeRevision is the store's own, of all keys.
+	storeRevision int64
+}
+
+func (h *Holder) readFile(ctx context.Context) (storedFile, error) {
 	countStoreCall("read")
-	kv, _, err := h.opts.Store.Get(ctx, store.RulesKey)
+	kv, storeRevision, err := h.opts.Store.Get(ctx, store.RulesKey)
 	if err != nil || kv == nil {
-		return nil, fileRecord{}, err
+		return storedFile{storeRevision: storeRevision}, err
 	}
 	record, err := decodeFile(kv)
-	return kv, record, err
+	return storedFile{revision: kv.ModRevision, record: record, storeRevision: storeRevision}, err
 }
 
 // offer is an intact text of an accepted revision.
