rulestore, ctl: a change is in force everywhere in time; TLS to the nodes

Cause: the promise of 16 s and fennelctl's TLS flags had no test.

Change: TestChangeIsInForceEverywhereInTime loses the accepting node right after each of ten changes, once with good watches and once with every watch silent; TestTLS serves the operators' service over TLS.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -28,10 +31,11 @@
 
 // system is one node's operator service over a memory store.
 type system struct {
-	t      *testing.T
-	url    string
-	holder *rulestore.Holder
-	nodes  []operator.NodeRevision
+	t       *testing.T
+	url     string
+	handler http.Handler
+	holder  *rulestore.Holder
+	nodes   []operator.NodeRevision
 	// loseAnswers is how many of the next calls are carried out while the
 	// connection breaks before the answer.
 	loseAnswers atomic.Int32
@@ -61,13 +65,14 @@
 	s.holder = rulestore.New(rulestore.Options{Store: memstore.New(memstore.Options{})})
 	mux := http.NewServeMux()
 	mux.Handle(wirepbconnect.NewOperatorServiceHandler(operator.New(operator.Parts{Rules: s.holder, Nodes: s, Status: s, Explain: s, Outages: s})))
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.loseAnswers.Add(-1) >= 0 {
 			mux.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
 		mux.ServeHTTP(w, r)
-	}))
+	})
+	srv := httptest.NewServer(s.handler)
 	t.Cleanup(srv.Close)
 	s.url = srv.URL
 	t.Setenv("FENNELCTL_SERVER", srv.URL)
@@ -195,6 +200,20 @@
 	require.Contains(t, out, "is in force on 1 of 1 nodes")
 }
 
+func TestTLS(t *testing.T) {
+	s := newSystem(t)
+	srv := httptest.NewTLSServer(s.handler)
+	defer srv.Close()
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	ca := write(t, string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})))
+	addr := strings.TrimPrefix(srv.URL, tlsScheme)
+	out, _ := run(t, ExitOK, "status", "--server", addr, "--ca", ca)
+	require.Contains(t, out, "node n1")
+	_, stderr := run(t, ExitFailed, "status", "--server", addr)
+	require.Contains(t, stderr, "certificate")
+	run(t, ExitUsage, "status", "--server", addr, "--ca", write(t, "no certificate"))
+}
+
 func TestUsage(t *testing.T) {
 	t.Setenv("FENNELCTL_SERVER", "")
 	for _, args := range [][]string{
--- a/internal/rulestore/harness_test.go
+++ b/internal/rulestore/harness_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -141,6 +142,26 @@
 	}
 }
 
+// untilAllAt gossips each second until all nodes have the revision, or a minute.
+func (f *fleet) untilAllAt(revision int64) time.Duration {
+	const step = 100 * time.Millisecond
+	waited := time.Duration(0)
+	for ; waited < time.Minute; waited += step {
+		behind := false
+		for _, n := range f.nodes {
+			behind = behind || n.Revision() < revision
+		}
+		if !behind {
+			break
+		}
+		if waited%time.Second == 0 {
+			f.gossip()
+		}
+		time.Sleep(step)
+	}
+	return waited
+}
+
 func (f *fleet) stopAll() {
 	for _, n := range f.nodes {
 		n.stop()
--- a/internal/rulestore/holder_test.go
+++ b/internal/rulestore/holder_test.go
@@ -185,6 +185,40 @@
 	})
 }
 
+// TestChangeIsInForceEverywhereInTime: the node that accepted a change is lost right
+// after it, so the change reaches the others through the store alone. Operators are
+// promised 16 s, also when the connection of every watch has gone silent.
+func TestChangeIsInForceEverywhereInTime(t *testing.T) {
+	const nodes, watchers, promised = 60, 6, 16 * time.Second
+	for name, dead := range map[string]bool{"watches well": false, "all watches silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &badWatch{Store: memstore.New(memstore.Options{}), alter: func(in <-chan store.WatchBatch, out chan<- store.WatchBatch) {
+					for b := range in {
+						if !dead {
+							out <- b
+						}
+					}
+				}}
+				f := newFleet(t, s)
+				defer f.stopAll()
+				for i := range nodes {
+					f.start(cluster.NodeID(fmt.Sprint("n", i)), i < watchers, Timing{})
+				}
+				lost := New(Options{Store: s, Peers: f})
+				last, worst := int64(0), time.Duration(0)
+				for i := range 10 {
+					last = mustApply(t, lost, last, text("a", fmt.Sprint("b", i)))
+					worst = max(worst, f.untilAllAt(last))
+					time.Sleep(7 * time.Second)
+				}
+				t.Logf("%d nodes, %d watching, datagrams each second: in force everywhere after %s at worst", nodes, watchers, worst)
+				require.Less(t, worst, promised)
+			})
+		})
+	}
+}
+
 // TestReturnAfterLongOutage: the platform's store was down for a long time and a whole
 // fleet comes back to it, part of it new. If all nodes asked at once and again at
 // each failure, the store would drown and stay away.
