--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -115,7 +115,7 @@
 
 const (
 	applyTries = 3
-	applyPause = time.Second
+	applyPause = 300 * time.Millisecond
 )
 
 // send applies the change and, when it isn't known whether it was accepted, sends
--- a/internal/rulestore/state.go
+++ b/internal/rulestore/state.go
@@ -11,9 +11,14 @@
 
 // Timing sets how a node keeps up with the newest rules.
 type Timing struct {
-	// Gather is how long a starting node listens to its peers before it takes
-	// the highest revision among them, when the store doesn't answer.
+	// Gather is how long a starting node listens to its peers, from the first it
+	// hears, before it takes the highest revision among them, when the store
+	// doesn't answer. It covers a few datagrams: one from a seed, which names the
+	// other nodes, and one each way to those.
 	Gather time.Duration
+	// StartSpread spreads the reads of the whole file by nodes that start at once,
+	// and a quarter of it their checks. A node that a peer serves first doesn't read.
+	StartSpread time.Duration
 	// FetchJitter spreads the fetches of many nodes that hear of a change at once.
 	FetchJitter time.Duration
 	// CheckEvery is how often a watching node asks the store for the newest
@@ -32,7 +37,8 @@
 // DefaultTiming keeps a change within 16 s on every node that is heard.
 func DefaultTiming() Timing {
 	return Timing{
-		Gather:      2 * time.Second,
+		Gather:      4 * time.Second,
+		StartSpread: 2 * time.Second,
 		FetchJitter: time.Second,
 		CheckEvery:  10 * time.Second,
 		Silence:     15 * time.Second,
@@ -125,7 +131,10 @@
 }
 
 func newState(timing Timing, rnd *rand.Rand, now time.Time) *state {
-	return &state{timing: timing, rand: rnd, peers: make(map[cluster.NodeID]peer), lastHeard: now}
+	s := &state{timing: timing, rand: rnd, peers: make(map[cluster.NodeID]peer), lastHeard: now}
+	s.nextCheck = now.Add(s.jitter(timing.StartSpread / 4))
+	s.nextRead = now.Add(s.jitter(timing.StartSpread))
+	return s
 }
 
 // step takes one event and returns what is to be done.
