--- a/internal/rules/fields.go
+++ b/internal/rules/fields.go
@@ -27,6 +27,8 @@
 	kind   string
 	end    int // byte offset behind the last word before the comment
 	list   []field
+	// badKey is set when a key is misspelt: it is most likely the one that is missing.
+	badKey bool
 	errs   *Errors
 }
 
@@ -47,7 +49,7 @@
 			return &f.list[i]
 		}
 	}
-	if required {
+	if required && !f.badKey {
 		f.fail(f.end, ProblemMissing, "", fmt.Sprintf("%s=%s on a %s rule", key, want, f.kind))
 	}
 	return nil
@@ -71,6 +73,7 @@
 }
 
 const (
+	orStar    = ", or * for all"
 	wantName  = "a name of letters, digits, '.', '_', '-'"
 	wantModel = "a model name of letters, digits, '.', '_', '-', ':', '/'"
 	wantPath  = "a path that starts with '/', with '*' only as its last character"
@@ -83,7 +86,7 @@
 
 // nameOrStar returns "*" when the key is absent.
 func (f *fields) nameOrStar(key, want string, ok func(string) bool) (string, *field) {
-	return f.checked(key, false, "*", want+", or * for all", func(v string) bool { return v == "*" || ok(v) })
+	return f.checked(key, false, "*", want, func(v string) bool { return v == "*" || ok(v) })
 }
 
 func (f *fields) choice(key, fallback string, choices ...string) string {
@@ -99,14 +102,13 @@
 }
 
 func (f *fields) integer(key string, required bool, fallback, low, high int) int {
-	want := fmt.Sprintf("a whole number from %d to %d", low, high)
-	fd := f.take(key, required, want)
+	fd := f.take(key, required, "a whole number")
 	if fd == nil {
 		return fallback
 	}
 	n, err := strconv.Atoi(fd.value)
 	if err != nil || n < low || n > high {
-		f.badValue(fd, want)
+		f.badValue(fd, fmt.Sprintf("a whole number from %d to %d", low, high))
 		return fallback
 	}
 	return n
--- a/internal/rulestore/state.go
+++ b/internal/rulestore/state.go
@@ -52,7 +52,7 @@
 // Events that a state decides on.
 type (
 	// event is one of the types below.
-	event interface{}
+	event any
 	// ticked passes time; duty says whether this node is to watch the store.
 	ticked struct{ duty bool }
 	// peerShown is a revision that a peer says it has in force.
@@ -83,7 +83,7 @@
 // Actions that a state asks for.
 type (
 	// action is one of the types below.
-	action interface{}
+	action any
 	// fetchPeer gets the rules from a peer.
 	fetchPeer struct{ node cluster.NodeID }
 	// checkStore asks the store for the newest revision, without the text.
