--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -57,12 +57,17 @@
 	require.Len(t, q.dispatch(epoch), 1)
 }
 
+// oneLargeTeam offers ten times its share of one team and 0.8 times theirs of four others.
+func oneLargeTeam(seed uint64) load {
+	l := overload(seed, 0.8)
+	l.perSecond[team(0)] *= 10 / 0.8
+	return l
+}
+
 // One team sends ten times its share. The others send less than theirs and must
 // hardly notice: their callers stand at the counter too.
 func TestOneTeamAtTenTimesItsShare(t *testing.T) {
-	l := overload(1, 0.8)
-	l.perSecond[team(0)] *= 10 / 0.8
-	out := runLoad(l)
+	out := runLoad(oneLargeTeam(1))
 	for i := 1; i < 5; i++ {
 		require.GreaterOrEqual(t, out.goodOf[team(i)]*100, out.sentOf[team(i)]*95, "team %d: %v of %v", i, out.goodOf, out.sentOf)
 	}
@@ -106,6 +111,32 @@
 	}
 }
 
+// BenchmarkOneLargeTeam measures what the four other teams get while one sends
+// ten times its share.
+func BenchmarkOneLargeTeam(b *testing.B) {
+	for _, name := range []string{"fennel", "naive", "naive-with-cancel"} {
+		b.Run(name, func(b *testing.B) {
+			others, large := 0.0, 0.0
+			for i := range b.N {
+				l := oneLargeTeam(uint64(i + 1))
+				if name != "fennel" {
+					l.naive, l.policy, l.cancels = true, routing.Naive{}, name == "naive-with-cancel"
+				}
+				out := runLoad(l)
+				good, sent := 0, 0
+				for t := 1; t < 5; t++ {
+					good += out.goodOf[team(t)]
+					sent += out.sentOf[team(t)]
+				}
+				others += float64(good) / float64(sent)
+				large += float64(out.goodOf[team(0)]) / out.seconds
+			}
+			b.ReportMetric(100*others/float64(b.N), "%good-of-others")
+			b.ReportMetric(large/float64(b.N), "large-good/s")
+		})
+	}
+}
+
 // BenchmarkPrefixHits measures how often a prompt's prefix is cached where it is
 // sent: 200 shared prefixes, 12 cached by each of 20 engines, 0.7 of the capacity.
 func BenchmarkPrefixHits(b *testing.B) {
@@ -126,3 +157,22 @@
 		})
 	}
 }
+
+// BenchmarkAcquire gives the cost of a slot that is free: acquire, first token, release.
+func BenchmarkAcquire(b *testing.B) {
+	for _, teams := range []int{10, 100} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			c := New(Options{Self: Node{ID: "n1", Zone: "a"}, LimitOf: limitedTo(64)})
+			c.SetCapacity("g", 1000)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s, err := c.Acquire(b.Context(), Request{Team: team(i % teams), Group: "g"})
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.FirstToken()
+				s.Release(1)
+			}
+		})
+	}
+}
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -44,6 +44,12 @@
 // Slot is held while a request runs.
 type Slot = admission.Slot
 
+// The daemon's router and admitter.
+var (
+	_ Router   = (*routing.Table)(nil)
+	_ Admitter = (*admission.Controller)(nil)
+)
+
 // Claimer makes calls with an idempotency key run at most once.
 type Claimer interface {
 	// Claim returns a claim that this node alone may dispatch; or the recorded
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -31,3 +32,30 @@
 		}
 	}
 }
+
+// BenchmarkTableMemory gives the heap bytes of one replica's entry and of one
+// entry of a full prefix index, for docs/CAPACITY.md.
+func BenchmarkTableMemory(b *testing.B) {
+	const n = 4500
+	for b.Loop() {
+		before := heapInUse()
+		table := newFleet(n, nil, "a", "b", "c")
+		choose(b, table, start, Request{})
+		entries := heapInUse()
+		e := table.shard("r0").entries["r0"]
+		for i := range DefaultPrefixEntries * 2 {
+			table.prefix.add(uint64(i), e, 0, start)
+		}
+		full := heapInUse()
+		b.ReportMetric(float64(entries-before)/n, "B/replica")
+		b.ReportMetric(float64(full-entries)/DefaultPrefixEntries, "B/prefix")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
