admission: a small limit goes where it is asked for

Cause: split evenly, a limit below twice the number of nodes lies mostly where nobody asks, and a node without a part refused for ever, since refusals were not counted as demand. Such limits now go by demand alone, and refusals are demand. Seen red without counting refusals: a node still refused after three seconds.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -252,6 +252,7 @@
 	defer team.waiting.Add(-1)
 	if refusal := c.enqueue(req.Group, team, t, limit, now); refusal != nil {
 		refusedTotal.Inc()
+		team.refused.Add(1)
 		return nil, refusal
 	}
 	if err := c.await(ctx, req.Group, t); err != nil {
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -231,6 +231,34 @@
 	require.EqualValues(t, 10, allowance())
 }
 
+// A limit is smaller than the number of nodes, so that some nodes have no part of
+// it. A caller who reaches such a node is refused, but not for ever: what was
+// refused counts as demand, and the limit moves to where it is asked for.
+func TestSmallLimitGoesWhereItIsAskedFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var nodes []Node
+	for i := range 8 {
+		nodes = append(nodes, Node{ID: cluster.NodeID(fmt.Sprint("n", i)), Zone: "a"})
+	}
+	for _, self := range nodes {
+		c := New(Options{Self: self, LimitOf: limitedTo(2), Now: func() time.Time { return now }})
+		c.SetNodes(nodes)
+		for round := 0; ; round++ {
+			for _, peer := range nodes {
+				c.ObservePeer(peer.ID, nil, now)
+			}
+			s, err := c.Acquire(t.Context(), Request{Team: "t", Group: "g"})
+			if err == nil {
+				s.Release(1)
+				break
+			}
+			requireRefused(t, err, fennelerr.LimitExceeded)
+			require.Less(t, round, 3, "node %s", self.ID)
+			now = now.Add(time.Second)
+		}
+	}
+}
+
 func TestCapacityIsSplitAndACutZoneKeepsItsOwn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := newController(Options{Now: func() time.Time { return now }})
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -19,24 +19,34 @@
 }
 
 // evenPart is the part of a total that is split evenly, so that a node whose
-// demand the others do not know yet has something to start with.
-const evenPart = 0.5
+// demand the others do not know yet has something to start with. A total that is
+// small beside the number of nodes goes by demand alone: spread evenly, most of
+// it would lie where nobody asks for it.
+func evenPart(pool, nodes int) float64 {
+	if pool < smallPool*nodes {
+		return 0
+	}
+	return 0.5
+}
+
+// smallPool is the units a node below which a pool is split by demand alone.
+const smallPool = 2
 
 // split returns self's part of total.
 //
 // Each node has an even part, which all compute alike. The nodes that see each
-// other pool theirs and split the pool, half evenly and half by demand. A node
-// that is not seen may still be serving beyond a network partition, where it
-// keeps to its even part or shares it with those it sees. So the parts of all
-// nodes add up to no more than the total, however the network is partitioned.
-// Only while one node sees another that does not see it, the sum can be larger,
-// by less than half of the total.
+// other pool theirs and split the pool, partly evenly and partly by demand. A
+// node that is not seen may still be serving beyond a network partition, where
+// it keeps to its even part or shares it with those it sees. So the parts of all
+// nodes add up to no more than the total, however the network falls apart into
+// parts that see themselves. Where sight is one-sided or not passed on, two
+// nodes may pool the same third one's part, and the sum is larger meanwhile.
 func split(total int, nodes []nodeDemand, self cluster.NodeID, salt string) int {
-	even := make([]float64, len(nodes))
-	for i := range even {
-		even[i] = float64(total) / float64(len(nodes))
+	alike := make([]float64, len(nodes))
+	for i := range alike {
+		alike[i] = float64(total) / float64(len(nodes))
 	}
-	parts := whole(total, even, nodes, salt)
+	parts := whole(total, alike, nodes, salt)
 	var seen []nodeDemand
 	pool, demand := 0, 0.0
 	for i, n := range nodes {
@@ -47,10 +57,11 @@
 		}
 	}
 	exact := make([]float64, len(seen))
+	even := evenPart(pool, len(seen))
 	for i, n := range seen {
 		exact[i] = float64(pool) / float64(len(seen))
 		if demand > 0 {
-			exact[i] = evenPart*exact[i] + (1-evenPart)*float64(pool)*n.demand/demand
+			exact[i] = even*exact[i] + (1-even)*float64(pool)*n.demand/demand
 		}
 	}
 	parts = whole(pool, exact, seen, salt)
--- a/internal/admission/team.go
+++ b/internal/admission/team.go
@@ -14,6 +14,9 @@
 	name     cluster.TeamID
 	inFlight atomic.Int64
 	waiting  atomic.Int64
+	// refused counts refusals since the demand was last published. They are
+	// demand too: a node without a part of a limit would never show any else.
+	refused atomic.Int64
 	// allowance is this node's part of the team's in-flight limit.
 	allowance atomic.Int64
 
@@ -71,7 +74,7 @@
 // publish returns the team's demand; the caller holds t.mu.
 func (t *teamState) publish(now time.Time) float64 {
 	if t.publishedAt.IsZero() || now.Sub(t.publishedAt) >= publishEvery {
-		t.published = t.demand.add(float64(t.waiting.Load()+t.inFlight.Load()), now)
+		t.published = t.demand.add(float64(t.waiting.Load()+t.inFlight.Load()+t.refused.Swap(0)), now)
 		t.publishedAt = now
 	}
 	return t.published
