--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -142,12 +142,22 @@
 func BenchmarkPrefixHits(b *testing.B) {
 	noBonus := routing.DefaultPolicy()
 	noBonus.PrefixBonus = 0
-	for name, policy := range map[string]routing.Policy{"prefix": routing.DefaultPolicy(), "load-only": noBonus, "naive": routing.Naive{}} {
-		b.Run(name, func(b *testing.B) {
+	cases := []struct {
+		name     string
+		policy   routing.Policy
+		noEvents bool
+	}{
+		{"prefix", routing.DefaultPolicy(), false},
+		{"prefix-own-choices-only", routing.DefaultPolicy(), true},
+		{"load-only", noBonus, false},
+		{"naive", routing.Naive{}, false},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
 			hits, good := 0.0, 0.0
 			for i := range b.N {
 				l := overload(uint64(i+1), 0.7)
-				l.prefixes, l.policy = 200, policy
+				l.prefixes, l.policy, l.noEvents = 200, c.policy, c.noEvents
 				out := runLoad(l)
 				hits += float64(out.hits) / float64(out.hits+out.misses)
 				good += float64(out.good) / float64(out.sent)
--- a/internal/admission/virtual_test.go
+++ b/internal/admission/virtual_test.go
@@ -49,6 +49,8 @@
 	seconds        int
 	// prefixes is the number of long shared prompt prefixes; 0 for none.
 	prefixes int
+	// noEvents: cache events reach no node; own choices tell alone what is cached.
+	noEvents bool
 }
 
 const (
@@ -189,6 +191,9 @@
 				}
 			}
 			for _, e := range f.order {
+				if f.noEvents {
+					break
+				}
 				m.table.CacheEvents(e.id, e.events, f.clock())
 			}
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -398,6 +398,26 @@
 	}
 }
 
+// Capacities returns how many requests the whole replicas of each group batch.
+// A group without a whole replica has none.
+func (t *Table) Capacities(now time.Time) map[cluster.GroupName]int {
+	groups := *t.groups.Load()
+	out := make(map[cluster.GroupName]int, len(groups))
+	for name, g := range groups {
+		snap := g.current(t.opts, now)
+		total := 0.0
+		for _, e := range snap.entries {
+			e.lock.Lock()
+			if e.eligible() {
+				total += believedCapacity(e.report.load.MaxRunning, snap.capacity)
+			}
+			e.lock.Unlock()
+		}
+		out[name] = int(total)
+	}
+	return out
+}
+
 // Status is what the table knows of one replica, for operators and for gossip.
 type Status struct {
 	Replica     cluster.Replica
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -345,6 +345,14 @@
 	})
 }
 
+func TestCapacitiesCountWholeReplicas(t *testing.T) {
+	table := newFleet(3, nil)
+	reportAll(table, 2, 0, start)
+	require.Equal(t, map[cluster.GroupName]int{"g": 3 * testCapacity}, table.Capacities(start), "a silent one counts as a median one")
+	table.SetWhole("r0", 1, false)
+	require.Equal(t, map[cluster.GroupName]int{"g": 2 * testCapacity}, table.Capacities(start))
+}
+
 func TestRemovedReplicaTakesNothing(t *testing.T) {
 	table := newFleet(2, nil)
 	held := choose(t, table, start, Request{})
