--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -143,21 +143,23 @@
 	noBonus := routing.DefaultPolicy()
 	noBonus.PrefixBonus = 0
 	cases := []struct {
-		name     string
-		policy   routing.Policy
-		noEvents bool
+		name        string
+		policy      routing.Policy
+		eventsEvery int
 	}{
-		{"prefix", routing.DefaultPolicy(), false},
-		{"prefix-own-choices-only", routing.DefaultPolicy(), true},
-		{"load-only", noBonus, false},
-		{"naive", routing.Naive{}, false},
+		{"events-every-1s", routing.DefaultPolicy(), 1},
+		{"events-every-5s", routing.DefaultPolicy(), 5},
+		{"events-every-30s", routing.DefaultPolicy(), 30},
+		{"own-choices-only", routing.DefaultPolicy(), 0},
+		{"load-only", noBonus, 1},
+		{"naive", routing.Naive{}, 1},
 	}
 	for _, c := range cases {
 		b.Run(c.name, func(b *testing.B) {
 			hits, good := 0.0, 0.0
 			for i := range b.N {
 				l := overload(uint64(i+1), 0.7)
-				l.prefixes, l.policy, l.noEvents = 200, c.policy, c.noEvents
+				l.prefixes, l.policy, l.eventsEvery = 200, c.policy, c.eventsEvery
 				out := runLoad(l)
 				hits += float64(out.hits) / float64(out.hits+out.misses)
 				good += float64(out.good) / float64(out.sent)
--- a/internal/admission/virtual_test.go
+++ b/internal/admission/virtual_test.go
@@ -49,8 +49,9 @@
 	seconds        int
 	// prefixes is the number of long shared prompt prefixes; 0 for none.
 	prefixes int
-	// noEvents: cache events reach no node; own choices tell alone what is cached.
-	noEvents bool
+	// eventsEvery is the seconds between two polls of an engine's cache events
+	// by a node; 0 polls never, so that own choices tell alone what is cached.
+	eventsEvery int
 }
 
 const (
@@ -190,20 +191,30 @@
 					m.table.ObservePeerOutstanding(cluster.NodeID(fmt.Sprint(j)), s.Replica.ID, s.Outstanding, f.clock())
 				}
 			}
-			for _, e := range f.order {
-				if f.noEvents {
-					break
-				}
-				m.table.CacheEvents(e.id, e.events, f.clock())
-			}
-		}
-		for _, e := range f.order {
-			e.events.Events = nil
+			f.pollCaches(i, m)
 		}
 	})
 	f.after(time.Second, f.gossip)
 }
 
+// pollCaches asks each engine for its cache events once every eventsEvery seconds.
+func (f *fleet) pollCaches(node int, m *member) {
+	second := int(f.now / time.Second)
+	for k, e := range f.order {
+		if f.eventsEvery == 0 || (second+k+node)%f.eventsEvery != 0 {
+			continue
+		}
+		news := engine.CacheEvents{Boot: "b", Next: e.events.Next}
+		after := m.table.CacheSeq(e.id)
+		for _, ev := range e.events.Events {
+			if ev.Seq > after {
+				news.Events = append(news.Events, ev)
+			}
+		}
+		m.table.CacheEvents(e.id, news, f.clock())
+	}
+}
+
 func (f *fleet) arrivals(team cluster.TeamID, rate float64) {
 	f.after(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
 		f.arrivals(team, rate)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -256,13 +256,17 @@
 	var target *entry
 	var epoch uint32
 	t.with(id, func(e *entry) {
-		if e.cacheBoot != events.Boot {
-			if e.cacheBoot != "" {
-				e.cacheEpoch++
-			}
+		switch e.cacheBoot {
+		case events.Boot:
+			e.cacheSeq = max(e.cacheSeq, events.Next)
+		case "":
+			e.cacheBoot, e.cacheSeq = events.Boot, events.Next
+		default:
+			// The poll went on after the old process's last event, so what the
+			// new one published up to that number is asked for once more.
+			e.cacheEpoch++
 			e.cacheBoot, e.cacheSeq = events.Boot, 0
 		}
-		e.cacheSeq = max(e.cacheSeq, events.Next)
 		target, epoch = e, e.cacheEpoch
 	})
 	if target == nil {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -217,7 +217,9 @@
 	c := choose(t, table, start, Request{PrefixHashes: hashes})
 	require.Equal(t, cluster.ReplicaID("r4"), c.Replica.ID)
 	require.Equal(t, ReasonPrefix, c.Reason)
-	table.CacheEvents("r4", engine.CacheEvents{Boot: "y"}, start)
+	require.EqualValues(t, 1, table.CacheSeq("r4"))
+	table.CacheEvents("r4", engine.CacheEvents{Boot: "y", Next: 1}, start)
+	require.Zero(t, table.CacheSeq("r4"), "a new boot counts from the start")
 	require.NotEqual(t, ReasonPrefix, choose(t, table, start, Request{PrefixHashes: hashes}).Reason, "a new boot has an empty cache")
 
 	first := choose(t, table, start, Request{Alone: true})
