--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -155,7 +155,7 @@
 
 // bench is one gateway before stand-in engines, each a replica of one VM.
 type bench struct {
-	t          *testing.T
+	t          testing.TB
 	gateway    *Gateway
 	server     *httptest.Server
 	engines    []*standinengine.Server
@@ -168,7 +168,7 @@
 	opts       Options
 }
 
-func testSet(t *testing.T) *rules.Set {
+func testSet(t testing.TB) *rules.Set {
 	t.Helper()
 	set, err := rules.Parse(fmt.Sprintf(testRules, tokenHash(testToken)))
 	require.NoError(t, err)
@@ -176,7 +176,7 @@
 }
 
 // newBench starts n engines and a gateway; change may be nil.
-func newBench(t *testing.T, n int, engineOpts standinengine.Options, change func(*bench)) *bench {
+func newBench(t testing.TB, n int, engineOpts standinengine.Options, change func(*bench)) *bench {
 	t.Helper()
 	b := &bench{t: t, router: &listRouter{}, admitter: &openAdmitter{}, claims: &memoryClaims{}, quarantine: &noQuarantine{}}
 	for i := range n {
@@ -351,7 +351,7 @@
 	opened int
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/honest_test.go
+++ b/internal/gateway/honest_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-func closedAddr(t *testing.T) string {
+func closedAddr(t testing.TB) string {
 	t.Helper()
 	srv := httptest.NewServer(http.NotFoundHandler())
 	defer srv.Close()
