--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -116,31 +116,33 @@
 // start before its deadline by the measured rate.
 func (q *queue) refusal(now time.Time, team *teamQueue, t *ticket, ahead float64) *fennelerr.Error {
 	limit := team.limit.room() + team.running
-	if limit <= 0 {
+	switch {
+	case limit <= 0:
 		return refuse(fennelerr.LimitExceeded, q.hold.expectOr(assumedHold), "the team's in-flight limit leaves this node no room")
-	}
-	if !q.limited {
-		if limit > team.running {
-			return nil
-		}
-	} else if q.slots <= 0 {
+	case q.limited && q.slots <= 0:
 		return refuse(fennelerr.Overloaded, noCapacityRetry, "the group has no capacity")
+	case !q.limited && limit > team.running:
+		return nil
 	}
-	share := q.share(team)
-	code, message := fennelerr.DeadlineTooShort, "the request cannot start before its deadline"
-	if !t.given {
-		code, message = fennelerr.Overloaded, "the queue is longer than a request may wait"
-	}
-	if float64(limit) < share {
-		share = float64(limit)
-		code, message = fennelerr.LimitExceeded, "the team's in-flight limit is reached and the wait is too long"
-	}
+	share := min(q.share(team), float64(limit))
 	wait := q.wait(team, ahead, share, limit)
 	left := t.startBy.Sub(now).Seconds()
 	if wait <= left {
 		return nil
 	}
-	return refuse(code, wait-max(left, 0)+team.turned.add(t.expected, share, now)/share, message)
+	retry := wait - max(left, 0) + team.turned.add(t.expected, share, now)/share
+	if share == float64(limit) {
+		return refuse(fennelerr.LimitExceeded, retry, "the team's in-flight limit is reached and the wait is too long")
+	}
+	return refuse(t.lateCode(), retry, "by the measured rate the request cannot start in time")
+}
+
+// lateCode is the code of a refusal for want of time.
+func (t *ticket) lateCode() fennelerr.Code {
+	if t.given {
+		return fennelerr.DeadlineTooShort
+	}
+	return fennelerr.Overloaded
 }
 
 // share is how many slots the team can count on while it waits: its weighted
@@ -234,11 +236,7 @@
 func (q *queue) settleRefused(now time.Time, team *teamQueue, t *ticket) {
 	share := q.share(team)
 	retry := (team.work+q.hold.expectOr(assumedHold)+team.turned.add(t.expected, share, now))/share - t.startBy.Sub(now).Seconds()
-	code := fennelerr.DeadlineTooShort
-	if !t.given {
-		code = fennelerr.Overloaded
-	}
-	t.refusal = refuse(code, retry, "the request waited for a slot in vain")
+	t.refusal = refuse(t.lateCode(), retry, "the request waited for a slot in vain")
 	close(t.settled)
 }
 
--- a/internal/admission/virtual_test.go
+++ b/internal/admission/virtual_test.go
@@ -94,6 +94,7 @@
 	order   []*fakeEngine
 	members []*member
 	out     outcome
+	pending map[*ticket]*call // the calls of waiting tickets
 }
 
 // member is one fenneld: its queue and its routing table.
@@ -135,7 +136,7 @@
 }
 
 func runLoad(l load) outcome {
-	f := &fleet{load: l, rnd: rand.New(rand.NewPCG(l.seed, 7)), engines: map[cluster.ReplicaID]*fakeEngine{}}
+	f := &fleet{load: l, rnd: rand.New(rand.NewPCG(l.seed, 7)), engines: map[cluster.ReplicaID]*fakeEngine{}, pending: map[*ticket]*call{}}
 	f.out = outcome{goodOf: map[cluster.TeamID]int{}, sentOf: map[cluster.TeamID]int{}, seconds: float64(l.seconds)}
 	f.build()
 	for _, team := range sortedTeams(l.perSecond) {
@@ -250,7 +251,7 @@
 		f.refused(c, refusal)
 		return
 	}
-	pending[t] = c
+	f.pending[t] = c
 	f.after(t.startBy.Sub(f.clock()), func() {
 		c.node.queue.expire(f.clock(), t)
 		if t.refusal != nil {
@@ -260,9 +261,6 @@
 	f.dispatch(c.node)
 }
 
-// pending finds the call of a ticket; one measurement runs at a time.
-var pending = map[*ticket]*call{}
-
 type noLimit struct{}
 
 func (noLimit) room() int  { return unlimited }
@@ -270,15 +268,15 @@
 
 func (f *fleet) dispatch(m *member) {
 	for _, t := range m.queue.dispatch(f.clock()) {
-		c := pending[t]
-		delete(pending, t)
+		c := f.pending[t]
+		delete(f.pending, t)
 		f.start(c)
 	}
 }
 
 // refused callers come back when they are told to.
 func (f *fleet) refused(c *call, why *fennelerr.Error) {
-	delete(pending, c.ticket)
+	delete(f.pending, c.ticket)
 	if f.now >= warmUp {
 		f.out.refused++
 	}
