--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -188,3 +188,11 @@
 		})
 	}
 }
+
+// The same events and seed give the same decisions, down to the last request, so
+// that a recorded run can be replayed.
+func TestSameSeedSameDecisions(t *testing.T) {
+	l := overload(5, 1.5)
+	l.seconds, l.prefixes, l.eventsEvery = 15, 50, 2
+	require.Equal(t, runLoad(l), runLoad(l))
+}
