--- a/internal/admission/virtual_test.go
+++ b/internal/admission/virtual_test.go
@@ -49,6 +49,9 @@
 	seconds        int
 	// prefixes is the number of long shared prompt prefixes; 0 for none.
 	prefixes int
+	// eventsEvery is the seconds between two polls of an engine's cache events
+	// by a node; 0 polls never, so that own choices tell alone what is cached.
+	eventsEvery int
 }
 
 const (
@@ -91,6 +94,7 @@
 	order   []*fakeEngine
 	members []*member
 	out     outcome
+	pending map[*ticket]*call // the calls of waiting tickets
 }
 
 // member is one fenneld: its queue and its routing table.
@@ -132,7 +136,7 @@
 }
 
 func runLoad(l load) outcome {
-	f := &fleet{load: l, rnd: rand.New(rand.NewPCG(l.seed, 7)), engines: map[cluster.ReplicaID]*fakeEngine{}}
+	f := &fleet{load: l, rnd: rand.New(rand.NewPCG(l.seed, 7)), engines: map[cluster.ReplicaID]*fakeEngine{}, pending: map[*ticket]*call{}}
 	f.out = outcome{goodOf: map[cluster.TeamID]int{}, sentOf: map[cluster.TeamID]int{}, seconds: float64(l.seconds)}
 	f.build()
 	for _, team := range sortedTeams(l.perSecond) {
@@ -188,17 +192,30 @@
 					m.table.ObservePeerOutstanding(cluster.NodeID(fmt.Sprint(j)), s.Replica.ID, s.Outstanding, f.clock())
 				}
 			}
-			for _, e := range f.order {
-				m.table.CacheEvents(e.id, e.events, f.clock())
-			}
-		}
-		for _, e := range f.order {
-			e.events.Events = nil
+			f.pollCaches(i, m)
 		}
 	})
 	f.after(time.Second, f.gossip)
 }
 
+// pollCaches asks each engine for its cache events once every eventsEvery seconds.
+func (f *fleet) pollCaches(node int, m *member) {
+	second := int(f.now / time.Second)
+	for k, e := range f.order {
+		if f.eventsEvery == 0 || (second+k+node)%f.eventsEvery != 0 {
+			continue
+		}
+		news := engine.CacheEvents{Boot: "b", Next: e.events.Next}
+		after := m.table.CacheSeq(e.id)
+		for _, ev := range e.events.Events {
+			if ev.Seq > after {
+				news.Events = append(news.Events, ev)
+			}
+		}
+		m.table.CacheEvents(e.id, news, f.clock())
+	}
+}
+
 func (f *fleet) arrivals(team cluster.TeamID, rate float64) {
 	f.after(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
 		f.arrivals(team, rate)
@@ -234,7 +251,7 @@
 		f.refused(c, refusal)
 		return
 	}
-	pending[t] = c
+	f.pending[t] = c
 	f.after(t.startBy.Sub(f.clock()), func() {
 		c.node.queue.expire(f.clock(), t)
 		if t.refusal != nil {
@@ -244,9 +261,6 @@
 	f.dispatch(c.node)
 }
 
-// pending finds the call of a ticket; one measurement runs at a time.
-var pending = map[*ticket]*call{}
-
 type noLimit struct{}
 
 func (noLimit) room() int  { return unlimited }
@@ -254,15 +268,15 @@
 
 func (f *fleet) dispatch(m *member) {
 	for _, t := range m.queue.dispatch(f.clock()) {
-		c := pending[t]
-		delete(pending, t)
+		c := f.pending[t]
+		delete(f.pending, t)
 		f.start(c)
 	}
 }
 
 // refused callers come back when they are told to.
 func (f *fleet) refused(c *call, why *fennelerr.Error) {
-	delete(pending, c.ticket)
+	delete(f.pending, c.ticket)
 	if f.now >= warmUp {
 		f.out.refused++
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -256,13 +256,17 @@
 	var target *entry
 	var epoch uint32
 	t.with(id, func(e *entry) {
-		if e.cacheBoot != events.Boot {
-			if e.cacheBoot != "" {
-				e.cacheEpoch++
-			}
+		switch e.cacheBoot {
+		case events.Boot:
+			e.cacheSeq = max(e.cacheSeq, events.Next)
+		case "":
+			e.cacheBoot, e.cacheSeq = events.Boot, events.Next
+		default:
+			// The poll went on after the old process's last event, so what the
+			// new one published up to that number is asked for once more.
+			e.cacheEpoch++
 			e.cacheBoot, e.cacheSeq = events.Boot, 0
 		}
-		e.cacheSeq = max(e.cacheSeq, events.Next)
 		target, epoch = e, e.cacheEpoch
 	})
 	if target == nil {
@@ -398,6 +402,26 @@
 	}
 }
 
+// Capacities returns how many requests the whole replicas of each group batch.
+// A group without a whole replica has none.
+func (t *Table) Capacities(now time.Time) map[cluster.GroupName]int {
+	groups := *t.groups.Load()
+	out := make(map[cluster.GroupName]int, len(groups))
+	for name, g := range groups {
+		snap := g.current(t.opts, now)
+		total := 0.0
+		for _, e := range snap.entries {
+			e.lock.Lock()
+			if e.eligible() {
+				total += believedCapacity(e.report.load.MaxRunning, snap.capacity)
+			}
+			e.lock.Unlock()
+		}
+		out[name] = int(total)
+	}
+	return out
+}
+
 // Status is what the table knows of one replica, for operators and for gossip.
 type Status struct {
 	Replica     cluster.Replica
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -217,7 +217,9 @@
 	c := choose(t, table, start, Request{PrefixHashes: hashes})
 	require.Equal(t, cluster.ReplicaID("r4"), c.Replica.ID)
 	require.Equal(t, ReasonPrefix, c.Reason)
-	table.CacheEvents("r4", engine.CacheEvents{Boot: "y"}, start)
+	require.EqualValues(t, 1, table.CacheSeq("r4"))
+	table.CacheEvents("r4", engine.CacheEvents{Boot: "y", Next: 1}, start)
+	require.Zero(t, table.CacheSeq("r4"), "a new boot counts from the start")
 	require.NotEqual(t, ReasonPrefix, choose(t, table, start, Request{PrefixHashes: hashes}).Reason, "a new boot has an empty cache")
 
 	first := choose(t, table, start, Request{Alone: true})
@@ -345,6 +347,14 @@
 	})
 }
 
+func TestCapacitiesCountWholeReplicas(t *testing.T) {
+	table := newFleet(3, nil)
+	reportAll(table, 2, 0, start)
+	require.Equal(t, map[cluster.GroupName]int{"g": 3 * testCapacity}, table.Capacities(start), "a silent one counts as a median one")
+	table.SetWhole("r0", 1, false)
+	require.Equal(t, map[cluster.GroupName]int{"g": 2 * testCapacity}, table.Capacities(start))
+}
+
 func TestRemovedReplicaTakesNothing(t *testing.T) {
 	table := newFleet(2, nil)
 	held := choose(t, table, start, Request{})
