suspect: nodes take turns on the replicas for retries alone

Cause: two nodes chose one replica at the same moment for two suspects; the crash there told nothing, and a third replica died. A fixed split by owner was ruled out: nodes that own none of few replicas still collide. The change: Membership.Rank; Tracker.MayRetryOn lets the nodes choose in turns. Nudges are charged by what they carry (the marks waited for a heartbeat before).

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -60,6 +60,7 @@
 // Nudge decides whether to send an extra datagram now, ahead of the next
 // heartbeat: after a new rules revision or quarantine. Its bytes come from a
 // budget of their own; when that is spent, the next heartbeat carries the news.
+// What is sent is charged by ChargeNudge.
 func (s *State) Nudge(now time.Time, revision int64) Send {
 	rate := s.budget * nudgeShare
 	s.nudgeCredit = min(s.nudgeCredit+now.Sub(s.nudgedAt).Seconds()*rate, rate*nudgeBurst)
@@ -71,10 +72,14 @@
 	targets := s.zonePeers(fanout)
 	targets = append(targets, s.linkTargets()...)
 	targets = targets[:min(len(targets), affordable)]
-	s.nudgeCredit -= float64(len(targets) * (nudgeBody + packetOverhead))
 	return Send{Addrs: targets, Datagram: s.base(revision), Limit: nudgeBody}
 }
 
+// ChargeNudge takes a nudge of that many bytes, sent to so many targets, off the budget.
+func (s *State) ChargeNudge(bytes, targets int) {
+	s.nudgeCredit -= float64(targets * (bytes + packetOverhead))
+}
+
 // Farewell is the datagram that tells all live peers of the zone, at once, that
 // this node is leaving. It is sent once in a node's life, outside of the budget.
 func (s *State) Farewell(revision int64) Send {
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -81,3 +81,13 @@
 	}
 	return owner[0]
 }
+
+// Rank returns this node's place among the live nodes of its zone for the key, 0
+// being the owner. A node that may hold no duty comes after all others.
+func (s *State) Rank(key string) int {
+	nodes := s.dutyNodes()
+	if at := slices.Index(holders(nodes, key, len(nodes)), s.self.Node); at >= 0 {
+		return at
+	}
+	return len(nodes)
+}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/wire"
@@ -116,7 +117,7 @@
 }
 
 // nudgeGap is the least time between two nudges.
-const nudgeGap = 100 * time.Millisecond
+const nudgeGap = 50 * time.Millisecond
 
 // Run sends heartbeats until ctx ends.
 func (s *Service) Run(ctx context.Context) {
@@ -168,12 +169,16 @@
 	s.mu.Lock()
 	send := s.state.Nudge(s.now(), revision)
 	s.mu.Unlock()
-	s.send(send)
+	size := s.send(send)
+	s.mu.Lock()
+	s.state.ChargeNudge(size, len(send.Addrs))
+	s.mu.Unlock()
 }
 
-func (s *Service) send(send Send) {
+// send adds the sections, sends and returns the size of the body in bytes.
+func (s *Service) send(send Send) int {
 	if len(send.Addrs) == 0 {
-		return
+		return 0
 	}
 	s.subMu.RLock()
 	sources := s.sources
@@ -183,6 +188,7 @@
 		// A peer's address that cannot be reached is no news: ageing tells.
 		s.log.Debug("heartbeat not sent", "err", err)
 	}
+	return proto.Size(send.Datagram)
 }
 
 func (s *Service) receive(d *wirepb.Datagram) {
@@ -257,6 +263,14 @@
 	return s.state.Owner(key)
 }
 
+// Rank returns this node's place among the live nodes of its zone for the key, 0
+// being the owner.
+func (s *Service) Rank(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Rank(key)
+}
+
 // Superseded reports whether a newer process runs under this node's name; this
 // one has then fallen silent and should stop serving.
 func (s *Service) Superseded() bool {
--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -42,6 +42,9 @@
 	// alone holds the suspects that run on a replica, here or elsewhere, with the
 	// time until which that is believed.
 	alone map[cluster.ReplicaID]map[key]time.Time
+	// freed is when the last suspect left a replica; turns is when all turns began anew.
+	freed map[cluster.ReplicaID]time.Time
+	turns time.Time
 }
 
 // local finds or adds the crash that ended a run of this node which began at began.
@@ -124,35 +127,58 @@
 	}
 }
 
-// setAlone notes that a suspect runs on a replica until a time; the zero time ends it.
+// unheard reports whether a peer's crash is not known yet under its id.
+func (s *crashShard) unheard(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.crashes, func(c *crash) bool { return c.id == id })
+}
+
+// setAlone notes that a suspect runs on a replica until a time.
 func (s *crashShard) setAlone(replica cluster.ReplicaID, k key, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until.IsZero() {
-		delete(s.alone[replica], k)
-		if len(s.alone[replica]) == 0 {
-			delete(s.alone, replica)
-		}
-		return
-	}
 	if s.alone[replica] == nil {
 		s.alone[replica] = make(map[key]time.Time)
 	}
 	s.alone[replica][k] = until
 }
 
-// runsSuspect reports whether a suspect runs on the replica, as far as is known.
-func (s *crashShard) runsSuspect(replica cluster.ReplicaID, now time.Time) bool {
+// endAlone notes that a suspect no longer runs on a replica.
+func (s *crashShard) endAlone(replica cluster.ReplicaID, k key, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for k, until := range s.alone[replica] {
-		if now.Before(until) {
-			return true
-		}
-		delete(s.alone[replica], k)
+	if _, ran := s.alone[replica][k]; ran {
+		s.remove(replica, k, now)
 	}
+}
+
+func (s *crashShard) remove(replica cluster.ReplicaID, k key, now time.Time) {
+	delete(s.alone[replica], k)
 	if len(s.alone[replica]) == 0 {
 		delete(s.alone, replica)
+		s.freed[replica] = now
+	}
+}
+
+// startTurns lets the nodes take their turns on all replicas from now on.
+func (s *crashShard) startTurns(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns = now
+	clear(s.freed)
+}
+
+// freeFor returns for how long no suspect has run on the replica while turns went
+// on, as far as is known; negative while one runs.
+func (s *crashShard) freeFor(replica cluster.ReplicaID, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, until := range s.alone[replica] {
+		if now.Before(until) {
+			return -1
+		}
+		s.remove(replica, k, until)
 	}
-	return false
+	return now.Sub(later(s.freed[replica], s.turns))
 }
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -184,6 +184,9 @@
 		k, _ := keyFrom(b)
 		keys = append(keys, k)
 	}
+	if t.crashShard(replica).unheard(m.CrashId) {
+		t.noteCrash(now)
+	}
 	c, news := t.crashShard(replica).remote(m.CrashId, replica, m.Generation, at, keys)
 	for _, k := range news {
 		t.change(k, func(r *record) {
@@ -200,7 +203,7 @@
 	}
 	at := now.Add(-ageOf(m.AgeMs))
 	if m.Cleared {
-		return t.receiveCleared(k, at)
+		return t.clear(k, at)
 	}
 	if !m.RunningAlone || cluster.NodeID(m.Runner) == t.node || ageOf(m.AgeMs) >= t.timing.RunnerTTL {
 		return false
@@ -216,23 +219,6 @@
 	return news
 }
 
-// receiveCleared drops a suspicion. A retry of this node that runs meanwhile goes on.
-func (t *Tracker) receiveCleared(k key, at time.Time) bool {
-	var was []evidence
-	news := false
-	t.update(k, func(r *record) {
-		was = r.evidence
-		news = r.clear(at, t.now(), t.timing)
-	})
-	if !news {
-		return false
-	}
-	for _, e := range was {
-		t.crashShard(e.replica).exonerate(e.crash, k)
-	}
-	return true
-}
-
 func (t *Tracker) receiveQuarantine(m *wirepb.QuarantineMark, now time.Time) bool {
 	k, ok := keyFrom(m.Fingerprint)
 	if !ok || m.ExpiresInMs <= 0 {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -25,6 +25,9 @@
 	Node cluster.NodeID
 	// Peers counts the live nodes that may run the same request; nil means none.
 	Peers func() int
+	// Rank is this node's place among the live nodes for a key, as in membership;
+	// nil means 0. It orders the nodes that want a replica for a retry alone.
+	Rank func(key string) int
 	// Nudge asks for a datagram soon; it must not block. Nil means none.
 	Nudge func()
 	// Clock is the time; nil means time.Now.
@@ -38,6 +41,7 @@
 type Tracker struct {
 	node   cluster.NodeID
 	peers  func() int
+	rank   func(key string) int
 	nudge  func()
 	now    func() time.Time
 	timing Timing
@@ -65,12 +69,15 @@
 // New returns a tracker that suspects nothing.
 func New(opts Options) *Tracker {
 	t := &Tracker{
-		node: opts.Node, peers: opts.Peers, nudge: opts.Nudge, now: opts.Clock,
+		node: opts.Node, peers: opts.Peers, rank: opts.Rank, nudge: opts.Nudge, now: opts.Clock,
 		timing: opts.Timing.withDefaults(), log: opts.Log,
 	}
 	if t.peers == nil {
 		t.peers = func() int { return 0 }
 	}
+	if t.rank == nil {
+		t.rank = func(string) int { return 0 }
+	}
 	if t.nudge == nil {
 		t.nudge = func() {}
 	}
@@ -83,6 +90,7 @@
 	for i := range shards {
 		t.byKey[i].records = make(map[key]*record)
 		t.byReplica[i].alone = make(map[cluster.ReplicaID]map[key]time.Time)
+		t.byReplica[i].freed = make(map[cluster.ReplicaID]time.Time)
 	}
 	return t
 }
@@ -233,13 +241,13 @@
 	return func(crashed bool) {
 		once.Do(func() {
 			if alone {
-				t.crashShard(replica).setAlone(replica, k, time.Time{})
+				t.crashShard(replica).endAlone(replica, k, t.now())
 			}
 			switch {
 			case crashed:
 				t.crashed(k, replica, generation, began, alone)
 			case alone:
-				t.clear(k, t.now())
+				t.ranToItsEnd(k)
 			}
 		})
 	}
@@ -258,15 +266,20 @@
 	t.nudge()
 }
 
-// RunsSuspect reports whether a suspect is being retried on the replica, by this
-// node or, as far as heard, by another.
-func (t *Tracker) RunsSuspect(replica cluster.ReplicaID) bool {
-	return t.crashShard(replica).runsSuspect(replica, t.now())
+// MayRetryOn reports whether this node may put a suspect on the replica now, alone:
+// no suspect runs there as far as is known, and the nodes that come before this
+// one for the replica have had their turn. Without turns, all nodes would choose
+// at the same moment, after a crash or when a replica gets free, and put two
+// suspects on one replica; a crash there tells nothing.
+func (t *Tracker) MayRetryOn(replica cluster.ReplicaID) bool {
+	turn := time.Duration(t.rank("retry/"+string(replica))) * t.timing.RetryTurn
+	return t.crashShard(replica).freeFor(replica, t.now()) >= turn
 }
 
 func (t *Tracker) crashed(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
 	metricCrashed.Inc()
 	now := t.now()
+	t.noteCrash(now)
 	c := t.crashShard(replica).local(replica, generation, k, began, now, rand.Uint64())
 	var onTrial bool
 	t.change(k, func(r *record) {
@@ -288,6 +301,13 @@
 	time.AfterFunc(t.timing.VerdictDelay, func() { t.judge(k, c.id, replica) })
 }
 
+// noteCrash starts the turns on all replicas anew: now many want one.
+func (t *Tracker) noteCrash(now time.Time) {
+	for i := range t.byReplica {
+		t.byReplica[i].startTurns(now)
+	}
+}
+
 // judge looks at the others that were in flight in the crash, one lock at a time.
 func (t *Tracker) judge(k key, crash uint64, replica cluster.ReplicaID) {
 	otherSuspect := false
@@ -317,22 +337,31 @@
 	return r != nil && r.hasPrior(crash)
 }
 
-func (t *Tracker) clear(k key, at time.Time) {
+func (t *Tracker) ranToItsEnd(k key) {
+	if t.clear(k, t.now()) {
+		metricCleared.Inc()
+		t.nudge()
+	}
+}
+
+// clear ends a suspicion and reports whether that was news.
+func (t *Tracker) clear(k key, at time.Time) bool {
 	var was []evidence
+	var ended run
 	news := false
 	t.update(k, func(r *record) {
-		was = r.evidence
+		was, ended = r.evidence, r.run
 		news = r.clear(at, t.now(), t.timing)
 	})
 	if !news {
-		return
+		return false
 	}
-	metricCleared.Inc()
 	t.log.Info("suspect cleared", "fingerprint", k)
+	t.crashShard(ended.replica).endAlone(ended.replica, k, t.now())
 	for _, e := range was {
 		t.crashShard(e.replica).exonerate(e.crash, k)
 	}
-	t.nudge()
+	return true
 }
 
 // update applies f to the record of k if there is one, and wakes those who wait.
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -47,6 +47,9 @@
 	// VerdictDelay is how long the verdict on a crash waits for word of other
 	// suspects that were in flight on the same replica.
 	VerdictDelay time.Duration
+	// RetryTurn is how long each node has to put a suspect on a free replica before
+	// the next one may.
+	RetryTurn time.Duration
 	// ClaimTTL ends a claim whose retry has not begun.
 	ClaimTTL time.Duration
 	// RunnerTTL ends belief in another node's retry that is not heard of again.
@@ -65,6 +68,7 @@
 const (
 	DefaultClaimDelay    = 300 * time.Millisecond
 	DefaultVerdictDelay  = time.Second
+	DefaultRetryTurn     = 200 * time.Millisecond
 	DefaultClaimTTL      = 10 * time.Second
 	DefaultRunnerTTL     = 10 * time.Second
 	DefaultSuspectFor    = 10 * time.Minute
@@ -76,6 +80,7 @@
 func (t Timing) withDefaults() Timing {
 	setDefault(&t.ClaimDelay, DefaultClaimDelay)
 	setDefault(&t.VerdictDelay, DefaultVerdictDelay)
+	setDefault(&t.RetryTurn, DefaultRetryTurn)
 	setDefault(&t.ClaimTTL, DefaultClaimTTL)
 	setDefault(&t.RunnerTTL, DefaultRunnerTTL)
 	setDefault(&t.SuspectFor, DefaultSuspectFor)
