--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -116,6 +117,14 @@
 	return nil
 }
 
+// aloneOn returns the suspects that are believed to run on a replica alone, or were
+// when it crashed.
+func (s *crashShard) aloneOn(replica cluster.ReplicaID) []key {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.alone[replica]))
+}
+
 // exonerate takes a cleared fingerprint off a crash, so that it is told no more.
 func (s *crashShard) exonerate(id uint64, k key) {
 	s.mu.Lock()
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -19,11 +20,23 @@
 // item is a mark that could be told, and where to note that it was.
 type item struct {
 	rank  uint64
+	class class
 	size  int
 	add   func(s *membership.Section)
 	noted func(round uint64)
 }
 
+// class orders marks of equal rank: late word of a crash can bar an innocent
+// request, late word of a clearing only makes one wait.
+type class int
+
+const (
+	classQuarantine class = iota
+	classCrash
+	classRun
+	classCleared
+)
+
 // Section returns the marks to tell next, within budget bytes: new ones first, each
 // several times since datagrams are lost, then the quarantines in rotation. It
 // also forgets what has ended.
@@ -37,14 +50,7 @@
 		items = append(items, t.crashItems(&t.byReplica[i], now)...)
 	}
 	slices.SortStableFunc(items, func(a, b item) int {
-		switch {
-		case a.rank < b.rank:
-			return -1
-		case a.rank > b.rank:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.class, b.class))
 	})
 	round := t.telling.round.Add(1)
 	var section membership.Section
@@ -93,7 +99,7 @@
 		m := &wirepb.QuarantineMark{
 			Fingerprint: r.key.bytes(), ExpiresInMs: r.until.Sub(now).Milliseconds(), Crashes: int32(len(r.evidence)),
 		}
-		it.size = markSize(m)
+		it.size, it.class = markSize(m), classQuarantine
 		it.add = func(s *membership.Section) { s.Quarantines = append(s.Quarantines, m) }
 		return it, true
 	}
@@ -101,7 +107,10 @@
 	if m == nil {
 		return item{}, false
 	}
-	it.size = markSize(m)
+	it.size, it.class = markSize(m), classRun
+	if m.Cleared {
+		it.class = classCleared
+	}
 	it.add = func(s *membership.Section) { s.Suspects = append(s.Suspects, m) }
 	return it, true
 }
@@ -146,9 +155,10 @@
 		m.Fingerprints = append(m.Fingerprints, k.bytes()...)
 	}
 	return item{
-		rank: c.tells[chunk].rank(),
-		size: markSize(m),
-		add:  func(section *membership.Section) { section.Crashes = append(section.Crashes, m) },
+		rank:  c.tells[chunk].rank(),
+		class: classCrash,
+		size:  markSize(m),
+		add:   func(section *membership.Section) { section.Crashes = append(section.Crashes, m) },
 		noted: func(round uint64) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -311,7 +311,7 @@
 }
 
 // urgentTells is how often a mark is told before it joins the rotation.
-const urgentTells = 10
+const urgentTells = 4
 
 // rank orders marks: new ones first, then those told least recently.
 func (t tells) rank() uint64 {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -311,7 +311,8 @@
 // judge looks at the others that were in flight in the crash, one lock at a time.
 func (t *Tracker) judge(k key, crash uint64, replica cluster.ReplicaID) {
 	otherSuspect := false
-	for _, other := range t.crashShard(replica).keysOf(crash) {
+	shard := t.crashShard(replica)
+	for _, other := range append(shard.keysOf(crash), shard.aloneOn(replica)...) {
 		if other != k && t.hasPrior(other, crash) {
 			otherSuspect = true
 		}
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -67,8 +67,8 @@
 // Defaults of Timing.
 const (
 	DefaultClaimDelay    = 300 * time.Millisecond
-	DefaultVerdictDelay  = time.Second
-	DefaultRetryTurn     = 200 * time.Millisecond
+	DefaultVerdictDelay  = 2 * time.Second
+	DefaultRetryTurn     = 500 * time.Millisecond
 	DefaultClaimTTL      = 10 * time.Second
 	DefaultRunnerTTL     = 10 * time.Second
 	DefaultSuspectFor    = 10 * time.Minute
