--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -117,7 +117,7 @@
 }
 
 // nudgeGap is the least time between two nudges.
-const nudgeGap = 50 * time.Millisecond
+const nudgeGap = 100 * time.Millisecond
 
 // Run sends heartbeats until ctx ends.
 func (s *Service) Run(ctx context.Context) {
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -67,7 +67,7 @@
 	// nudgeShare of the budget is kept for nudges.
 	nudgeShare = 0.2
 	// nudgeBurst is for how many seconds unused nudge budget is kept.
-	nudgeBurst = 10.0
+	nudgeBurst = 30.0
 	// joinTicks is for how many heartbeats after its start a node may spend
 	// joinFactor times the budget. Until it knows its zone it may take duties that
 	// others hold already, and after an outage all nodes start at once.
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -218,14 +218,17 @@
 	if !m.RunningAlone || cluster.NodeID(m.Runner) == t.node || ageOf(m.AgeMs) >= t.timing.RunnerTTL {
 		return false
 	}
-	replica := cluster.ReplicaID(m.Replica)
-	if replica != "" {
-		t.crashShard(replica).setAlone(replica, k, at.Add(t.timing.RunnerTTL))
+	heard := run{
+		node: cluster.NodeID(m.Runner), heard: at, begun: m.Replica != "", replica: cluster.ReplicaID(m.Replica),
 	}
-	news := false
+	news, believed := false, false
 	t.change(k, func(r *record) {
-		news = r.hearRunner(t.node, run{node: cluster.NodeID(m.Runner), heard: at, begun: replica != "", replica: replica}, now, t.timing)
+		news = r.hearRunner(t.node, heard, now, t.timing)
+		believed = r.run.node == heard.node && r.run.replica == heard.replica
 	})
+	if believed && heard.begun {
+		t.crashShard(heard.replica).setAlone(heard.replica, k, at.Add(t.timing.RunnerTTL))
+	}
 	return news
 }
 
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -231,7 +231,7 @@
 
 // clear follows a retry alone that did not crash. It reports whether that was news.
 func (r *record) clear(at, now time.Time, t Timing) bool {
-	if r.phase == quarantined || r.phase == accused || r.phase == cleared && !at.After(r.clearedAt) {
+	if r.phase != suspected {
 		return false
 	}
 	for _, e := range r.evidence {
