--- a/internal/grouping/controller_test.go
+++ b/internal/grouping/controller_test.go
@@ -101,6 +101,7 @@
 		w.store.SetFaults(downFaults)
 		time.Sleep(time.Minute)
 		w.edit("vm00", func(e *fakeEngine) { e.down = true })
+		synctest.Wait()
 		orders := len(w.orders)
 		time.Sleep(time.Minute)
 		synctest.Wait()
