--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -339,6 +339,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Revision returns the newest revision; it isn't counted as a call.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Size returns the number of live keys and the bytes of their keys and values.
 func (s *Store) Size() (keys, bytes int) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/vmlist/watcher.go
@@ -0,0 +1,138 @@
+package vmlist
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// DefaultInterval is the time between two reads of the list.
+const DefaultInterval = 2 * time.Second
+
+// Fetcher reads the list; *Client is one.
+type Fetcher interface {
+	Fetch(ctx context.Context) (cluster.VMList, error)
+}
+
+// Options configures a Watcher.
+type Options struct {
+	Fetcher Fetcher
+	// Zone is this node's availability zone: ServiceAddrs lists it first.
+	Zone cluster.ZoneID
+	// Interval between reads; zero is DefaultInterval.
+	Interval time.Duration
+	// OnChange is called after the VMs changed, one call at a time; may be nil.
+	OnChange func(cluster.VMList)
+	Log      *slog.Logger
+}
+
+// Watcher keeps the newest list by AsOf. Several sources may offer lists to it:
+// its own reads and those that peers pass on.
+type Watcher struct {
+	opts Options
+	// notify serialises the calls of OnChange.
+	notify sync.Mutex
+
+	mu   sync.Mutex
+	list cluster.VMList
+}
+
+// NewWatcher returns a watcher with an empty list.
+func NewWatcher(opts Options) *Watcher {
+	if opts.Interval == 0 {
+		opts.Interval = DefaultInterval
+	}
+	if opts.Log == nil {
+		opts.Log = slog.Default()
+	}
+	return &Watcher{opts: opts}
+}
+
+// Run reads the list until ctx ends. A failed read leaves the last list in force.
+func (w *Watcher) Run(ctx context.Context) {
+	tick := time.NewTicker(w.opts.Interval)
+	defer tick.Stop()
+	failing := false
+	for {
+		list, err := w.opts.Fetcher.Fetch(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil && !failing:
+			w.opts.Log.Warn("vm list unavailable", "as_of", w.Current().AsOf, "error", err)
+		case err == nil && failing:
+			w.opts.Log.Info("vm list available again", "as_of", list.AsOf)
+		}
+		failing = err != nil
+		if err == nil {
+			w.Offer(list)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Offer takes a list over if it is newer than the one kept, and reports whether
+// it did. An older one is dropped: after a change of the endpoint that answers,
+// a list may be older than the last, and a VM that left would come back.
+func (w *Watcher) Offer(list cluster.VMList) bool {
+	w.notify.Lock()
+	defer w.notify.Unlock()
+	newer, changed := w.take(list)
+	if changed && w.opts.OnChange != nil {
+		w.opts.OnChange(list)
+	}
+	return newer
+}
+
+func (w *Watcher) take(list cluster.VMList) (newer, changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !list.AsOf.After(w.list.AsOf) {
+		return false, false
+	}
+	changed = !reflect.DeepEqual(w.list.VMs, list.VMs)
+	w.list = list
+	return true, changed
+}
+
+// Current returns the newest list; its AsOf is zero before the first one. The
+// VMs must not be changed.
+func (w *Watcher) Current() cluster.VMList {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list
+}
+
+// Age is how long ago the platform believed the list, by this node's clock; ok
+// is false before the first list.
+func (w *Watcher) Age(now time.Time) (age time.Duration, ok bool) {
+	asOf := w.Current().AsOf
+	if asOf.IsZero() {
+		return 0, false
+	}
+	return max(0, now.Sub(asOf)), true
+}
+
+// ServiceAddrs returns the addresses of the service's VMs that are live and not
+// leaving, those of the node's own zone first, else in the list's order.
+func (w *Watcher) ServiceAddrs(name cluster.Service) []string {
+	var own, other []string
+	for _, vm := range w.Current().VMs {
+		switch {
+		case name == "" || vm.Service != name || vm.State != cluster.VMLive:
+		case vm.Zone == w.opts.Zone:
+			own = append(own, vm.Addr)
+		default:
+			other = append(other, vm.Addr)
+		}
+	}
+	return append(own, other...)
+}
