--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -1,6 +1,10 @@
 package store
 
-import "github.com/fennelcourse/fennelcourse/internal/cluster"
+import (
+	"strconv"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
 
 // Layout of the keys in the platform's service. Everything the project keeps
 // lives under Root, so that one prefix can be inspected or removed.
@@ -12,12 +16,18 @@
 	// RulesHistoryPrefix + zero-padded version holds earlier files' metadata and deltas.
 	RulesHistoryPrefix = Root + "rules-history/"
 	claimsPrefix       = Root + "claims/"
+	claimLeasesPrefix  = Root + "claim-leases/"
 	zonesPrefix        = Root + "zones/"
 )
 
 // ClaimKey is where the claim of one idempotency key lives; digest is hex.
 func ClaimKey(digest string) string { return claimsPrefix + digest }
 
+// ClaimLeaseKey is attached to the lease that all claims of one time bucket share.
+func ClaimLeaseKey(bucket int64) string {
+	return claimLeasesPrefix + strconv.FormatInt(bucket, 10)
+}
+
 // PlacementLeaseKey is the zone's placement lease; its create revision is the fencing number.
 func PlacementLeaseKey(zone cluster.ZoneID) string {
 	return zonesPrefix + string(zone) + "/placement-lease"
