--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -26,7 +26,7 @@
 	DefaultMaxUnsettled = 32 << 20
 	// DispatchWindow is how long after Claim a call may still be dispatched; see
 	// Claim.StillHeld.
-	DispatchWindow = 10 * time.Second
+	DispatchWindow = time.Minute
 	// MaxClockSkew is how far the wall clocks of callers, nodes and store may be
 	// apart. Only the length of the retention depends on it.
 	MaxClockSkew = time.Minute
