--- a/internal/fennelerr/http.go
+++ b/internal/fennelerr/http.go
@@ -23,6 +23,7 @@
 	DeadlineTooShort: http.StatusServiceUnavailable,
 	NoReplica:        http.StatusServiceUnavailable,
 	StoreUnavailable: http.StatusServiceUnavailable,
+	LeaseLost:        http.StatusServiceUnavailable,
 	BackendFailed:    http.StatusBadGateway,
 	StreamTruncated:  http.StatusBadGateway,
 	AnswerMismatch:   http.StatusBadGateway,
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/claims"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
@@ -51,6 +52,17 @@
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
+// mayDispatch refuses a claimed call whose right to run may have lapsed while this
+// process was paused, or while the call waited: the key may be free again by then,
+// and the call may have run elsewhere.
+func mayDispatch(right Claim) error {
+	if right == nil || right.StillHeld(time.Now()) {
+		return nil
+	}
+	return fennelerr.New(fennelerr.LeaseLost, "the claim on the Idempotency-Key got too old before dispatch").
+		WithRun(fennelerr.NotRun).WithRetryAfter(retryBudgetWait)
+}
+
 // settle records what became of a claimed call. It outlives the caller: one who
 // hangs up must find the outcome when sending again.
 func (g *Gateway) settle(right Claim, out claimOutcome) {
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
 	"github.com/fennelcourse/fennelcourse/internal/claims"
@@ -52,8 +53,12 @@
 	Claim(ctx context.Context, call claims.Call) (Claim, *claims.Answer, error)
 }
 
-// Claim is the right to dispatch one call. Exactly one of the methods is called.
+// Claim is the right to dispatch one call. Exactly one of Release, Finish and
+// Abandon is called.
 type Claim interface {
+	// StillHeld reports whether the call may still be dispatched. It is asked right
+	// before dispatch; a claim no longer held is released and not dispatched.
+	StillHeld(now time.Time) bool
 	// Release gives the key back: the call was certainly not run.
 	Release(ctx context.Context)
 	// Finish records the answer of the call, which ran.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -99,6 +99,9 @@
 
 // memoryClaims is a Claimer without faults.
 type memoryClaims struct {
+	// lapsed makes all claims look as after a long pause of the process.
+	lapsed atomic.Bool
+
 	mu   sync.Mutex
 	keys map[string]*memoryClaim
 }
@@ -133,6 +136,8 @@
 	c.state, c.answer = state, a
 }
 
+func (c *memoryClaim) StillHeld(time.Time) bool { return !c.m.lapsed.Load() }
+
 func (c *memoryClaim) Release(context.Context) {
 	c.m.mu.Lock()
 	defer c.m.mu.Unlock()
--- a/internal/gateway/honest_test.go
+++ b/internal/gateway/honest_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
 	standinservice "github.com/fennelcourse/fennelcourse/internal/standin/service"
 )
@@ -130,6 +131,28 @@
 	}
 }
 
+// The process is paused between claiming a key and sending the call, for so long
+// that the key may have been claimed and the deposit taken through another node.
+// Sending it now could charge the skier twice.
+func TestLapsedClaimIsNotDispatched(t *testing.T) {
+	b, svc := plainBench(t, nil)
+	b.claims.lapsed.Store(true)
+	r := b.send(http.MethodPost, "/deposits/7", `{}`, HeaderIdempotencyKey, "k3")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	b.checkHonest(r, svc.Runs().Total)
+
+	set := testSet(t)
+	set.Routes[0].Once = rules.OnceRequired
+	m := newBench(t, 1, standinengine.Options{}, func(b *bench) { b.opts.Rules = fixedRules{set} })
+	m.claims.lapsed.Store(true)
+	r = m.send(http.MethodPost, engine.ChatPath, chatBody, HeaderIdempotencyKey, "k4")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	m.checkHonest(r, m.runs())
+
+	b.claims.lapsed.Store(false)
+	require.Equal(t, http.StatusCreated, b.send(http.MethodPost, "/deposits/7", `{}`, HeaderIdempotencyKey, "k3").status)
+}
+
 // A note is posted without a key on a route that demands none. The back end runs
 // it and loses the answer: sending it to a second server would book it twice.
 func TestUnkeyedCallIsNotRepeatedOnceSent(t *testing.T) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -30,6 +30,7 @@
 	}
 	s.sink = g.newSink(w, c, s.req)
 	defer s.sink.close()
+	s.right = right
 	err = g.runSession(r, s, deadline)
 	g.settle(right, s.outcome(err))
 	g.endModel(w, r, s, err)
@@ -84,6 +85,9 @@
 	}
 	defer func() { slot.Release(s.tokens) }()
 	s.slot = slot
+	if err := mayDispatch(s.right); err != nil {
+		return err
+	}
 	return s.serve(r.Context(), deadline)
 }
 
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -52,6 +52,9 @@
 		}
 		p.g.opts.Log.Info("route", "request", p.c.id, "team", p.c.team.Name, "service", p.route.Service,
 			"rule_line", p.route.Line, "addr", addr, "attempt", i+1, "claimed", p.right != nil)
+		if err := mayDispatch(p.right); err != nil {
+			return nil, err
+		}
 		answer, err := p.attempt(ctx, addr)
 		if err == nil {
 			return answer, nil
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -48,6 +48,8 @@
 	fruitless int
 	tokens    int
 	slot      Slot
+	// right is the claim of a call with an idempotency key, else nil.
+	right     Claim
 	started   time.Time
 	firstSeen time.Time
 	stopClock func()
