--- a/internal/claims/active.go
+++ b/internal/claims/active.go
@@ -85,11 +85,11 @@
 	mu    sync.Mutex
 	ids   map[writeID]struct{}
 	order []writeID // oldest first
-	max   int
+	limit int
 }
 
-func newFreedClaims(max int) *freedClaims {
-	return &freedClaims{ids: make(map[writeID]struct{}), max: max}
+func newFreedClaims(limit int) *freedClaims {
+	return &freedClaims{ids: make(map[writeID]struct{}), limit: limit}
 }
 
 func (f *freedClaims) add(id writeID) {
@@ -98,7 +98,7 @@
 	if _, ok := f.ids[id]; ok {
 		return
 	}
-	if len(f.order) >= f.max {
+	if len(f.order) >= f.limit {
 		delete(f.ids, f.order[0])
 		f.order = f.order[1:]
 	}
--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -176,15 +176,15 @@
 // batcher gathers writes for a short while and flushes them together.
 type batcher struct {
 	flusher
-	in     chan *write
-	max    int
-	linger time.Duration
+	in       chan *write
+	maxBatch int
+	linger   time.Duration
 	// slots bounds the transactions in flight.
 	slots chan struct{}
 }
 
-func newBatcher(f flusher, max int, linger time.Duration) *batcher {
-	return &batcher{flusher: f, in: make(chan *write), max: max, linger: linger, slots: make(chan struct{}, maxFlushes)}
+func newBatcher(f flusher, maxBatch int, linger time.Duration) *batcher {
+	return &batcher{flusher: f, in: make(chan *write), maxBatch: maxBatch, linger: linger, slots: make(chan struct{}, maxFlushes)}
 }
 
 // maxFlushes bounds a node's claim transactions in flight.
@@ -218,7 +218,7 @@
 	defer linger.Stop()
 	keys := map[string]bool{first.op.Key: true}
 	batch = append(batch, first)
-	for len(batch) < b.max {
+	for len(batch) < b.maxBatch {
 		select {
 		case w := <-b.in:
 			if keys[w.op.Key] {
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -24,7 +24,7 @@
 func Run(t *testing.T, open func(t *testing.T) store.Store) {
 	cases := []struct {
 		name string
-		test func(*testing.T, context.Context, store.Store)
+		test func(context.Context, *testing.T, store.Store)
 	}{
 		{"get of an absent key", testAbsent},
 		{"revisions rise and versions count", testRevisions},
@@ -45,7 +45,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 			defer cancel()
-			c.test(t, ctx, open(t))
+			c.test(ctx, t, open(t))
 		})
 	}
 }
@@ -59,14 +59,14 @@
 	return res.Revision
 }
 
-func testAbsent(t *testing.T, ctx context.Context, s store.Store) {
+func testAbsent(ctx context.Context, t *testing.T, s store.Store) {
 	kv, rev, err := s.Get(ctx, "/absent")
 	require.NoError(t, err)
 	require.Nil(t, kv)
 	require.Positive(t, rev)
 }
 
-func testRevisions(t *testing.T, ctx context.Context, s store.Store) {
+func testRevisions(ctx context.Context, t *testing.T, s store.Store) {
 	first := Put(t, s, "/k", "1")
 	second := Put(t, s, "/k", "2")
 	require.Greater(t, second, first)
@@ -84,7 +84,7 @@
 	require.EqualValues(t, 1, kv.Version)
 }
 
-func testGuards(t *testing.T, ctx context.Context, s store.Store) {
+func testGuards(ctx context.Context, t *testing.T, s store.Store) {
 	lease, err := s.Grant(ctx, time.Minute)
 	require.NoError(t, err)
 	res, err := s.Txn(ctx, store.Txn{Then: []store.Op{store.Put("/k", []byte("1"), lease)}})
@@ -125,7 +125,7 @@
 	require.Nil(t, kv)
 }
 
-func testTxnReads(t *testing.T, ctx context.Context, s store.Store) {
+func testTxnReads(ctx context.Context, t *testing.T, s store.Store) {
 	Put(t, s, "/a", "old")
 	res, err := s.Txn(ctx, store.Txn{Then: []store.Op{
 		store.GetOp("/a"),
@@ -138,7 +138,7 @@
 	require.Nil(t, res.Gets[1])
 }
 
-func testInvalid(t *testing.T, ctx context.Context, s store.Store) {
+func testInvalid(ctx context.Context, t *testing.T, s store.Store) {
 	var many []store.Op
 	for i := range 200 {
 		many = append(many, store.Put(fmt.Sprintf("/many/%d", i), nil, 0))
@@ -155,7 +155,7 @@
 	require.Empty(t, res.KVs)
 }
 
-func testRange(t *testing.T, ctx context.Context, s store.Store) {
+func testRange(ctx context.Context, t *testing.T, s store.Store) {
 	Put(t, s, "/p", "outside")
 	for _, k := range []string{"c", "a", "b"} {
 		Put(t, s, "/p/"+k, k)
@@ -197,7 +197,7 @@
 	return out
 }
 
-func testBinary(t *testing.T, ctx context.Context, s store.Store) {
+func testBinary(ctx context.Context, t *testing.T, s store.Store) {
 	value := make([]byte, 256)
 	for i := range value {
 		value[i] = byte(i)
@@ -208,7 +208,7 @@
 	require.Equal(t, value, kv.Value)
 }
 
-func testLeaseExpiry(t *testing.T, ctx context.Context, s store.Store) {
+func testLeaseExpiry(ctx context.Context, t *testing.T, s store.Store) {
 	lease, err := s.Grant(ctx, shortLease)
 	require.NoError(t, err)
 	res, err := s.Txn(ctx, store.Txn{Then: []store.Op{
@@ -217,7 +217,7 @@
 	}})
 	require.NoError(t, err)
 	Put(t, s, "/moved", "2") // a put without the lease detaches the key
-	events := watch(t, ctx, s, "/", res.Revision+2)
+	events := watch(ctx, t, s, "/", res.Revision+2)
 	ev := events.next(t)
 	require.Equal(t, store.EventDelete, ev.Type)
 	require.Equal(t, "/short", ev.KV.Key)
@@ -228,7 +228,7 @@
 	requireFailure(t, err, store.LeaseNotFound, store.Refused, "keepalive after expiry")
 }
 
-func testKeepAlive(t *testing.T, ctx context.Context, s store.Store) {
+func testKeepAlive(ctx context.Context, t *testing.T, s store.Store) {
 	lease, err := s.Grant(ctx, time.Minute)
 	require.NoError(t, err)
 	left, err := s.KeepAlive(ctx, lease)
@@ -236,7 +236,7 @@
 	require.Equal(t, time.Minute, left)
 }
 
-func testRevoke(t *testing.T, ctx context.Context, s store.Store) {
+func testRevoke(ctx context.Context, t *testing.T, s store.Store) {
 	lease, err := s.Grant(ctx, time.Minute)
 	require.NoError(t, err)
 	_, err = s.Txn(ctx, store.Txn{Then: []store.Op{store.Put("/leased", nil, lease)}})
@@ -251,7 +251,7 @@
 	requireFailure(t, s.Revoke(ctx, lease), store.LeaseNotFound, store.Refused, "revoked twice")
 }
 
-func testUnknownLease(t *testing.T, ctx context.Context, s store.Store) {
+func testUnknownLease(ctx context.Context, t *testing.T, s store.Store) {
 	_, err := s.Txn(ctx, store.Txn{Then: []store.Op{store.Put("/k", nil, 987654)}})
 	requireFailure(t, err, store.LeaseNotFound, store.Refused, "put")
 	_, err = s.KeepAlive(ctx, 987654)
@@ -261,12 +261,12 @@
 	require.Nil(t, kv)
 }
 
-func testWatchFrom(t *testing.T, ctx context.Context, s store.Store) {
+func testWatchFrom(ctx context.Context, t *testing.T, s store.Store) {
 	Put(t, s, "/w/a", "before")
 	from := Put(t, s, "/w/a", "1")
 	Put(t, s, "/other", "x")
 	Put(t, s, "/w/b", "2")
-	events := watch(t, ctx, s, "/w/", from)
+	events := watch(ctx, t, s, "/w/", from)
 	_, err := s.Txn(ctx, store.Txn{Then: []store.Op{store.Delete("/w/a")}})
 	require.NoError(t, err)
 
@@ -278,14 +278,14 @@
 	require.Greater(t, gone.KV.ModRevision, b.KV.ModRevision)
 }
 
-func testWatchFromNow(t *testing.T, ctx context.Context, s store.Store) {
+func testWatchFromNow(ctx context.Context, t *testing.T, s store.Store) {
 	Put(t, s, "/w/a", "before")
-	events := watch(t, ctx, s, "/w/", 0)
+	events := watch(ctx, t, s, "/w/", 0)
 	Put(t, s, "/w/a", "after")
 	require.Equal(t, "after", string(events.next(t).KV.Value))
 }
 
-func testWatchEnds(t *testing.T, ctx context.Context, s store.Store) {
+func testWatchEnds(ctx context.Context, t *testing.T, s store.Store) {
 	ctx, cancel := context.WithCancel(ctx)
 	ch, err := s.Watch(ctx, "/", 0)
 	require.NoError(t, err)
@@ -302,7 +302,7 @@
 	pending []store.Event
 }
 
-func watch(t *testing.T, ctx context.Context, s store.Store, prefix string, from int64) *eventReader {
+func watch(ctx context.Context, t *testing.T, s store.Store, prefix string, from int64) *eventReader {
 	t.Helper()
 	ch, err := s.Watch(ctx, prefix, from)
 	require.NoError(t, err)
