fennel-standin: the platform as a process

The quick start and tests with real processes need the key-value service and the VM list beside fenneld.

--- a/cmd/fennel-standin/main_test.go
+++ b/cmd/fennel-standin/main_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/standin/platform"
 )
 
 // A stop signal must end each stand-in with status 0, or the quick start would
@@ -24,6 +25,7 @@
 	for path, args := range map[string][]string{
 		engine.StatePath: {"engine", "--vm", "vm-1", "--checks-fence", "--max-gap", "200ms"},
 		"/bookings/7":    {"service"},
+		platform.PathVMs: {"platform"},
 	} {
 		cmd := exec.Command(bin, args...)
 		stdout, err := cmd.StdoutPipe()
