--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// BenchmarkMonth makes the account of a zone's month as two observers saw it, with
+// ten outages of ten minutes a day, and reports what a day keeps in the store.
+//
+//	go test -bench Month -run '^$' ./internal/ledger
+func BenchmarkMonth(b *testing.B) {
+	const days = 30
+	var windows []Window
+	for _, observer := range []cluster.NodeID{"praha-a-entry-1", "praha-a-entry-2"} {
+		windows = append(windows, observeDays(observer, days)...)
+	}
+	bytes := 0
+	for _, w := range windows {
+		bytes += len(windowKey(w)) + len(encode(w))
+	}
+	b.ResetTimer()
+	for range b.N {
+		Account("praha-a", second(0), second(days*24*3600), windows, nil)
+	}
+	b.ReportMetric(float64(bytes)/days/2, "B/observer-day")
+	b.ReportMetric(float64(len(windows))/days/2, "windows/observer-day")
+}
+
+func observeDays(observer cluster.NodeID, days int) []Window {
+	const outagesPerDay = 10
+	opts := RecorderOptions{Observer: observer, Incarnation: 1, Zone: "praha-a", MaxGap: time.Minute}
+	r := NewRecorder(opts, second(0))
+	var windows []Window
+	cutAt := 0
+	for now := 0; now <= days*24*3600; now += 30 {
+		r.Tick(second(now))
+		outage := now % (24 * 3600 / outagesPerDay)
+		replica := cluster.ReplicaID(fmt.Sprintf("poradce-%d", now/(24*3600/outagesPerDay)))
+		switch outage {
+		case 0:
+			r.Apply(Event{Kind: ReplicaDown, At: second(now), Group: "poradce", Replica: replica, Cause: "vm-lost", Evidence: "vm-17: no answer for 3s"})
+		case 600:
+			r.Apply(Event{Kind: ReplicaUp, At: second(now), Group: "poradce", Replica: replica})
+		}
+		length := QuietWindow
+		if r.Eventful() {
+			length = EventfulWindow
+		}
+		if now-cutAt >= int(length/time.Second) {
+			cutAt = now
+			if w, ok := r.Cut(); ok {
+				windows = append(windows, w)
+			}
+		}
+	}
+	return windows
+}
