claims: no line before a store that hangs; a slow store still serves

Cause: batches stood in line behind four that each waited out their limit, and a fixed limit of 0.5 s a try refused all bookings when the store took 0.7 s. A breaker refuses what has not been sent after a failure, and each try gets twice the time of the one before.

Seen red without either.

--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -55,7 +56,7 @@
 // flusher brings batches of writes to the store.
 type flusher struct {
 	store store.Store
-	// attempt bounds one transaction, limit all attempts for a batch.
+	// attempt bounds the first transaction for a batch, limit all of them.
 	attempt, limit time.Duration
 }
 
@@ -67,37 +68,41 @@
 // writes whose guards don't hold are answered from that, and the rest are sent
 // again. A transaction with unknown outcome is sent again as it is: if it had
 // taken effect, the guards fail and the reads show the writes' own values.
-func (f *flusher) flush(ctx context.Context, batch []*write) {
+//
+// It reports whether the store answered. Each try gets twice the time of the one
+// before: the first soon gives up a connection that has gone silent, the last
+// waits for a store that is merely slow.
+func (f *flusher) flush(ctx context.Context, batch []*write) (answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, f.limit)
 	defer cancel()
 	unsure := false
-	backoff := firstBackoff
+	attempt, backoff := f.attempt, firstBackoff
 	for len(batch) > 0 {
-		res, err := f.send(ctx, batch)
+		res, err := f.send(ctx, attempt, batch)
 		switch {
 		case err == nil && res.Succeeded:
 			answer(batch, writeResult{applied: true, revision: res.Revision})
-			return
+			return true
 		case err == nil:
 			batch = settled(batch, res.Gets)
 		case err.Kind == store.LeaseNotFound && len(batch) > 1:
-			f.flushSingly(ctx, batch)
-			return
+			return f.flushSingly(ctx, batch)
 		case err.Kind != store.Unavailable || (err.Outcome == store.Refused && !unsure) || !sleep(ctx, backoff):
 			fail(batch, err, unsure)
-			return
+			return err.Kind != store.Unavailable
 		default:
 			unsure = true
-			backoff *= 2
+			attempt, backoff = 2*attempt, 2*backoff
 		}
 	}
+	return true
 }
 
 // firstBackoff is the wait before a transaction is sent again; it doubles.
 const firstBackoff = 10 * time.Millisecond
 
-func (f *flusher) send(ctx context.Context, batch []*write) (store.TxnResult, *store.Error) {
-	ctx, cancel := context.WithTimeout(ctx, f.attempt)
+func (f *flusher) send(ctx context.Context, limit time.Duration, batch []*write) (store.TxnResult, *store.Error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var txn store.Txn
 	for _, w := range batch {
@@ -117,10 +122,12 @@
 }
 
 // flushSingly finds the write whose lease has ended: the others go through.
-func (f *flusher) flushSingly(ctx context.Context, batch []*write) {
+func (f *flusher) flushSingly(ctx context.Context, batch []*write) (answered bool) {
+	answered = true
 	for _, w := range batch {
-		f.flush(ctx, []*write{w})
+		answered = f.flush(ctx, []*write{w}) && answered
 	}
+	return answered
 }
 
 // settled answers the writes that are decided by the keys found and returns the
@@ -173,9 +180,28 @@
 	}
 }
 
+// breaker refuses calls for a moment after the store has failed, so that callers
+// are answered at once instead of waiting in line for a store that is down.
+type breaker struct {
+	now   func() time.Time
+	until atomic.Int64 // Unix nanoseconds
+}
+
+func (b *breaker) open() bool { return b.now().UnixNano() < b.until.Load() }
+
+func (b *breaker) trip() { b.until.Store(b.now().Add(downFor).UnixNano()) }
+
+var errDown = errors.New("the store did not answer a moment ago")
+
+// refusedAsDown is the failure of a write that was not sent.
+func refusedAsDown() *store.Error {
+	return &store.Error{Kind: store.Unavailable, Outcome: store.Refused, Op: "txn", Err: errDown}
+}
+
 // batcher gathers writes for a short while and flushes them together.
 type batcher struct {
 	flusher
+	breaker  *breaker
 	in       chan *write
 	maxBatch int
 	linger   time.Duration
@@ -183,8 +209,8 @@
 	slots chan struct{}
 }
 
-func newBatcher(f flusher, maxBatch int, linger time.Duration) *batcher {
-	return &batcher{flusher: f, in: make(chan *write), maxBatch: maxBatch, linger: linger, slots: make(chan struct{}, maxFlushes)}
+func newBatcher(f flusher, br *breaker, maxBatch int, linger time.Duration) *batcher {
+	return &batcher{flusher: f, breaker: br, in: make(chan *write), maxBatch: maxBatch, linger: linger, slots: make(chan struct{}, maxFlushes)}
 }
 
 // maxFlushes bounds a node's claim transactions in flight.
@@ -205,12 +231,22 @@
 		batch, next = b.gather(ctx, next)
 		b.slots <- struct{}{}
 		go func() {
-			b.flush(context.WithoutCancel(ctx), batch)
+			b.flushUnlessDown(context.WithoutCancel(ctx), batch)
 			<-b.slots
 		}()
 	}
 }
 
+func (b *batcher) flushUnlessDown(ctx context.Context, batch []*write) {
+	if b.breaker.open() {
+		fail(batch, refusedAsDown(), false)
+		return
+	}
+	if !b.flush(ctx, batch) {
+		b.breaker.trip()
+	}
+}
+
 // gather collects a batch of different keys; a second write on a key of the
 // batch is returned as next and opens the following one.
 func (b *batcher) gather(ctx context.Context, first *write) (batch []*write, next *write) {
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -166,6 +166,34 @@
 	}
 }
 
+// The store takes most of a second for each call. Bookings get slower and are not
+// refused.
+func TestSlowStore(t *testing.T) {
+	withSystem(t, func(t *testing.T, s *system) {
+		s.serve(s.a, "warm-up", "body", fateOK)
+		settle()
+		s.store.SetFaults(memstore.Faults{Delay: 700 * time.Millisecond})
+		require.Equal(t, ran, s.serve(s.a, "k", "body", fateOK))
+	})
+}
+
+// The store hangs while a great many callers book. Those who stand in line behind
+// the first batches must not wait for one time limit after the other.
+func TestNoLineBeforeAStoreThatHangs(t *testing.T) {
+	withSystem(t, func(t *testing.T, s *system) {
+		s.serve(s.a, "warm-up", "body", fateOK)
+		settle()
+		s.store.SetFaults(memstore.Faults{Delay: time.Hour})
+		began := time.Now()
+		var wg sync.WaitGroup
+		for i := range 20 * DefaultMaxBatch {
+			wg.Go(func() { s.serve(s.a, fmt.Sprintf("k%d", i), "body", fateOK) })
+		}
+		wg.Wait()
+		require.Less(t, time.Since(began), DefaultTimeout+100*time.Millisecond)
+	})
+}
+
 // The store goes down while a booking runs. Its caller gets the answer at once,
 // a repeat at the same node too, and once the store is back, one at any node.
 func TestStoreDownAfterDispatch(t *testing.T) {
@@ -374,6 +402,21 @@
 	})
 }
 
+func TestStillHeld(t *testing.T) {
+	made := time.Unix(1_000_000, 0)
+	c := &Claim{made: made}
+	for after, held := range map[time.Duration]bool{
+		0:                    true,
+		DispatchWindow - 1:   true,
+		DispatchWindow:       false,
+		-MaxClockSkew + 1:    true,
+		-2 * MaxClockSkew:    false, // the clock was set back: nobody knows how long it took
+		DefaultRetention * 2: false,
+	} {
+		require.Equal(t, held, c.StillHeld(made.Add(after)), after)
+	}
+}
+
 func TestCallerLeavesWhileClaiming(t *testing.T) {
 	withSystem(t, func(t *testing.T, s *system) {
 		s.serve(s.a, "warm-up", "body", fateOK)
--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -36,7 +36,7 @@
 	// keyTimeMargin is how long before the retention's end a key that carries
 	// its time is refused.
 	keyTimeMargin = 2*MaxClockSkew + DispatchWindow
-	// attemptShare: one transaction may take this part of Options.Timeout.
+	// attemptShare: the first transaction may take this part of Options.Timeout.
 	attemptShare = 3
 	// downFor is how long claims are refused at once after the store failed.
 	downFor = time.Second
@@ -93,9 +93,7 @@
 	settle *settler
 	active active
 	freed  *freedClaims
-	// downUntil is the Unix time in nanoseconds until which claims are refused
-	// without a try.
-	downUntil atomic.Int64
+	down   *breaker
 
 	stopped context.Context
 	stop    context.CancelFunc
@@ -106,14 +104,16 @@
 func New(opts Options) *Manager {
 	setDefaults(&opts)
 	stopped, stop := context.WithCancel(context.Background())
+	down := &breaker{now: opts.Now}
 	f := flusher{store: opts.Store, attempt: opts.Timeout / attemptShare, limit: opts.Timeout}
 	m := &Manager{
 		opts:    opts,
 		self:    writer{Node: opts.Node, Incarnation: opts.Incarnation},
 		leases:  newLeases(opts.Store, opts.Retention, opts.Timeout/attemptShare, opts.Now),
-		claims:  newBatcher(f, opts.MaxBatch, opts.Linger),
+		claims:  newBatcher(f, down, opts.MaxBatch, opts.Linger),
 		settle:  newSettler(f, opts.MaxBatch, opts.MaxUnsettled, opts.SettleLinger),
 		freed:   newFreedClaims(maxFreed),
+		down:    down,
 		stopped: stopped,
 		stop:    stop,
 	}
@@ -256,21 +256,19 @@
 // write makes one round of the claim's write. The clock is read before the lease
 // is: should this process be paused anywhere after, StillHeld notices.
 func (m *Manager) write(ctx context.Context, c *Claim, guard store.Guard) writeResult {
-	if m.opts.Now().UnixNano() < m.downUntil.Load() {
-		return writeResult{err: &store.Error{Kind: store.Unavailable, Outcome: store.Refused, Op: "txn", Err: errDown}}
+	if m.down.open() {
+		return writeResult{err: refusedAsDown()}
 	}
 	lease, err := m.leases.current(ctx)
 	if err != nil {
+		m.down.trip()
 		return writeResult{err: refusedBeforeWrite(err)}
 	}
 	c.lease = lease
 	return m.claims.do(m.stopped, newWrite(guard, store.Put(c.digest.storeKey(), c.rec.encode(), lease)))
 }
 
-var (
-	errDown          = errors.New("the store did not answer a moment ago")
-	errKeepsChanging = errors.New("the key kept changing")
-)
+var errKeepsChanging = errors.New("the key kept changing")
 
 // refusedBeforeWrite is a failure to get the lease: whatever became of that, the
 // claim itself was not written.
@@ -309,9 +307,6 @@
 		m.freed.add(c.rec.ID)
 		m.removeLost(c, true)
 	}
-	if !errors.Is(err, errDown) && !errors.Is(err, errKeepsChanging) {
-		m.downUntil.Store(m.opts.Now().Add(downFor).UnixNano())
-	}
 	m.note(c, "store-unavailable", err.Error())
 	refused := refuse(fennelerr.StoreUnavailable, fennelerr.NotRun, "the key can't be claimed now; the call was not run")
 	return outcome{err: refused.WithRetryAfter(downFor)}
