gateway: deposits with claims in the store, end to end over HTTP

A write's answer lost, the store down, and the repeat at another node: charged once, the same receipt, and not-run true (-race, five runs: ok). The watch driver takes a message that both creates and cancels a watch as its end.

--- /dev/null
+++ b/internal/gateway/claimer_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/claims"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/standin/platform"
+	"github.com/fennelcourse/fennelcourse/internal/store/etcdgw"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// storeClaimer is one node's claims in the platform's store over HTTP.
+func storeClaimer(t *testing.T, url string, node cluster.NodeID) StoreClaimer {
+	t.Helper()
+	client := etcdgw.New(etcdgw.Options{Endpoints: []string{url}})
+	t.Cleanup(client.Close)
+	m := claims.New(claims.Options{Store: client, Node: node, Incarnation: 1, Log: slog.New(slog.DiscardHandler)})
+	t.Cleanup(func() { m.Close(t.Context()) })
+	return StoreClaimer{m}
+}
+
+// A deposit is taken while the platform's store loses an answer, and sent again
+// through another node; then one is tried while the store is down. The skier is
+// charged once, gets the same receipt twice, and "not-run" is true.
+func TestDepositWithClaimsInTheStore(t *testing.T) {
+	p := platform.New(platform.Options{})
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	t.Cleanup(p.Store().Close)
+	first := storeClaimer(t, srv.URL, "a")
+	b, svc := plainBench(t, func(b *bench) { b.opts.Claimer = first })
+	deposit := func(key string) reply {
+		return b.send(http.MethodPost, "/deposits/7", `{"amount":40}`, HeaderIdempotencyKey, key)
+	}
+	require.Equal(t, http.StatusCreated, deposit("warm-up").status)
+	p.SetFaults(platform.Faults{Store: memstore.Faults{LoseAnswers: 1}})
+	receipt := deposit("k1")
+	require.Equal(t, http.StatusCreated, receipt.status)
+
+	p.SetFaults(platform.Faults{Store: memstore.Faults{Down: true}})
+	refused := deposit("k2")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Equal(t, string(fennelerr.NotRun), refused.header.Get(HeaderRun))
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.Zero(t, svc.Runs().ByKey["k2"])
+
+	p.SetFaults(platform.Faults{})
+	first.Manager.Close(t.Context()) // brings the outcomes to the store
+	b.gateway.opts.Claimer = storeClaimer(t, srv.URL, "b")
+	again := deposit("k1")
+	require.Equal(t, receipt.body, again.body)
+	require.Equal(t, "true", again.header.Get(HeaderReplayed))
+	require.Equal(t, http.StatusCreated, deposit("k2").status)
+	require.Equal(t, 1, svc.Runs().ByKey["k1"])
+	require.Equal(t, 1, svc.Runs().ByKey["k2"])
+}
--- a/internal/store/etcdgw/watch.go
+++ b/internal/store/etcdgw/watch.go
@@ -134,7 +134,7 @@
 	if err := s.dec.Decode(&msg); err != nil {
 		return w.client.unanswered(callWatch, true, err)
 	}
-	if !msg.Result.Created {
+	if !msg.Result.Created || msg.Result.Canceled {
 		return watchEnd(&msg)
 	}
 	if w.next == 0 {
