The whole path: fenneld, quick start, end-to-end harness

Cause: the parts stood side by side; nothing yet ran as a system. Change: the daemon wires platform, peers, grouping, health, routing, admission, claims, suspects, ledger and gateway; quickstart.sh runs it all on loopback.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,182 @@
+// Package daemon puts one node together: the platform's services, the rules in
+// force, membership, placement duty, health check, routing and the callers'
+// gateway, with the threads and sockets around their decisions.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/admission"
+	"github.com/fennelcourse/fennelcourse/internal/claims"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/gateway"
+	"github.com/fennelcourse/fennelcourse/internal/grouping"
+	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/peer"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rulestore"
+	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
+	"github.com/fennelcourse/fennelcourse/internal/vmlist"
+	"github.com/fennelcourse/fennelcourse/internal/wire"
+)
+
+// Node is one running fenneld.
+type Node struct {
+	set     *settings.Settings
+	log     *slog.Logger
+	version string
+	// incarnation tells this process from earlier ones of the same node.
+	incarnation uint64
+
+	store      store.Store
+	vms        *vmlist.Watcher
+	rules      *rulestore.Holder
+	transport  *wire.Transport
+	members    *membership.Service
+	keyring    *wire.Keyring
+	tls        *wire.TLSConfig
+	peers      *peer.Client
+	table      *grouping.Table
+	controller *grouping.Controller
+	engines    *engine.Client
+	prober     *engine.Client
+	pools      *engine.Pools
+	health     *health.Check
+	routing    *routing.Table
+	admission  *admission.Controller
+	claims     *claims.Manager
+	suspects   *suspect.Tracker
+	ledger     *ledgerDuty
+	gateway    *gateway.Gateway
+
+	callers  listener
+	control  listener
+	leaving  atomic.Bool
+	duties   sync.WaitGroup
+	stopDuty context.CancelFunc
+}
+
+// listener is one HTTP server with its socket.
+type listener struct {
+	socket net.Listener
+	server *http.Server
+}
+
+// New opens the node's sockets and puts its parts together. Nothing runs before Run.
+func New(set *settings.Settings, version string, log *slog.Logger) (*Node, error) {
+	n := &Node{set: set, log: log.With("node", set.Node, "zone", set.Zone), version: version, incarnation: uint64(time.Now().UnixNano())}
+	steps := []struct {
+		name string
+		do   func() error
+	}{
+		{"platform", n.setupPlatform},
+		{"peers", n.setupPeers},
+		{"replicas", n.setupReplicas},
+		{"requests", n.setupRequests},
+		{"listeners", n.setupListeners},
+	}
+	for _, s := range steps {
+		if err := s.do(); err != nil {
+			n.closeSockets()
+			return nil, errors.Wrap(err, s.name)
+		}
+	}
+	n.connect()
+	return n, nil
+}
+
+// Run serves until ctx ends, then stops as planned: unready first, accepting
+// while the balancer notices, then every stream to its end. A second ctx, now,
+// cuts that short.
+func (n *Node) Run(ctx, now context.Context) error {
+	dutyCtx, stop := context.WithCancel(context.Background())
+	n.stopDuty = stop
+	n.startDuties(dutyCtx)
+	failed := make(chan error, 2)
+	for _, l := range []listener{n.callers, n.control} {
+		go func() { failed <- l.server.Serve(l.socket) }()
+	}
+	n.log.Info("serving", "version", n.version, "callers", n.CallersAddr(), "control", n.ControlAddr(), "datagrams", n.transport.Addr())
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	return errors.Join(err, n.stop(now))
+}
+
+// CallersAddr is the ip:port that callers are served on.
+func (n *Node) CallersAddr() string { return n.callers.socket.Addr().String() }
+
+// ControlAddr is the ip:port that peers and operators are served on.
+func (n *Node) ControlAddr() string { return n.control.socket.Addr().String() }
+
+// stop is the planned stop.
+func (n *Node) stop(now context.Context) error {
+	n.log.Info("stopping", "step", "unready", "notice", n.set.Drain.Notice)
+	n.leaving.Store(true)
+	n.members.Leave()
+	waitFor(now, n.set.Drain.Notice)
+	n.log.Info("stopping", "step", "finish requests")
+	err := n.callers.server.Shutdown(now)
+	if err != nil {
+		n.log.Error("stopping", "step", "requests cut", "err", err.Error())
+		err = errors.Join(err, n.callers.server.Close())
+	}
+	n.gateway.Wait()
+	n.stopDuty()
+	n.duties.Wait()
+	n.claims.Close(now)
+	err = errors.Join(err, n.control.server.Close())
+	n.closeSockets()
+	n.log.Info("stopped")
+	return err
+}
+
+func (n *Node) closeSockets() {
+	if n.transport != nil {
+		_ = n.transport.Close() // the process ends
+	}
+	for _, l := range []listener{n.callers, n.control} {
+		if l.socket != nil {
+			_ = l.socket.Close() // the process ends
+		}
+	}
+	if n.pools != nil {
+		n.pools.Close()
+	}
+}
+
+// waitFor waits for d, or until ctx ends.
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// notReady says why this node should get no callers; empty when it should.
+func (n *Node) notReady() string {
+	switch {
+	case n.leaving.Load():
+		return "stopping"
+	case n.rules.Current() == nil:
+		return "no rules known yet"
+	case n.vms.List().AsOf.IsZero():
+		return "no VM list read yet"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/ledger"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/operator"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+)
+
+// operators answers fennelctl from what the node knows.
+type operators struct{ n *Node }
+
+// NodeRevisions implements operator.NodeSource. Nodes that left as planned are
+// no longer part of the system; dead ones are, until membership forgets them.
+func (o operators) NodeRevisions() []operator.NodeRevision {
+	out := []operator.NodeRevision{{Node: o.n.set.Node, Zone: o.n.set.Zone, Revision: o.n.rules.Revision(), Heard: true}}
+	for _, m := range o.n.members.Members() {
+		if m.Leaving {
+			continue
+		}
+		out = append(out, operator.NodeRevision{Node: m.Node, Zone: m.Zone, Revision: m.RulesRevision, HeardAgo: m.HeardAgo,
+			Heard: m.HeardAgo >= 0 && m.Status != membership.Dead})
+	}
+	return out
+}
+
+// Status implements operator.StatusSource.
+func (o operators) Status(ctx context.Context) (*wirepb.StatusResponse, error) {
+	n, now := o.n, time.Now()
+	reason := n.notReady()
+	resp := &wirepb.StatusResponse{Node: string(n.set.Node), Zone: string(n.set.Zone), Version: n.version, Ready: reason == "",
+		NotReadyReason: reason, RulesRevision: n.rules.Revision(), StoreReachable: n.storeReachable(ctx)}
+	for _, r := range o.NodeRevisions() {
+		resp.Nodes = append(resp.Nodes, &wirepb.NodeRules{Node: string(r.Node), Zone: string(r.Zone), Revision: r.Revision,
+			HeardAgoMs: r.HeardAgo.Milliseconds(), Heard: r.Heard})
+	}
+	for _, s := range n.health.Status() {
+		report := &wirepb.ReplicaReport{Replica: string(s.Replica.ID), Group: string(s.Replica.Group), Zone: string(s.Replica.Zone),
+			Generation: s.Replica.Generation, Whole: s.Whole, Reason: s.Reason, Running: int32(s.Load.Running), Waiting: int32(s.Load.Waiting)}
+		if !s.ConfirmedAt.IsZero() {
+			report.ConfirmedAgoMs = now.Sub(s.ConfirmedAt).Milliseconds()
+		}
+		resp.Replicas = append(resp.Replicas, report)
+	}
+	for _, t := range n.admission.Statuses() {
+		resp.Teams = append(resp.Teams, &wirepb.TeamReport{Team: string(t.Team), Running: int32(t.Running), Waiting: int32(t.Waiting),
+			Refused: n.gateway.Refused(t.Team)})
+	}
+	return resp, nil
+}
+
+// statusProbeTimeout bounds the status call's look at the store.
+const statusProbeTimeout = time.Second
+
+func (n *Node) storeReachable(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, statusProbeTimeout)
+	defer cancel()
+	_, err := n.store.Range(ctx, store.RulesKey, store.RangeOptions{Limit: 1, KeysOnly: true})
+	return err == nil
+}
+
+// Explain implements operator.Explainer.
+func (o operators) Explain(_ context.Context, req rules.Request) (*wirepb.ExplainResponse, error) {
+	set := o.n.rules.Current()
+	if set == nil {
+		return nil, fennelerr.New(fennelerr.NotReady, "no rules are known on this node yet")
+	}
+	resp := operator.ExplainRule(set, req)
+	rt := set.Match(req)
+	if rt == nil || rt.Group == "" {
+		return resp, nil
+	}
+	choice, ok := o.n.routing.Peek(routing.Request{Group: rt.Group, Prefer: rt.Prefer})
+	if !ok {
+		resp.Reason = strings.TrimSpace(resp.Reason + " no whole replica of " + string(rt.Group) + " is known here")
+		return resp, nil
+	}
+	resp.Replica = string(choice.Replica.ID)
+	resp.Reason = strings.TrimSpace(fmt.Sprintf("%s %s, of %d compared", resp.Reason, choice.Reason, choice.Considered))
+	return resp, nil
+}
+
+// Outages implements operator.OutageSource. Time that nobody vouches for comes as
+// intervals of their own, so that it cannot be read as up.
+func (o operators) Outages(ctx context.Context, from, to time.Time, zone cluster.ZoneID) ([]*wirepb.OutageInterval, error) {
+	var out []*wirepb.OutageInterval
+	for _, z := range o.zones(zone) {
+		windows, corrections, err := ledger.Load(ctx, o.n.store, z, from, to)
+		if err != nil {
+			return nil, err
+		}
+		report := ledger.Account(z, from, to, windows, corrections)
+		for i, s := range report.Unobserved {
+			out = append(out, &wirepb.OutageInterval{Id: fmt.Sprintf("unobserved/%s/%d", z, i), Zone: string(z), Measure: string(ledger.Unobserved),
+				FromUnixMs: s.From.UnixMilli(), ToUnixMs: s.To.UnixMilli(), Cause: "no-observer"})
+		}
+		for i := range report.Intervals {
+			out = append(out, outageInterval(z, &report.Intervals[i]))
+		}
+	}
+	return out, nil
+}
+
+// zones are the zones to report on: the one asked for, or all that are known.
+func (o operators) zones(asked cluster.ZoneID) []cluster.ZoneID {
+	if asked != "" {
+		return []cluster.ZoneID{asked}
+	}
+	zones := []cluster.ZoneID{o.n.set.Zone}
+	for _, vm := range o.n.vms.List().VMs {
+		if !slices.Contains(zones, vm.Zone) {
+			zones = append(zones, vm.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+func outageInterval(zone cluster.ZoneID, v *ledger.View) *wirepb.OutageInterval {
+	return &wirepb.OutageInterval{Id: v.ID, Zone: string(zone), Group: string(v.Group), Replica: string(v.Replica), Measure: string(v.Measure),
+		FromUnixMs: v.From.UnixMilli(), ToUnixMs: v.To.UnixMilli(), Cause: string(v.Cause), Observer: string(v.Observer),
+		Evidence: v.Evidence, Accelerators: int32(v.Accelerators), Corrects: v.Corrects}
+}
--- /dev/null
+++ b/internal/daemon/setup.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/admission"
+	"github.com/fennelcourse/fennelcourse/internal/claims"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/gateway"
+	"github.com/fennelcourse/fennelcourse/internal/grouping"
+	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/peer"
+	"github.com/fennelcourse/fennelcourse/internal/placement"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/rulestore"
+	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/store/etcdgw"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
+	"github.com/fennelcourse/fennelcourse/internal/vmlist"
+	"github.com/fennelcourse/fennelcourse/internal/wire"
+)
+
+const (
+	// watchersPerZone is how many nodes of a zone watch the store: two, so that
+	// one dying leaves no gap. The store counts each watch.
+	watchersPerZone = 2
+	// placementCandidates is how many nodes of a zone try for the placement lease.
+	placementCandidates = 2
+	readHeaderTimeout   = 10 * time.Second
+	idleTimeout         = 2 * time.Minute
+)
+
+func (n *Node) setupPlatform() error {
+	p := n.set.Platform
+	n.store = etcdgw.New(etcdgw.Options{Endpoints: p.Store, Timeout: p.Timeout})
+	n.vms = vmlist.NewWatcher(vmlist.Options{Fetcher: vmlist.NewClient(p.VMList, p.Timeout), Zone: n.set.Zone,
+		Interval: p.VMListEvery, OnChange: n.vmsChanged, Log: n.log})
+	return nil
+}
+
+func (n *Node) setupPeers() error {
+	keys, err := datagramKeys(n.set)
+	if err != nil {
+		return err
+	}
+	ring, err := wire.NewKeyring(keys...)
+	if err != nil {
+		return err
+	}
+	n.keyring = ring
+	if n.transport, err = wire.Listen(wire.Options{Addr: n.set.Listen.Datagrams, Keys: ring, Log: n.log}); err != nil {
+		return err
+	}
+	if n.control.socket, err = net.Listen("tcp", n.set.Listen.Control); err != nil {
+		return err
+	}
+	if !n.set.TLS.Off {
+		t := n.set.TLS
+		if n.tls, err = wire.NewTLSConfig(wire.TLSFiles{Cert: t.Cert, Key: t.Key, CA: t.CA}, n.log); err != nil {
+			return err
+		}
+	}
+	if n.peers, err = peer.NewClient(peer.ClientOptions{TLS: n.tls, Plain: n.set.TLS.Off}); err != nil {
+		return err
+	}
+	n.members = membership.New(membership.Options{
+		Node: n.set.Node, Zone: n.set.Zone, Incarnation: n.incarnation, Seeds: n.set.Peers.Seeds, PeerAddr: n.ControlAddr(),
+		Transport: n.transport, Interval: n.set.Peers.Heartbeat, Log: n.log,
+	})
+	n.rules = rulestore.New(rulestore.Options{Store: n.store, Peers: peerFetcher{n}, Log: n.log,
+		Watch: func() bool { return n.members.Duty("watch-rules", watchersPerZone) }})
+	return nil
+}
+
+func datagramKeys(set *settings.Settings) ([]wire.Key, error) {
+	keys := make([]wire.Key, len(set.Peers.Keys))
+	for i, k := range set.Peers.Keys {
+		secret, err := k.Bytes()
+		if err != nil {
+			return nil, err
+		}
+		keys[i] = wire.Key{ID: k.ID, Secret: secret}
+	}
+	return keys, nil
+}
+
+func (n *Node) setupReplicas() error {
+	zone := n.set.Zone
+	n.engines = engine.NewClient(n.set.Platform.Timeout)
+	n.prober = engine.NewProber(gateway.DefaultProbeTimeout)
+	n.table = grouping.NewTable(grouping.TableOptions{Zone: zone, Store: n.store, Log: n.log, Peers: peerFetcher{n},
+		Watches: func() bool { return n.members.Duty("watch-grouping", watchersPerZone) }})
+	bounds := health.DefaultBounds()
+	bounds.MaxAge = n.set.Control.ConfirmWithin
+	n.health = health.New(health.Options{Engines: n.engines, Log: n.log, Bounds: bounds,
+		Duty: func(id cluster.ReplicaID) bool { return n.members.Duty("poll/"+string(id), 1) }})
+	n.controller = grouping.NewController(grouping.Options{
+		Zone: zone, Node: n.set.Node, Store: n.store, VMs: n.vms, Rules: n.rules, Engines: n.engines, Policy: placement.Naive{},
+		Log: n.log, Wholeness: n.health, LeaseTTL: n.set.Control.PlacementLease,
+		Candidate:      func() bool { return n.members.Duty("place", placementCandidates) },
+		LoadsPerSecond: n.set.Control.LoadsPerMinute / time.Minute.Seconds(),
+	})
+	n.ledger = newLedgerDuty(n)
+	n.routing = routing.NewTable(routing.Options{Zone: zone, Seed: n.incarnation})
+	return nil
+}
+
+func (n *Node) setupRequests() error {
+	req := n.set.Requests
+	n.admission = admission.New(admission.Options{Self: admission.Node{ID: n.set.Node, Zone: n.set.Zone}, LimitOf: n.limitOf, MaxWait: req.Deadline})
+	n.claims = claims.New(claims.Options{Store: n.store, Node: n.set.Node, Incarnation: n.incarnation, Retention: req.ClaimRetention, Log: n.log})
+	n.suspects = suspect.New(suspect.Options{Node: n.set.Node, Log: n.log, Nudge: n.members.Nudge, Peers: n.livePeers})
+	n.pools = engine.NewPools(engine.PoolOptions{})
+	n.gateway = gateway.New(gateway.Options{
+		Node: n.set.Node, Rules: n.rules, Router: n.routing, Services: n.vms, Admitter: n.admission, Claimer: gateway.StoreClaimer{Manager: n.claims},
+		Quarantine: n.suspects, Pools: n.pools, Streamer: engine.NewStreamer(n.pools, 0), Prober: n.prober, Log: n.log,
+		OnReplicaFailed: func(r cluster.Replica, _ string) { n.health.Doubt(r.ID) },
+		NewID:           newRequestID,
+		MaxBody:         req.MaxBody, Deadline: req.Deadline, CallTimeout: req.CallTimeout,
+	})
+	return nil
+}
+
+func (n *Node) limitOf(team cluster.TeamID) rules.Limit {
+	if set := n.rules.Current(); set != nil {
+		return set.LimitOf(team)
+	}
+	return rules.Limit{Team: team, Share: rules.DefaultShare}
+}
+
+func (n *Node) setupListeners() error {
+	socket, err := net.Listen("tcp", n.set.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	n.callers.socket = socket
+	n.callers.server = newServer(n.callersHandler())
+	n.control.server = newServer(n.controlHandler())
+	if n.tls != nil {
+		n.control.server.TLSConfig = n.tls.Server(true)
+	}
+	return nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols}
+}
--- /dev/null
+++ b/internal/e2e/harness_test.go
@@ -0,0 +1,359 @@
+// Package e2e runs whole small systems of real processes on loopback addresses
+// and brings failures about in them.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+)
+
+// patience bounds every wait for an event; a healthy run stays far below it.
+const patience = 60 * time.Second
+
+// pollEvery is how often a condition is looked at that no log line announces.
+const pollEvery = 20 * time.Millisecond
+
+// bins is where TestMain puts the project's commands.
+var bins string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "fennel-e2e")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(dir)
+		bins = dir
+		out, err := exec.Command("go", "build", "-buildvcs=false", "-race", "-o", dir+"/", "../../cmd/...").CombinedOutput()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, string(out))
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// proc is one process that the test started.
+type proc struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	mu   sync.Mutex
+	log  []string
+	more chan struct{} // closed and renewed with each line
+	done chan struct{} // closed when the process has ended
+}
+
+func start(t *testing.T, name, bin string, args ...string) *proc {
+	t.Helper()
+	p := &proc{t: t, name: name, cmd: exec.Command(filepath.Join(bins, bin), args...), more: make(chan struct{}), done: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	require.NoError(t, err)
+	p.cmd.Stderr = p.cmd.Stdout
+	require.NoError(t, p.cmd.Start())
+	go p.read(out)
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if t.Failed() {
+			t.Logf("---- %s\n%s", name, p.tail(60))
+		}
+	})
+	return p
+}
+
+func (p *proc) read(out io.Reader) {
+	sc := bufio.NewScanner(out)
+	sc.Buffer(nil, 1<<20)
+	for sc.Scan() {
+		p.mu.Lock()
+		p.log = append(p.log, sc.Text())
+		close(p.more)
+		p.more = make(chan struct{})
+		p.mu.Unlock()
+	}
+	_ = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *proc) tail(n int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.log[max(0, len(p.log)-n):], "\n")
+}
+
+// await returns the first submatch of the first log line that matches.
+func (p *proc) await(pattern string) string {
+	p.t.Helper()
+	re := regexp.MustCompile(pattern)
+	deadline := time.After(patience)
+	for from := 0; ; {
+		p.mu.Lock()
+		lines, more := p.log[from:], p.more
+		from = len(p.log)
+		p.mu.Unlock()
+		for _, line := range lines {
+			if m := re.FindStringSubmatch(line); m != nil {
+				return m[len(m)-1]
+			}
+		}
+		select {
+		case <-more:
+		case <-p.done:
+			require.FailNow(p.t, p.name+" ended before its log said "+pattern)
+		case <-deadline:
+			require.FailNow(p.t, p.name+": the log never said "+pattern)
+		}
+	}
+}
+
+func (p *proc) signal(s syscall.Signal) { require.NoError(p.t, p.cmd.Process.Signal(s)) }
+
+func (p *proc) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// node is one fenneld.
+type node struct {
+	*proc
+	callers, control, datagrams string
+}
+
+// system is a platform, engines, services and nodes.
+type system struct {
+	t        *testing.T
+	dir      string
+	platform string
+	platProc *proc
+	vms      []cluster.VM
+	engines  map[cluster.VMID]*proc
+	nodes    []*node
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir(), engines: map[cluster.VMID]*proc{}}
+	s.platProc = start(t, "platform", "fennel-standin", "platform", "--listen", "127.0.0.1:0")
+	s.platform = "http://" + s.platProc.await(listening)
+	return s
+}
+
+// listening matches the address in the log of a stand-in.
+const listening = `addr=(\S+)`
+
+// engine starts one engine VM and returns its id; it is listed by publish.
+func (s *system) engine(zone cluster.ZoneID, domain cluster.DomainID, args ...string) cluster.VMID {
+	s.t.Helper()
+	id := cluster.VMID(fmt.Sprintf("%s-vm-%d", zone, len(s.vms)))
+	p := start(s.t, string(id), "fennel-standin", append([]string{"engine", "--vm", string(id), "--listen", "127.0.0.1:0", "--checks-fence"}, args...)...)
+	s.engines[id] = p
+	s.vms = append(s.vms, cluster.VM{ID: id, Zone: zone, Domain: domain, Addr: p.await(listening), State: cluster.VMLive})
+	return id
+}
+
+func (s *system) service(zone cluster.ZoneID, name cluster.Service) string {
+	s.t.Helper()
+	p := start(s.t, string(name), "fennel-standin", "service", "--listen", "127.0.0.1:0")
+	addr := p.await(listening)
+	s.vms = append(s.vms, cluster.VM{ID: cluster.VMID("svc-" + string(name)), Zone: zone, Addr: addr, Service: name, State: cluster.VMLive})
+	return addr
+}
+
+func (s *system) vm(id cluster.VMID) *cluster.VM {
+	for i := range s.vms {
+		if s.vms[i].ID == id {
+			return &s.vms[i]
+		}
+	}
+	require.FailNow(s.t, "no VM "+string(id))
+	return nil
+}
+
+// publish puts the VMs into the platform's VM list.
+func (s *system) publish() {
+	s.t.Helper()
+	s.put(s.platform+"/vms", s.vms)
+}
+
+func (s *system) put(url string, doc any) { s.send(http.MethodPut, url, doc) }
+
+func (s *system) send(method, url string, doc any) {
+	s.t.Helper()
+	body, err := json.Marshal(doc)
+	require.NoError(s.t, err)
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	require.NoError(s.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	require.Less(s.t, resp.StatusCode, 300, url)
+}
+
+const settingsText = `node: %s
+zone: %s
+listen: {callers: "127.0.0.1:0", control: "127.0.0.1:0", datagrams: "127.0.0.1:0"}
+platform: {store: ["%s"], vm_list: "%s", vm_list_every: 200ms}
+peers:
+  heartbeat: 200ms
+  seeds: [%s]
+  keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
+control: {placement_lease: 3s}
+tls: {off: true}
+drain: {notice: 100ms}
+%s
+`
+
+// startNode starts a fenneld that knows the nodes running now as seeds. platform
+// is where it looks for the platform; empty means the system's.
+func (s *system) startNode(name cluster.NodeID, zone cluster.ZoneID, platform, extra string) *node {
+	s.t.Helper()
+	if platform == "" {
+		platform = s.platform
+	}
+	var seeds []string
+	for _, n := range s.nodes {
+		seeds = append(seeds, fmt.Sprintf("%q", n.datagrams))
+	}
+	path := filepath.Join(s.dir, string(name)+".yaml")
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), extra)
+	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
+	n.callers = n.await(`msg=serving.* callers=(\S+)`)
+	n.control = n.await(`msg=serving.* control=(\S+)`)
+	n.datagrams = n.await(`msg=serving.* datagrams=(\S+)`)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// ctl runs fennelctl against the nodes and returns its output and exit code.
+func (s *system) ctl(args ...string) (string, int) {
+	s.t.Helper()
+	var servers []string
+	for _, n := range s.nodes {
+		servers = append(servers, "http://"+n.control)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, filepath.Join(bins, "fennelctl"), append([]string{"--server", strings.Join(servers, ",")}, args...)...)
+	out, err := cmd.CombinedOutput()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		require.NoError(s.t, err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// apply has a rules text accepted and in force everywhere.
+func (s *system) apply(text string) {
+	s.t.Helper()
+	path := filepath.Join(s.dir, "rules")
+	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	out, code := s.ctl("rules", "apply", "--author", "e2e", "--wait", path)
+	require.Zero(s.t, code, out)
+}
+
+const (
+	token = "example-token-school-a"
+	// fitRules forms replicas of two VMs within one fabric domain.
+	fitRules = `
+team    name=school-a token=sha256:c62eee5b624ffb8b269b63845683ca2cfc685b1918dafaed73079844c5cecc0a # asked for by: Ana
+service name=caixa                                                # asked for by: Ana
+group   name=fit model=assistente-fit vms=2 domain=same           # asked for by: Ana
+route   path=/v1/* model=assistente-fit to=fit                    # asked for by: Ana
+route   path=/deposits/* to=caixa once=required                   # asked for by: Ana
+`
+)
+
+// reply is what a caller saw; err is how reading the body ended.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request to a node; event, if not nil, runs after the first byte of the answer.
+func (s *system) call(n *node, method, path, body string, event func(), headers ...string) reply {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	rd := bufio.NewReader(resp.Body)
+	if event != nil {
+		_, err := rd.Peek(1)
+		require.NoError(s.t, err)
+		event()
+	}
+	text, err := io.ReadAll(rd)
+	return reply{resp.StatusCode, resp.Header, string(text), err}
+}
+
+// chatBody asks for an answer of that many tokens.
+func chatBody(tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"assistente-fit","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"cold toes"}]}`, stream, tokens)
+}
+
+// streamText is the text of a stream and whether it ended whole.
+func streamText(body string) (string, bool) {
+	var text strings.Builder
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == engine.DoneMarker {
+			return text.String(), true
+		}
+		var c struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return text.String(), false
+}
+
+// awaitServing waits until the node answers chats.
+func (s *system) awaitServing(n *node) {
+	s.t.Helper()
+	var last reply
+	require.Eventually(s.t, func() bool {
+		last = s.call(n, http.MethodPost, engine.ChatPath, chatBody(1, false), nil)
+		return last.status == http.StatusOK
+	}, patience, pollEvery, "%s never answered: %+v", n.name, &last)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -100,6 +101,24 @@
 	opts Options
 	// background counts cancels and claim records still on their way.
 	background sync.WaitGroup
+	// refused counts refusals by team since the start: *atomic.Int64 by cluster.TeamID.
+	refused sync.Map
+}
+
+func (g *Gateway) noteRefused(c caller) {
+	if c.team == nil {
+		return
+	}
+	count, _ := g.refused.LoadOrStore(c.team.Name, new(atomic.Int64))
+	count.(*atomic.Int64).Add(1)
+}
+
+// Refused returns how many requests of the team were refused since the start.
+func (g *Gateway) Refused(team cluster.TeamID) int64 {
+	if count, ok := g.refused.Load(team); ok {
+		return count.(*atomic.Int64).Load()
+	}
+	return 0
 }
 
 // Wait returns when nothing that the gateway started in the background runs any more.
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -87,6 +87,7 @@
 	w.WriteHeader(e.Code.HTTPStatus())
 	_, _ = w.Write(errorDocument(e, c.id)) // the caller may be gone: nothing left to tell
 	countRefusal(e)
+	g.noteRefused(c)
 	g.opts.Log.Info("refuse", "request", c.id, "team", c.teamName(), "path", r.URL.Path,
 		"code", e.Code, "run", e.Run, "retry_after", e.RetryAfter, "err", e.Error())
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,7 +51,7 @@
 type Platform struct {
 	// Store lists the base URLs of the key-value service's etcd v3 JSON gateway.
 	Store []string `yaml:"store"`
-	// VMList is the URL of the VM list.
+	// VMList is the base URL of the VM list.
 	VMList string `yaml:"vm_list"`
 	// Timeout of one call; default 2s.
 	Timeout time.Duration `yaml:"timeout"`
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -95,7 +95,7 @@
 		cancel()
 		<-done
 		require.Equal(t, []cluster.VMID{"new", "newer"}, changes)
-		require.Equal(t, time.Unix(12, 0), w.Current().AsOf)
+		require.Equal(t, time.Unix(12, 0), w.List().AsOf)
 		age, known := w.Age(time.Unix(15, 0))
 		require.True(t, known)
 		require.Equal(t, 3*time.Second, age)
--- a/internal/vmlist/watcher.go
+++ b/internal/vmlist/watcher.go
@@ -63,7 +63,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil && !failing:
-			w.opts.Log.Warn("vm list unavailable", "as_of", w.Current().AsOf, "error", err)
+			w.opts.Log.Warn("vm list unavailable", "as_of", w.List().AsOf, "error", err)
 		case err == nil && failing:
 			w.opts.Log.Info("vm list available again", "as_of", list.AsOf)
 		}
@@ -103,9 +103,9 @@
 	return true, changed
 }
 
-// Current returns the newest list; its AsOf is zero before the first one. The
+// List returns the newest list; its AsOf is zero before the first one. The
 // VMs must not be changed.
-func (w *Watcher) Current() cluster.VMList {
+func (w *Watcher) List() cluster.VMList {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.list
@@ -114,7 +114,7 @@
 // Age is how long ago the platform believed the list, by this node's clock; ok
 // is false before the first list.
 func (w *Watcher) Age(now time.Time) (age time.Duration, ok bool) {
-	asOf := w.Current().AsOf
+	asOf := w.List().AsOf
 	if asOf.IsZero() {
 		return 0, false
 	}
@@ -125,7 +125,7 @@
 // leaving, those of the node's own zone first, else in the list's order.
 func (w *Watcher) ServiceAddrs(name cluster.Service) []string {
 	var own, other []string
-	for _, vm := range w.Current().VMs {
+	for _, vm := range w.List().VMs {
 		switch {
 		case name == "" || vm.Service != name || vm.State != cluster.VMLive:
 		case vm.Zone == w.opts.Zone:
