capacity: benchmarks of the slopes that had none

Cause: docs/CAPACITY.md must be worked out from measured slopes; the bytes of a health poll, of a table fetch and of the VM list, and the store calls and idle costs of real nodes had none. Added as benchmarks, bounded by count. Bytes are counted at the sockets, without TCP/IP headers. No code of the daemon changed.

--- /dev/null
+++ b/internal/capacity/bench_test.go
@@ -0,0 +1,237 @@
+package capacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/peer"
+	"github.com/fennelcourse/fennelcourse/internal/vmlist"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+)
+
+// countingListener counts the bytes that its connections carry, both ways,
+// without the headers of TCP and IP.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{Conn: conn, bytes: &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// serve runs the handler on a loopback address and counts its bytes.
+func serve(b *testing.B, h http.Handler) (addr string, l *countingListener) {
+	b.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	l = &countingListener{Listener: socket}
+	srv := &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+	srv.Start()
+	b.Cleanup(srv.Close)
+	return socket.Addr().String(), l
+}
+
+func vmID(replica, rank int) cluster.VMID {
+	return cluster.VMID(fmt.Sprintf("praha-a-vm-%04d-%02d", replica, rank))
+}
+
+// replicas returns the committed replicas of one zone.
+func replicas(count, vms int) []cluster.Replica {
+	out := make([]cluster.Replica, count)
+	for i := range out {
+		out[i] = cluster.Replica{ID: cluster.ReplicaID(fmt.Sprintf("poradce-%04d", i)), Group: "poradce", Model: "poradce",
+			Zone: "praha-a", Generation: 100000 + int64(i), Fence: 99000, Serving: vmID(i, 0)}
+		for rank := range vms {
+			out[i].Members = append(out[i].Members, vmID(i, rank))
+		}
+	}
+	return out
+}
+
+// state is what the serving VM of a whole replica answers.
+func state(r cluster.Replica) engine.State {
+	s := engine.State{VM: r.Serving, Boot: "0123456789abcdef", Loaded: true, Fence: r.Fence, ChecksFence: true, MaxGapMs: 1000,
+		Load: engine.Load{AsOf: time.Now(), Running: 7, KVUsed: 0.41, TokensPerSecond: 164.4, MaxRunning: 8},
+		Assignment: engine.Assignment{Replica: r.ID, Generation: r.Generation, Members: r.Members, Serving: r.Serving,
+			Role: engine.RoleServing, Model: r.Model, Addrs: map[cluster.VMID]string{}}}
+	for i, vm := range r.Members {
+		s.Assignment.Addrs[vm] = fmt.Sprintf("10.20.%d.17:7100", i)
+		s.Members = append(s.Members, engine.MemberDigest{VM: vm, Replica: r.ID, Generation: r.Generation, SeenAgoMs: 85})
+	}
+	return s
+}
+
+// BenchmarkHealthPoll is one poll of a replica's serving VM over a kept
+// connection: bytes both ways without TCP/IP headers, and both ends' time.
+func BenchmarkHealthPoll(b *testing.B) {
+	for _, vms := range []int{2, 4, 32} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			answer := state(replicas(1, vms)[0])
+			addr, l := serve(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_ = json.NewEncoder(w).Encode(answer)
+			}))
+			client := engine.NewClient(0)
+			defer client.Close()
+			for b.Loop() {
+				_, err := client.State(context.Background(), addr)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-bytes/poll")
+		})
+	}
+}
+
+// BenchmarkHealthMemory is the heap of the health check for one zone's replicas.
+func BenchmarkHealthMemory(b *testing.B) {
+	const count = 265
+	for _, vms := range []int{4, 32} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			for b.Loop() {
+				used := heapOf(func() any {
+					c := health.New(health.Options{Log: slog.New(slog.DiscardHandler)})
+					c.SetGrouping(cluster.Grouping{Zone: "praha-a", Revision: 1, Replicas: replicas(count, vms)})
+					return c
+				})
+				b.ReportMetric(used/count, "heap-bytes/replica")
+			}
+		})
+	}
+}
+
+// BenchmarkGroupingMemory is the heap of a zone's committed table.
+func BenchmarkGroupingMemory(b *testing.B) {
+	const count = 265
+	for _, vms := range []int{4, 32} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			for b.Loop() {
+				used := heapOf(func() any { return replicas(count, vms) })
+				b.ReportMetric(used/count, "heap-bytes/replica")
+				value, err := json.Marshal(replicas(count, vms)[count-1])
+				require.NoError(b, err)
+				b.ReportMetric(float64(len(value)), "stored-bytes/replica")
+			}
+		})
+	}
+}
+
+// heapOf is the heap that the result of make keeps, in bytes.
+func heapOf(make func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// groupingSource answers with one table.
+type groupingSource struct{ doc []byte }
+
+func (s groupingSource) FetchRules(context.Context, int64) (*wirepb.FetchRulesResponse, error) {
+	return &wirepb.FetchRulesResponse{}, nil
+}
+
+func (s groupingSource) FetchGrouping(context.Context, cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+	return &wirepb.FetchGroupingResponse{Zone: "praha-a", Revision: 5, GroupingJson: s.doc}, nil
+}
+
+// BenchmarkGroupingFetch is one fetch of a zone's table from a peer by connect-go:
+// bytes both ways without TLS, TCP and IP.
+func BenchmarkGroupingFetch(b *testing.B) {
+	for _, size := range []struct{ replicas, vms int }{{17, 4}, {8, 32}, {265, 32}} {
+		b.Run(fmt.Sprintf("replicas=%d/vms=%d", size.replicas, size.vms), func(b *testing.B) {
+			doc, err := json.Marshal(cluster.Grouping{Zone: "praha-a", Revision: 5, Replicas: replicas(size.replicas, size.vms)})
+			require.NoError(b, err)
+			mux := http.NewServeMux()
+			mux.Handle(peer.NewHandler(groupingSource{doc}, groupingSource{doc}))
+			addr, l := serve(b, mux)
+			client, err := peer.NewClient(peer.ClientOptions{Plain: true})
+			require.NoError(b, err)
+			defer client.Close()
+			for b.Loop() {
+				resp, err := client.FetchGrouping(context.Background(), addr, "praha-a")
+				require.NoError(b, err)
+				require.Len(b, resp.GroupingJson, len(doc))
+			}
+			b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-bytes/fetch")
+		})
+	}
+}
+
+// BenchmarkVMList is one read of the platform's VM list and its comparison with
+// the list before, as a node does it every 5 s.
+func BenchmarkVMList(b *testing.B) {
+	for _, count := range []int{212, 4500, 144000} {
+		b.Run(fmt.Sprintf("vms=%d", count), func(b *testing.B) {
+			vms := make([]cluster.VM, count)
+			for i := range vms {
+				vms[i] = cluster.VM{ID: vmID(i/32, i%32), Zone: "praha-a", Domain: cluster.DomainID(fmt.Sprintf("rack-%d", i/32)),
+					Addr: fmt.Sprintf("10.%d.%d.%d:7100", 20+i>>16, i>>8&0xff, i&0xff), State: cluster.VMLive}
+			}
+			doc, err := json.Marshal(vms)
+			require.NoError(b, err)
+			addr, l := serve(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				as, _ := json.Marshal(time.Now())
+				_, _ = fmt.Fprintf(w, `{"as_of":%s,"vms":%s}`, as, doc)
+			}))
+			client := vmlist.NewClient("http://"+addr, time.Minute)
+			w := vmlist.NewWatcher(vmlist.Options{Fetcher: client, Zone: "praha-a"})
+			first, err := client.Fetch(context.Background())
+			require.NoError(b, err)
+			w.Offer(first)
+			l.bytes.Store(0)
+			before := processorTime(b)
+			for b.Loop() {
+				list, err := client.Fetch(context.Background())
+				require.NoError(b, err)
+				require.True(b, w.Offer(list))
+			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N)/1e6, "cpu-ms/read")
+			b.ReportMetric(float64(l.bytes.Load())/float64(b.N*count), "wire-bytes/vm")
+			used := heapOf(func() any {
+				list, err := client.Fetch(context.Background())
+				require.NoError(b, err)
+				return list
+			})
+			b.ReportMetric(used/float64(count), "heap-bytes/vm")
+		})
+	}
+}
--- /dev/null
+++ b/internal/capacity/cputime_test.go
@@ -0,0 +1,17 @@
+package capacity_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// processorTime is what this process has used so far, in all its threads.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/capacity/nodes_test.go
@@ -0,0 +1,216 @@
+package capacity_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
+	"github.com/fennelcourse/fennelcourse/internal/standin/platform"
+)
+
+const (
+	// observeFor is how long an idle system is watched.
+	observeFor = 30 * time.Second
+	patience   = time.Minute
+	// zoneReplicas of two VMs each are in every zone.
+	zoneReplicas = 2
+)
+
+// BenchmarkNodes watches idle systems of real nodes with default intervals and
+// reports, a second: the store calls a zone, and for each node its datagram
+// bytes sent, the bytes between it and the platform without TCP/IP headers, its
+// health polls, processor time in milliseconds, and its memory in MB.
+func BenchmarkNodes(b *testing.B) {
+	bins := build(b)
+	for _, size := range []struct{ zones, nodes int }{{1, 2}, {1, 4}, {1, 8}, {2, 4}} {
+		b.Run(fmt.Sprintf("zones=%d/nodes-a-zone=%d", size.zones, size.nodes), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(b, bins, size.zones, size.nodes)
+				f.settle()
+				f.observe(size.zones)
+			}
+		})
+	}
+}
+
+func build(b *testing.B) string {
+	b.Helper()
+	dir := b.TempDir()
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", dir+"/", "../../cmd/...").CombinedOutput()
+	require.NoError(b, err, string(out))
+	return dir
+}
+
+// fleet is a platform with engines in this process, and nodes as processes.
+type fleet struct {
+	b        *testing.B
+	bins     string
+	plat     *platform.Server
+	platAddr string
+	platIO   *countingListener
+	controls []string
+}
+
+func newFleet(b *testing.B, bins string, zones, nodes int) *fleet {
+	b.Helper()
+	f := &fleet{b: b, bins: bins, plat: platform.New(platform.Options{})}
+	f.platAddr, f.platIO = serve(b, f.plat.Handler())
+	var vms []cluster.VM
+	for z := range zones {
+		for i := range 2 * zoneReplicas {
+			vms = append(vms, f.engine(cluster.ZoneID(fmt.Sprintf("zone-%d", z)), i))
+		}
+	}
+	f.plat.SetVMs(vms)
+	var seeds []string
+	for z := range zones {
+		for i := range nodes {
+			control, datagrams := f.node(z, i, seeds)
+			f.controls = append(f.controls, control)
+			seeds = append(seeds[:min(len(seeds), 2)], strconv.Quote(datagrams))
+		}
+	}
+	return f
+}
+
+func (f *fleet) engine(zone cluster.ZoneID, i int) cluster.VM {
+	f.b.Helper()
+	id := cluster.VMID(fmt.Sprintf("%s-vm-%d", zone, i))
+	e := standinengine.New(standinengine.Options{VM: id, ChecksFence: true})
+	f.b.Cleanup(e.Close)
+	addr, _ := serve(f.b, e.Handler())
+	return cluster.VM{ID: id, Zone: zone, Domain: cluster.DomainID(fmt.Sprintf("%s-rack-%d", zone, i/2)), Addr: addr, State: cluster.VMLive}
+}
+
+const nodeSettings = `node: %[1]s
+zone: zone-%[2]d
+listen: {callers: "127.0.0.1:0", control: "127.0.0.1:0", datagrams: "127.0.0.1:0"}
+platform: {store: ["http://%[3]s"], vm_list: "http://%[3]s"}
+peers: {seeds: [%[4]s], keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]}
+tls: {off: true}
+`
+
+// node starts one fenneld and returns its addresses.
+func (f *fleet) node(zone, i int, seeds []string) (control, datagrams string) {
+	f.b.Helper()
+	name := fmt.Sprintf("zone-%d-node-%d", zone, i)
+	path := filepath.Join(f.b.TempDir(), name+".yaml")
+	text := fmt.Sprintf(nodeSettings, name, zone, f.platAddr, strings.Join(seeds, ", "))
+	require.NoError(f.b, os.WriteFile(path, []byte(text), 0o600))
+	cmd := exec.Command(filepath.Join(f.bins, "fenneld"), "--settings", path)
+	out, err := cmd.StderrPipe()
+	require.NoError(f.b, err)
+	cmd.Stdout = cmd.Stderr
+	require.NoError(f.b, cmd.Start())
+	var reading sync.WaitGroup
+	f.b.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		reading.Wait()
+		_ = cmd.Wait()
+	})
+	lines := bufio.NewScanner(out)
+	serving := regexp.MustCompile(`msg=serving.* control=(\S+) datagrams=(\S+)`)
+	for lines.Scan() {
+		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
+			reading.Go(func() { _, _ = io.Copy(io.Discard, out) })
+			return m[1], m[2]
+		}
+	}
+	require.FailNow(f.b, "node never served")
+	return "", ""
+}
+
+const nodeRules = `
+team  name=escola-a token=sha256:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08 # asked for by: Ana
+group name=assistente-fit model=assistente-fit vms=2 domain=same # asked for by: Ana
+route path=/v1/* model=assistente-fit to=assistente-fit # asked for by: Ana
+`
+
+// settle has rules accepted and waits until every node knows its zone's replicas as whole.
+func (f *fleet) settle() {
+	f.b.Helper()
+	path := filepath.Join(f.b.TempDir(), "rules")
+	require.NoError(f.b, os.WriteFile(path, []byte(nodeRules), 0o600))
+	require.Eventually(f.b, func() bool {
+		cmd := exec.Command(filepath.Join(f.bins, "fennelctl"), "--server", "http://"+f.controls[0], "rules", "apply", "--author", "bench", "--wait", path)
+		return cmd.Run() == nil
+	}, patience, time.Second)
+	for _, control := range f.controls {
+		require.Eventually(f.b, func() bool {
+			m := f.metrics(control)
+			return m["fennel_health_whole_total"]-m["fennel_health_not_whole_total"] >= zoneReplicas
+		}, patience, 100*time.Millisecond)
+	}
+}
+
+func (f *fleet) metrics(control string) map[string]float64 {
+	f.b.Helper()
+	resp, err := http.Get("http://" + control + "/metrics")
+	require.NoError(f.b, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(f.b, err)
+	out := map[string]float64{}
+	for line := range bytes.Lines(text) {
+		name, value, _ := strings.Cut(strings.TrimSpace(string(line)), " ")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// sample is the sums over all nodes.
+type sample struct {
+	calls                           map[string]int64
+	sent, platform, polls, cpu, mem float64
+}
+
+func (f *fleet) sample() sample {
+	s := sample{calls: f.plat.Calls(), platform: float64(f.platIO.bytes.Load())}
+	for _, control := range f.controls {
+		m := f.metrics(control)
+		s.sent += m["fennel_wire_sent_bytes_total"]
+		s.polls += m["fennel_health_polls_total"]
+		s.cpu += m["process_cpu_seconds_total"]
+		s.mem += m["process_resident_memory_bytes"]
+	}
+	return s
+}
+
+func (f *fleet) observe(zones int) {
+	before := f.sample()
+	time.Sleep(observeFor)
+	after := f.sample()
+	calls := 0.0
+	for kind, n := range after.calls {
+		if kind != platform.KindVMs {
+			calls += float64(n - before.calls[kind])
+		}
+		f.b.Logf("%s: %.2f a second", kind, float64(n-before.calls[kind])/observeFor.Seconds())
+	}
+	seconds, nodes := observeFor.Seconds(), float64(len(f.controls))
+	f.b.ReportMetric(calls/seconds/float64(zones), "store-calls/zone/s")
+	f.b.ReportMetric(float64(after.calls[platform.KindVMs]-before.calls[platform.KindVMs])/seconds/nodes, "vm-list-reads/node/s")
+	f.b.ReportMetric((after.sent-before.sent)/seconds/nodes, "datagram-bytes/node/s")
+	f.b.ReportMetric((after.platform-before.platform)/seconds/nodes, "platform-bytes/node/s")
+	f.b.ReportMetric((after.polls-before.polls)/seconds/nodes, "polls/node/s")
+	f.b.ReportMetric((after.cpu-before.cpu)/seconds/nodes*1e3, "cpu-ms/node/s")
+	f.b.ReportMetric(after.mem/nodes/1e6, "MB/node")
+	f.b.ReportMetric(0, "ns/op")
+}
