--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/peer"
 	"github.com/fennelcourse/fennelcourse/internal/vmlist"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
@@ -235,3 +237,38 @@
 		})
 	}
 }
+
+// BenchmarkOrder is one order of a whole assignment to an engine: bytes both ways
+// without TCP/IP headers.
+func BenchmarkOrder(b *testing.B) {
+	for _, vms := range []int{4, 32} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			answer := engine.OrderResult{Accepted: true, State: state(replicas(1, vms)[0])}
+			order := engine.Order{ID: "praha-a-99000-order-17", Kind: engine.OrderAssign, VM: answer.State.VM, Fence: 99000, Assignment: answer.State.Assignment}
+			answer.State.Members = nil // a worker's answer
+			addr, l := serve(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Content-Type", "application/json")
+				_ = json.NewEncoder(w).Encode(answer)
+			}))
+			client := engine.NewClient(0)
+			defer client.Close()
+			for b.Loop() {
+				_, err := client.Order(context.Background(), addr, order)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-bytes/order")
+		})
+	}
+}
+
+// BenchmarkReplicaStatus is the size of what a heartbeat says of one replica.
+func BenchmarkReplicaStatus(b *testing.B) {
+	s := &wirepb.ReplicaStatus{Replica: "poradce-praha-a-0104", Generation: 100104, ConfirmedAgoMs: 1250, Running: 7, KvUsed: 0.41,
+		Outstanding: 3, LoadAgoMs: 1350, MaxRunning: 8}
+	section := membership.Section{Replicas: []*wirepb.ReplicaStatus{s}}
+	for b.Loop() {
+		_ = membership.SectionSize(section)
+	}
+	b.ReportMetric(float64(membership.SectionSize(section)), "bytes/status")
+}
--- a/internal/capacity/nodes_test.go
+++ b/internal/capacity/nodes_test.go
@@ -40,7 +40,7 @@
 	for _, size := range []struct{ zones, nodes int }{{1, 2}, {1, 4}, {1, 8}, {2, 4}} {
 		b.Run(fmt.Sprintf("zones=%d/nodes-a-zone=%d", size.zones, size.nodes), func(b *testing.B) {
 			for b.Loop() {
-				f := newFleet(b, bins, size.zones, size.nodes)
+				f := newFleet(b, bins, size.zones, size.nodes, time.Millisecond)
 				f.settle()
 				f.observe(size.zones)
 			}
@@ -60,15 +60,17 @@
 type fleet struct {
 	b        *testing.B
 	bins     string
+	tokens   time.Duration // between two tokens of one stream
 	plat     *platform.Server
 	platAddr string
 	platIO   *countingListener
 	controls []string
+	callers  []string
 }
 
-func newFleet(b *testing.B, bins string, zones, nodes int) *fleet {
+func newFleet(b *testing.B, bins string, zones, nodes int, tokens time.Duration) *fleet {
 	b.Helper()
-	f := &fleet{b: b, bins: bins, plat: platform.New(platform.Options{})}
+	f := &fleet{b: b, bins: bins, tokens: tokens, plat: platform.New(platform.Options{})}
 	f.platAddr, f.platIO = serve(b, f.plat.Handler())
 	var vms []cluster.VM
 	for z := range zones {
@@ -80,8 +82,7 @@
 	var seeds []string
 	for z := range zones {
 		for i := range nodes {
-			control, datagrams := f.node(z, i, seeds)
-			f.controls = append(f.controls, control)
+			datagrams := f.node(z, i, seeds)
 			seeds = append(seeds[:min(len(seeds), 2)], strconv.Quote(datagrams))
 		}
 	}
@@ -91,7 +92,7 @@
 func (f *fleet) engine(zone cluster.ZoneID, i int) cluster.VM {
 	f.b.Helper()
 	id := cluster.VMID(fmt.Sprintf("%s-vm-%d", zone, i))
-	e := standinengine.New(standinengine.Options{VM: id, ChecksFence: true})
+	e := standinengine.New(standinengine.Options{VM: id, ChecksFence: true, MaxRunning: 1024, TokenInterval: f.tokens})
 	f.b.Cleanup(e.Close)
 	addr, _ := serve(f.b, e.Handler())
 	return cluster.VM{ID: id, Zone: zone, Domain: cluster.DomainID(fmt.Sprintf("%s-rack-%d", zone, i/2)), Addr: addr, State: cluster.VMLive}
@@ -105,8 +106,8 @@
 tls: {off: true}
 `
 
-// node starts one fenneld and returns its addresses.
-func (f *fleet) node(zone, i int, seeds []string) (control, datagrams string) {
+// node starts one fenneld and returns its address for datagrams.
+func (f *fleet) node(zone, i int, seeds []string) (datagrams string) {
 	f.b.Helper()
 	name := fmt.Sprintf("zone-%d-node-%d", zone, i)
 	path := filepath.Join(f.b.TempDir(), name+".yaml")
@@ -124,15 +125,17 @@
 		_ = cmd.Wait()
 	})
 	lines := bufio.NewScanner(out)
-	serving := regexp.MustCompile(`msg=serving.* control=(\S+) datagrams=(\S+)`)
+	serving := regexp.MustCompile(`msg=serving.* callers=(\S+) control=(\S+) datagrams=(\S+)`)
 	for lines.Scan() {
 		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
 			reading.Go(func() { _, _ = io.Copy(io.Discard, out) })
-			return m[1], m[2]
+			f.callers = append(f.callers, m[1])
+			f.controls = append(f.controls, m[2])
+			return m[3]
 		}
 	}
 	require.FailNow(f.b, "node never served")
-	return "", ""
+	return ""
 }
 
 const nodeRules = `
