--- a/internal/capacity/nodes_test.go
+++ b/internal/capacity/nodes_test.go
@@ -27,22 +27,40 @@
 	// observeFor is how long an idle system is watched.
 	observeFor = 30 * time.Second
 	patience   = time.Minute
-	// zoneReplicas of two VMs each are in every zone.
-	zoneReplicas = 2
 )
 
+// shape is the size of a small real system.
+type shape struct {
+	zones, nodes  int // nodes of each zone
+	replicas, vms int // replicas of each zone, VMs of each replica
+	// tokens is the time between two tokens of one stream.
+	tokens time.Duration
+}
+
+// String names a shape as a sub-benchmark.
+func (s shape) String() string {
+	return fmt.Sprintf("zones=%d/nodes=%d/replicas=%d/vms=%d", s.zones, s.nodes, s.replicas, s.vms)
+}
+
 // BenchmarkNodes watches idle systems of real nodes with default intervals and
 // reports, a second: the store calls a zone, and for each node its datagram
-// bytes sent, the bytes between it and the platform without TCP/IP headers, its
-// health polls, processor time in milliseconds, and its memory in MB.
+// bytes sent, the bytes between it and the platform and all that it read and wrote
+// other than datagrams (each without TCP/IP headers), its health polls, processor
+// time in milliseconds, and its memory in MB.
 func BenchmarkNodes(b *testing.B) {
 	bins := build(b)
-	for _, size := range []struct{ zones, nodes int }{{1, 2}, {1, 4}, {1, 8}, {2, 4}} {
-		b.Run(fmt.Sprintf("zones=%d/nodes-a-zone=%d", size.zones, size.nodes), func(b *testing.B) {
+	for _, s := range []shape{
+		{zones: 1, nodes: 2, replicas: 2, vms: 2},
+		{zones: 1, nodes: 4, replicas: 2, vms: 2},
+		{zones: 1, nodes: 8, replicas: 2, vms: 2},
+		{zones: 2, nodes: 4, replicas: 2, vms: 2},
+		{zones: 1, nodes: 4, replicas: 17, vms: 4},
+	} {
+		b.Run(s.String(), func(b *testing.B) {
 			for b.Loop() {
-				f := newFleet(b, bins, size.zones, size.nodes, time.Millisecond)
+				f := newFleet(b, bins, s)
 				f.settle()
-				f.observe(size.zones)
+				f.observe()
 			}
 		})
 	}
@@ -60,7 +78,7 @@
 type fleet struct {
 	b        *testing.B
 	bins     string
-	tokens   time.Duration // between two tokens of one stream
+	shape    shape
 	plat     *platform.Server
 	platAddr string
 	platIO   *countingListener
@@ -68,20 +86,20 @@
 	callers  []string
 }
 
-func newFleet(b *testing.B, bins string, zones, nodes int, tokens time.Duration) *fleet {
+func newFleet(b *testing.B, bins string, s shape) *fleet {
 	b.Helper()
-	f := &fleet{b: b, bins: bins, tokens: tokens, plat: platform.New(platform.Options{})}
+	f := &fleet{b: b, bins: bins, shape: s, plat: platform.New(platform.Options{})}
 	f.platAddr, f.platIO = serve(b, f.plat.Handler())
 	var vms []cluster.VM
-	for z := range zones {
-		for i := range 2 * zoneReplicas {
+	for z := range s.zones {
+		for i := range s.replicas * s.vms {
 			vms = append(vms, f.engine(cluster.ZoneID(fmt.Sprintf("zone-%d", z)), i))
 		}
 	}
 	f.plat.SetVMs(vms)
 	var seeds []string
-	for z := range zones {
-		for i := range nodes {
+	for z := range s.zones {
+		for i := range s.nodes {
 			datagrams := f.node(z, i, seeds)
 			seeds = append(seeds[:min(len(seeds), 2)], strconv.Quote(datagrams))
 		}
@@ -92,10 +110,10 @@
 func (f *fleet) engine(zone cluster.ZoneID, i int) cluster.VM {
 	f.b.Helper()
 	id := cluster.VMID(fmt.Sprintf("%s-vm-%d", zone, i))
-	e := standinengine.New(standinengine.Options{VM: id, ChecksFence: true, MaxRunning: 1024, TokenInterval: f.tokens})
+	e := standinengine.New(standinengine.Options{VM: id, ChecksFence: true, MaxRunning: 1024, TokenInterval: f.shape.tokens})
 	f.b.Cleanup(e.Close)
 	addr, _ := serve(f.b, e.Handler())
-	return cluster.VM{ID: id, Zone: zone, Domain: cluster.DomainID(fmt.Sprintf("%s-rack-%d", zone, i/2)), Addr: addr, State: cluster.VMLive}
+	return cluster.VM{ID: id, Zone: zone, Domain: cluster.DomainID(fmt.Sprintf("%s-rack-%d", zone, i/f.shape.vms)), Addr: addr, State: cluster.VMLive}
 }
 
 const nodeSettings = `node: %[1]s
@@ -140,7 +158,7 @@
 
 const nodeRules = `
 team  name=escola-a token=sha256:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08 # asked for by: Ana
-group name=assistente-fit model=assistente-fit vms=2 domain=same # asked for by: Ana
+group name=assistente-fit model=assistente-fit vms=%d domain=same # asked for by: Ana
 route path=/v1/* model=assistente-fit to=assistente-fit # asked for by: Ana
 `
 
@@ -148,7 +166,7 @@
 func (f *fleet) settle() {
 	f.b.Helper()
 	path := filepath.Join(f.b.TempDir(), "rules")
-	require.NoError(f.b, os.WriteFile(path, []byte(nodeRules), 0o600))
+	require.NoError(f.b, os.WriteFile(path, fmt.Appendf(nil, nodeRules, f.shape.vms), 0o600))
 	require.Eventually(f.b, func() bool {
 		cmd := exec.Command(filepath.Join(f.bins, "fennelctl"), "--server", "http://"+f.controls[0], "rules", "apply", "--author", "bench", "--wait", path)
 		return cmd.Run() == nil
@@ -156,7 +174,7 @@
 	for _, control := range f.controls {
 		require.Eventually(f.b, func() bool {
 			m := f.metrics(control)
-			return m["fennel_health_whole_total"]-m["fennel_health_not_whole_total"] >= zoneReplicas
+			return m["fennel_health_whole_total"]-m["fennel_health_not_whole_total"] >= float64(f.shape.replicas)
 		}, patience, 100*time.Millisecond)
 	}
 }
@@ -180,8 +198,8 @@
 
 // sample is the sums over all nodes.
 type sample struct {
-	calls                           map[string]int64
-	sent, platform, polls, cpu, mem float64
+	calls                               map[string]int64
+	sent, platform, io, polls, cpu, mem float64
 }
 
 func (f *fleet) sample() sample {
@@ -189,6 +207,7 @@
 	for _, control := range f.controls {
 		m := f.metrics(control)
 		s.sent += m["fennel_wire_sent_bytes_total"]
+		s.io += m["process_io_read_bytes_total"] + m["process_io_written_bytes_total"]
 		s.polls += m["fennel_health_polls_total"]
 		s.cpu += m["process_cpu_seconds_total"]
 		s.mem += m["process_resident_memory_bytes"]
@@ -196,7 +215,7 @@
 	return s
 }
 
-func (f *fleet) observe(zones int) {
+func (f *fleet) observe() {
 	before := f.sample()
 	time.Sleep(observeFor)
 	after := f.sample()
@@ -208,10 +227,11 @@
 		f.b.Logf("%s: %.2f a second", kind, float64(n-before.calls[kind])/observeFor.Seconds())
 	}
 	seconds, nodes := observeFor.Seconds(), float64(len(f.controls))
-	f.b.ReportMetric(calls/seconds/float64(zones), "store-calls/zone/s")
+	f.b.ReportMetric(calls/seconds/float64(f.shape.zones), "store-calls/zone/s")
 	f.b.ReportMetric(float64(after.calls[platform.KindVMs]-before.calls[platform.KindVMs])/seconds/nodes, "vm-list-reads/node/s")
 	f.b.ReportMetric((after.sent-before.sent)/seconds/nodes, "datagram-bytes/node/s")
 	f.b.ReportMetric((after.platform-before.platform)/seconds/nodes, "platform-bytes/node/s")
+	f.b.ReportMetric((after.io-before.io)/seconds/nodes, "io-bytes/node/s")
 	f.b.ReportMetric((after.polls-before.polls)/seconds/nodes, "polls/node/s")
 	f.b.ReportMetric((after.cpu-before.cpu)/seconds/nodes*1e3, "cpu-ms/node/s")
 	f.b.ReportMetric(after.mem/nodes/1e6, "MB/node")
--- a/internal/capacity/serving_test.go
+++ b/internal/capacity/serving_test.go
@@ -22,13 +22,18 @@
 	bearer          = "Bearer test" // the token of nodeRules
 )
 
+// servingShape is one node before two replicas of two VMs.
+func servingShape(tokens time.Duration) shape {
+	return shape{zones: 1, nodes: 1, replicas: 2, vms: 2, tokens: tokens}
+}
+
 // BenchmarkServing sends streamed requests through one real node and reports the
 // node's own processor time: for each request without its tokens, for each token,
 // and its memory for each open stream.
 func BenchmarkServing(b *testing.B) {
 	bins := build(b)
 	for b.Loop() {
-		f := newFleet(b, bins, 1, 1, 5*time.Millisecond)
+		f := newFleet(b, bins, servingShape(5*time.Millisecond))
 		f.settle()
 		f.serve(servingCallers, 8) // warm: connections and the estimates of slot times
 		short := f.processor(func() { f.serve(servingRequests, 16) })
@@ -45,7 +50,7 @@
 func BenchmarkHeldStreams(b *testing.B) {
 	bins := build(b)
 	for b.Loop() {
-		f := newFleet(b, bins, 1, 1, 75*time.Millisecond)
+		f := newFleet(b, bins, servingShape(75*time.Millisecond))
 		f.settle()
 		b.ReportMetric(f.memoryOfStreams()/heldStreams, "rss-bytes/stream")
 		b.ReportMetric(0, "ns/op")
@@ -125,7 +130,9 @@
 	open.Add(heldStreams)
 	for range heldStreams {
 		ended.Go(func() {
-			_, _ = f.stream(ctx, client, 100_000, open.Done) // cut by cancel
+			if _, err := f.stream(ctx, client, 100_000, open.Done); err != nil && ctx.Err() == nil {
+				f.b.Errorf("a stream ended: %v", err)
+			}
 		})
 	}
 	opened := make(chan struct{})
