--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -28,21 +28,20 @@
 	if s.superseded {
 		return Send{}
 	}
-	targets := s.targets()
 	allowed := s.budget * (1 - nudgeShare) * s.timing.Interval.Seconds()
 	if s.tick <= joinTicks {
 		allowed *= joinFactor
 	}
-	targets = targets[:min(len(targets), max(1, int(allowed/(minBody+packetOverhead))))]
-	if len(targets) == 0 {
+	addrs := s.pick(s.targets(), max(1, int(allowed/(minBody+packetOverhead))))
+	if len(addrs) == 0 {
 		return Send{}
 	}
-	limit := min(int(allowed)/len(targets)-packetOverhead, wire.MaxBody)
+	limit := min(max(int(allowed)/len(addrs)-packetOverhead, minBody), wire.MaxBody)
 	d := s.base(revision)
-	s.addEntries(d, limit*entryShare/100)
+	s.addEntries(d, limit)
 	s.addBeats(d, limit*beatShare/100, s.inOwnZone)
 	s.addBeats(d, proto.Size(d)+limit*farBeatShare/100, s.inOtherZone)
-	return Send{Addrs: targets, Datagram: d, Limit: limit}
+	return Send{Addrs: addrs, Datagram: d, Limit: limit}
 }
 
 // Shares of a heartbeat's room, in percent: how full it may get with entries,
@@ -71,8 +70,7 @@
 	}
 	targets := s.zonePeers(fanout)
 	targets = append(targets, s.linkTargets()...)
-	targets = targets[:min(len(targets), affordable)]
-	return Send{Addrs: targets, Datagram: s.base(revision), Limit: nudgeBody}
+	return Send{Addrs: s.pick(targets, affordable), Datagram: s.base(revision), Limit: nudgeBody}
 }
 
 // ChargeNudge takes a nudge of that many bytes, sent to so many targets, off the budget.
@@ -86,7 +84,7 @@
 	if s.superseded {
 		return Send{}
 	}
-	return Send{Addrs: s.zonePeers(len(s.order)), Datagram: s.base(revision), Limit: wire.MaxBody}
+	return Send{Addrs: s.pick(s.zonePeers(len(s.order)), maxMembers), Datagram: s.base(revision), Limit: wire.MaxBody}
 }
 
 func (s *State) base(revision int64) *wirepb.Datagram {
@@ -110,14 +108,41 @@
 	maxUnixMs    = 1<<42 - 1
 )
 
-// targets lists the addresses of the next heartbeat, most important first.
-func (s *State) targets() []string {
+// target is an address to send to, with the member behind it if it is known.
+type target struct {
+	addr   string
+	member *member
+}
+
+// pick takes the first n targets and notes that they were sent to.
+func (s *State) pick(targets []target, n int) []string {
+	targets = targets[:min(n, len(targets))]
+	addrs := make([]string, 0, len(targets))
+	for _, t := range targets {
+		if t.member != nil {
+			t.member.sentTo = s.tick
+		}
+		addrs = append(addrs, t.addr)
+	}
+	return addrs
+}
+
+func targetsOf(members []*member) []target {
+	targets := make([]target, 0, len(members))
+	for _, m := range members {
+		targets = append(targets, target{addr: m.datagramAddr, member: m})
+	}
+	return targets
+}
+
+// targets lists whom the next heartbeat goes to, most important first.
+func (s *State) targets() []target {
 	targets := s.zonePeers(fanout)
 	targets = append(targets, s.linkTargets()...)
 	targets = append(targets, s.probe()...)
 	targets = append(targets, s.seed()...)
 	if s.staleAddr != "" {
-		targets = append(targets, s.staleAddr)
+		targets = append(targets, target{addr: s.staleAddr})
 		s.staleAddr = ""
 	}
 	return targets
@@ -125,21 +150,21 @@
 
 // zonePeers picks the live peers of the zone that were sent to least recently,
 // all of them when they are few.
-func (s *State) zonePeers(n int) []string {
+func (s *State) zonePeers(n int) []target {
 	peers := s.leastRecent(func(m *member) bool {
 		return m.zone == s.self.Zone && (m.status == Alive || m.status == Suspect)
 	})
 	if len(peers) > max(n, allToAll) {
 		peers = peers[:n]
 	}
-	return s.markSent(peers)
+	return targetsOf(peers)
 }
 
 // linkTargets picks one member of each other zone that this node talks to. Two
 // nodes of a zone hold each link, so that links cost the same however many
 // nodes there are. A zone without a live member is tried all the same: that is
 // how the end of a cut is noticed.
-func (s *State) linkTargets() []string {
+func (s *State) linkTargets() []target {
 	var picked []*member
 	nodes := s.dutyNodes()
 	for _, zone := range s.otherZones() {
@@ -154,7 +179,7 @@
 		}
 		picked = append(picked, candidates[0])
 	}
-	return s.markSent(picked)
+	return targetsOf(picked)
 }
 
 func (s *State) otherZones() []cluster.ZoneID {
@@ -169,16 +194,16 @@
 
 // probe picks members of the zone that are not known to live: some of those only
 // heard of, whose answer makes them known, and one of the dead.
-func (s *State) probe() []string {
+func (s *State) probe() []target {
 	unproved := s.leastRecent(func(m *member) bool { return m.zone == s.self.Zone && m.status == Unproved })
 	dead := s.leastRecent(func(m *member) bool { return m.zone == s.self.Zone && m.status == Dead })
 	picked := unproved[:min(fanout, len(unproved))]
 	picked = append(picked, dead[:min(1, len(dead))]...)
-	return s.markSent(picked)
+	return targetsOf(picked)
 }
 
 // seed picks a seed at which no live member is known.
-func (s *State) seed() []string {
+func (s *State) seed() []target {
 	anyAlive := false
 	heard := make(map[string]bool)
 	for _, m := range s.order {
@@ -194,7 +219,7 @@
 		addr := s.seeds[s.seedCursor%len(s.seeds)]
 		s.seedCursor++
 		if !heard[addr] {
-			return []string{addr}
+			return []target{{addr: addr}}
 		}
 	}
 	return nil
@@ -214,15 +239,6 @@
 	return found
 }
 
-func (s *State) markSent(picked []*member) []string {
-	addrs := make([]string, 0, len(picked))
-	for _, m := range picked {
-		m.sentTo = s.tick
-		addrs = append(addrs, m.datagramAddr)
-	}
-	return addrs
-}
-
 func compareUint(a, b uint64) int {
 	switch {
 	case a < b:
@@ -258,18 +274,19 @@
 // beatListsSize is the tags and lengths of the three packed lists.
 const beatListsSize = 3 * 4
 
-// addEntries adds the entry of the live member told least recently, and all
-// that changed since they were told, while the datagram stays within limit.
+// addEntries adds the entry of the live member told least recently if the
+// datagram stays within limit, and those that changed since they were told while
+// it stays within entryShare of it.
 func (s *State) addEntries(d *wirepb.Datagram, limit int) {
 	live := s.liveBy(func(*member) bool { return true }, (*member).entryRank)
-	room := limit - proto.Size(d)
+	size := proto.Size(d)
 	for i, m := range live {
 		if i > 0 && m.entryTells >= entryRepeats {
 			return
 		}
 		e := m.entry()
-		room -= protowire.SizeTag(10) + protowire.SizeBytes(proto.Size(e))
-		if room < 0 {
+		size += protowire.SizeTag(entriesField) + protowire.SizeBytes(proto.Size(e))
+		if size > limit || i > 0 && size > limit*entryShare/100 {
 			return
 		}
 		d.Members = append(d.Members, e)
@@ -278,6 +295,9 @@
 	}
 }
 
+// entriesField is the field number of Datagram.members.
+const entriesField = 10
+
 // entryRank orders entries for telling: changed ones first, then by when they were told last.
 func (m *member) entryRank() uint64 {
 	if m.entryTells < entryRepeats {
