controlbench: measure control traffic and the spread of news; duties cost less

Cause: docs/CAPACITY.md needs slopes that were measured, against the naive design in the same run. A duty question counts the nodes that come before in place of sorting them.

--- /dev/null
+++ b/cmd/controlbench/measure.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+)
+
+// joinTimeout bounds the wait for all nodes to know each other.
+const joinTimeout = 2 * time.Minute
+
+// ipUDPHeaders is counted for each datagram beside its payload, in bytes.
+const ipUDPHeaders = 28
+
+func isQuarantined(err error) bool { return fennelerr.Is(err, fennelerr.Quarantined) }
+
+// totals is what all nodes have spent.
+type totals struct {
+	sent, received, bytesSent, bytesReceived uint64
+	cpu                                      time.Duration
+}
+
+func (s *system) totals() totals {
+	var t totals
+	for _, n := range s.nodes {
+		c := n.transport.Counters()
+		t.sent += c.SentPackets
+		t.received += c.ReceivedPackets
+		t.bytesSent += c.SentBytes + ipUDPHeaders*c.SentPackets
+		t.bytesReceived += c.ReceivedBytes + ipUDPHeaders*c.ReceivedPackets
+	}
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	t.cpu = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return t
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// runCost prints one line for each number of nodes and design.
+func runCost(ctx context.Context, list string, zones int, length time.Duration) error {
+	numbers, err := parseNumbers(list)
+	if err != nil {
+		return err
+	}
+	fmt.Println("design      zones nodes  sent_B/s recv_B/s  sent/s recv/s  cpu_ms/s  us/datagram  KB/node   (per node)")
+	for _, perZone := range numbers {
+		for _, naive := range []bool{false, true} {
+			if err := measureCost(ctx, zones, perZone, naive, length); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func measureCost(ctx context.Context, zones, perZone int, naive bool, length time.Duration) error {
+	idle := heapInUse()
+	s, err := startSystem(zones, perZone, naive)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	joining, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	if err := s.settle(joining); err != nil {
+		return err
+	}
+	// The larger budget right after a node's start is over by then.
+	if err := pause(ctx, 10*time.Second); err != nil {
+		return err
+	}
+	before, began := s.totals(), time.Now()
+	if err := pause(ctx, length); err != nil {
+		return err
+	}
+	after, seconds := s.totals(), time.Since(began).Seconds()
+	heap := heapInUse() - idle
+	per := func(before, after uint64) float64 { return float64(after-before) / seconds / float64(len(s.nodes)) }
+	datagrams := float64(after.sent - before.sent + after.received - before.received)
+	cpu := after.cpu - before.cpu
+	fmt.Printf("%-11s %5d %5d  %8.0f %8.0f  %6.1f %6.1f  %8.3f  %11.1f  %7.0f\n", designName(naive), zones, len(s.nodes),
+		per(before.bytesSent, after.bytesSent), per(before.bytesReceived, after.bytesReceived),
+		per(before.sent, after.sent), per(before.received, after.received),
+		float64(cpu.Microseconds())/1000/seconds/float64(len(s.nodes)), float64(cpu.Microseconds())/datagrams,
+		float64(heap)/1024/float64(len(s.nodes)))
+	return nil
+}
+
+func designName(naive bool) string {
+	if naive {
+		return "naive"
+	}
+	return "fennel"
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// runSpread prints how long a new revision and a new quarantine take to reach
+// all nodes, for both designs and several losses.
+func runSpread(ctx context.Context, zones, perZone, trials int) error {
+	fmt.Println("design      nodes  loss  revision_median revision_worst  quarantine_median quarantine_worst  sent (per node)")
+	for _, naive := range []bool{false, true} {
+		if err := measureSpread(ctx, zones, perZone, trials, naive); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureSpread(ctx context.Context, zones, perZone, trials int, naive bool) error {
+	s, err := startSystem(zones, perZone, naive)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	joining, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	if err := s.settle(joining); err != nil {
+		return err
+	}
+	event := int64(0)
+	for _, loss := range []uint64{0, 50, 300} {
+		s.loss.Store(loss)
+		var revisions, quarantines []time.Duration
+		before, began := s.totals(), time.Now()
+		for range trials {
+			event++
+			// Events come at any moment of a heartbeat's interval.
+			if err := pause(ctx, 3*time.Second+time.Duration(event%10)*97*time.Millisecond); err != nil {
+				return err
+			}
+			revision, quarantine, err := s.spread(ctx, event)
+			if err != nil {
+				return err
+			}
+			revisions = append(revisions, revision)
+			quarantines = append(quarantines, quarantine)
+		}
+		spent := s.totals().bytesSent - before.bytesSent
+		perSecond := float64(spent) / time.Since(began).Seconds() / float64(len(s.nodes))
+		slices.Sort(revisions)
+		slices.Sort(quarantines)
+		last := trials - 1
+		fmt.Printf("%-11s %5d  %3d%%  %15v %14v  %17v %16v  %.0f B/s\n", designName(naive), len(s.nodes), loss/10,
+			revisions[trials/2].Round(time.Millisecond), revisions[last].Round(time.Millisecond),
+			quarantines[trials/2].Round(time.Millisecond), quarantines[last].Round(time.Millisecond), perSecond)
+	}
+	return nil
+}
+
+// spread publishes an event at one node and returns when the last node knows of it.
+func (s *system) spread(ctx context.Context, event int64) (revision, quarantine time.Duration, err error) {
+	began := time.Now()
+	s.nodes[int(event)%len(s.nodes)].publish(event)
+	for revision == 0 || quarantine == 0 {
+		if revision == 0 && s.all(event, (*node).hasRevision) {
+			revision = time.Since(began)
+		}
+		if quarantine == 0 && s.all(event, (*node).hasQuarantine) {
+			quarantine = time.Since(began)
+		}
+		if err := pause(ctx, time.Millisecond); err != nil {
+			return 0, 0, err
+		}
+	}
+	return revision, quarantine, nil
+}
+
+func (s *system) all(event int64, has func(*node, int64) bool) bool {
+	for _, n := range s.nodes {
+		if !has(n, event) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -168,7 +168,7 @@
 	var picked []*member
 	nodes := s.dutyNodes()
 	for _, zone := range s.otherZones() {
-		if !slices.Contains(holders(nodes, "link/"+string(zone), linkHolders), s.self.Node) {
+		if place(nodes, s.self.Node, "link/"+string(zone)) >= min(linkHolders, len(nodes)) {
 			continue
 		}
 		candidates := s.leastRecent(func(m *member) bool {
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,21 +20,31 @@
 	return d.Sum64()
 }
 
-// holders returns the n nodes of the list that rank highest for the key.
-func holders(nodes []cluster.NodeID, key string, n int) []cluster.NodeID {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b cluster.NodeID) int {
-		sa, sb := score(a, key), score(b, key)
+// outranks reports whether a comes before b for the key.
+func outranks(a, b cluster.NodeID, key string) bool {
+	sa, sb := score(a, key), score(b, key)
+	if sa != sb {
+		return sa > sb
+	}
+	return a < b
+}
+
+// place returns how many of the nodes come before self for the key; all of them
+// when self is not among them.
+func place(nodes []cluster.NodeID, self cluster.NodeID, key string) int {
+	before, present := 0, false
+	for _, n := range nodes {
 		switch {
-		case sa > sb:
-			return -1
-		case sa < sb:
-			return 1
-		default:
-			return strings.Compare(string(a), string(b))
+		case n == self:
+			present = true
+		case outranks(n, self, key):
+			before++
 		}
-	})
-	return ranked[:min(n, len(ranked))]
+	}
+	if !present {
+		return len(nodes)
+	}
+	return before
 }
 
 // dutyNodes are the nodes of the own zone that may hold duties.
@@ -69,25 +78,22 @@
 	if !s.Settled(now) {
 		return false
 	}
-	return slices.Contains(holders(s.dutyNodes(), name, n), s.self.Node)
+	nodes := s.dutyNodes()
+	return place(nodes, s.self.Node, name) < min(n, len(nodes))
 }
 
 // Owner returns the node of this zone that ranks highest for the key; empty when
 // none may hold it.
 func (s *State) Owner(key string) cluster.NodeID {
-	owner := holders(s.dutyNodes(), key, 1)
-	if len(owner) == 0 {
-		return ""
+	var owner cluster.NodeID
+	for _, n := range s.dutyNodes() {
+		if owner == "" || outranks(n, owner, key) {
+			owner = n
+		}
 	}
-	return owner[0]
+	return owner
 }
 
 // Rank returns this node's place among the live nodes of its zone for the key, 0
 // being the owner. A node that may hold no duty comes after all others.
-func (s *State) Rank(key string) int {
-	nodes := s.dutyNodes()
-	if at := slices.Index(holders(nodes, key, len(nodes)), s.self.Node); at >= 0 {
-		return at
-	}
-	return len(nodes)
-}
+func (s *State) Rank(key string) int { return place(s.dutyNodes(), s.self.Node, key) }
--- /dev/null
+++ b/internal/suspect/bench_test.go
@@ -0,0 +1,20 @@
+package suspect_test
+
+import (
+	"context"
+	"testing"
+)
+
+// BenchmarkInnocent is what every request pays: admitted, begun and ended.
+func BenchmarkInnocent(b *testing.B) {
+	tr := lone(3)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for n := uint64(0); pb.Next(); n++ {
+			fp := fingerprint(n)
+			alone, _ := tr.Admit(ctx, fp)
+			tr.Begin(fp, "replica-1", 1, alone)(false)
+		}
+	})
+}
