--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
 	"github.com/fennelcourse/fennelcourse/internal/claims"
@@ -41,11 +42,14 @@
 	AllowRetry(team cluster.TeamID) bool
 }
 
-// Slot is held while a request runs. Release must be called exactly once.
-type Slot interface {
-	// Release returns the slot; tokens is the work done, for cost estimates.
-	Release(tokens int)
-}
+// Slot is held while a request runs.
+type Slot = admission.Slot
+
+// The daemon's router and admitter.
+var (
+	_ Router   = (*routing.Table)(nil)
+	_ Admitter = (*admission.Controller)(nil)
+)
 
 // Claimer makes calls with an idempotency key run at most once.
 type Claimer interface {
@@ -55,8 +59,12 @@
 	Claim(ctx context.Context, call claims.Call) (Claim, *claims.Answer, error)
 }
 
-// Claim is the right to dispatch one call. Exactly one of the methods is called.
+// Claim is the right to dispatch one call. Exactly one of Release, Finish and
+// Abandon is called.
 type Claim interface {
+	// StillHeld reports whether the call may still be dispatched. It is asked right
+	// before dispatch; a claim no longer held is released and not dispatched.
+	StillHeld(now time.Time) bool
 	// Release gives the key back: the call was certainly not run.
 	Release(ctx context.Context)
 	// Finish records the answer of the call, which ran.
