suspect, gateway: hanging up does not clear a suspect

Cause: the gateway told only whether the replica crashed. A caller of the poison request that hangs up before the crash counted as a success and cleared it. The change: a run ends Finished, Crashed or Abandoned (interface of gateway.Quarantine: one argument's type); only Finished clears. Seen red first: with Abandoned clearing, TestHangingUpDoesNotClear fails.

--- a/cmd/controlbench/nodes.go
+++ b/cmd/controlbench/nodes.go
@@ -140,9 +140,9 @@
 		return
 	}
 	fp := fingerprint(uint64(event))
-	n.tracker.Begin(fp, "replica-1", event, false)(true)
+	n.tracker.Begin(fp, "replica-1", event, false)(suspect.Crashed)
 	if alone, err := n.tracker.Admit(context.Background(), fp); alone && err == nil {
-		n.tracker.Begin(fp, "replica-2", event, true)(true)
+		n.tracker.Begin(fp, "replica-2", event, true)(suspect.Crashed)
 	}
 	n.member.Nudge()
 }
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -80,6 +80,6 @@
 	// alone=true: the caller then asks the router for a replica without suspects.
 	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
 	// Begin records that fp runs on the replica; the returned func ends it and
-	// says whether the replica crashed under it.
-	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(crashed bool))
+	// says how.
+	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Ending))
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -150,9 +150,9 @@
 type noQuarantine struct{ crashes atomic.Int64 }
 
 func (q *noQuarantine) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
-func (q *noQuarantine) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(bool) {
-	return func(crashed bool) {
-		if crashed {
+func (q *noQuarantine) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Ending) {
+	return func(how suspect.Ending) {
+		if how == suspect.Crashed {
 			q.crashes.Add(1)
 		}
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -58,7 +58,7 @@
 // target is the replica that a session runs on, with what must be undone after.
 type target struct {
 	choice  routing.Choice
-	endMark func(crashed bool)
+	endMark func(suspect.Ending)
 	began   time.Time
 	first   time.Time
 	tokens  int
@@ -306,6 +306,17 @@
 	}
 }
 
+func ending(res routing.Result, crashed bool) suspect.Ending {
+	switch {
+	case crashed:
+		return suspect.Crashed
+	case res.OK:
+		return suspect.Finished
+	default:
+		return suspect.Abandoned
+	}
+}
+
 // leave ends the session's stay on its target.
 func (s *session) leave(res routing.Result, crashed bool) {
 	t := s.target
@@ -318,7 +329,7 @@
 	if !t.first.IsZero() {
 		res.FirstToken = t.first.Sub(t.began)
 	}
-	t.endMark(crashed)
+	t.endMark(ending(res, crashed))
 	s.g.opts.Router.End(t.choice, res)
 }
 
--- a/internal/suspect/bench_test.go
+++ b/internal/suspect/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // BenchmarkInnocent is what every request pays: admitted, begun and ended.
@@ -14,7 +16,7 @@
 		for n := uint64(0); pb.Next(); n++ {
 			fp := fingerprint(n)
 			alone, _ := tr.Admit(ctx, fp)
-			tr.Begin(fp, "replica-1", 1, alone)(false)
+			tr.Begin(fp, "replica-1", 1, alone)(suspect.Finished)
 		}
 	})
 }
--- a/internal/suspect/sim_test.go
+++ b/internal/suspect/sim_test.go
@@ -28,8 +28,8 @@
 type naive struct{}
 
 func (naive) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
-func (naive) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(bool) {
-	return func(bool) {}
+func (naive) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Ending) {
+	return func(suspect.Ending) {}
 }
 
 // scenario is one run of some nodes before some replicas, on the fake clock.
@@ -211,13 +211,24 @@
 			replica.suspects[node]--
 			s.mu.Unlock()
 		}
-		end(crashed)
+		end(ending(ctx, crashed))
 		if !crashed {
 			return ctx.Err()
 		}
 	}
 }
 
+func ending(ctx context.Context, crashed bool) suspect.Ending {
+	switch {
+	case crashed:
+		return suspect.Crashed
+	case ctx.Err() != nil:
+		return suspect.Abandoned
+	default:
+		return suspect.Finished
+	}
+}
+
 // choose waits for a live replica; for a suspect, one on which this node may retry.
 func (s *sim) choose(ctx context.Context, node int, alone bool) (*fakeReplica, int64, chan struct{}) {
 	for ctx.Err() == nil {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -230,24 +230,25 @@
 }
 
 // Begin records that fp runs on the replica. The returned func ends it and must
-// be called once: crashed says that the replica crashed under it. A retry alone
-// that ends otherwise clears the fingerprint.
-func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(crashed bool)) {
+// be called once. A retry alone that finishes clears the fingerprint.
+func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(Ending)) {
 	k, began := fp.key(), t.now()
 	if alone {
 		t.beginAlone(k, replica)
 	}
 	var once sync.Once
-	return func(crashed bool) {
+	return func(how Ending) {
 		once.Do(func() {
 			if alone {
 				t.crashShard(replica).endAlone(replica, k, t.now())
 			}
 			switch {
-			case crashed:
+			case how == Crashed:
 				t.crashed(k, replica, generation, began, alone)
+			case alone && how == Finished:
+				t.finishedAlone(k)
 			case alone:
-				t.ranToItsEnd(k)
+				t.abandonedAlone(k)
 			}
 		})
 	}
@@ -338,7 +339,16 @@
 	return r != nil && r.hasPrior(crash)
 }
 
-func (t *Tracker) ranToItsEnd(k key) {
+// abandonedAlone leaves the suspicion as it was and the next retry to whoever waits.
+func (t *Tracker) abandonedAlone(k key) {
+	t.update(k, func(r *record) {
+		if r.run.node == t.node {
+			r.run = run{}
+		}
+	})
+}
+
+func (t *Tracker) finishedAlone(k key) {
 	if t.clear(k, t.now()) {
 		metricCleared.Inc()
 		t.nudge()
--- a/internal/suspect/tracker_test.go
+++ b/internal/suspect/tracker_test.go
@@ -98,10 +98,10 @@
 // convict crashes a replica twice under fp, the second time alone.
 func convict(t *testing.T, tr *suspect.Tracker, fp suspect.Fingerprint) {
 	t.Helper()
-	tr.Begin(fp, "replica-1", 1, false)(true)
+	tr.Begin(fp, "replica-1", 1, false)(suspect.Crashed)
 	time.Sleep(time.Millisecond)
 	admitAlone(t, tr, fp)
-	tr.Begin(fp, "replica-2", 1, true)(true)
+	tr.Begin(fp, "replica-2", 1, true)(suspect.Crashed)
 }
 
 // A suspect waits while another of its kind is retried. When that one is found
@@ -109,7 +109,7 @@
 func TestWaitingSuspectIsAnsweredWhenQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := lone(0)
-		tr.Begin(poison, "replica-1", 1, false)(true)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
 		admitAlone(t, tr, poison)
 		end := tr.Begin(poison, "replica-2", 1, true)
 		answered := make(chan error)
@@ -121,7 +121,7 @@
 		synctest.Wait()
 		require.Empty(t, answered)
 		began := time.Now()
-		end(true)
+		end(suspect.Crashed)
 		err := <-answered
 		require.Zero(t, time.Since(began))
 		var refused *fennelerr.Error
@@ -138,7 +138,7 @@
 func TestWaitEndsWithItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := lone(1)
-		tr.Begin(poison, "replica-1", 1, false)(true)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
 		ctx, cancel := context.WithTimeout(t.Context(), suspect.DefaultClaimDelay/2)
 		defer cancel()
 		_, err := tr.Admit(ctx, poison)
@@ -154,11 +154,11 @@
 func TestSuccessClears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := lone(0)
-		tr.Begin(poison, "replica-1", 1, false)(true)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
 		admitAlone(t, tr, poison)
 		end := tr.Begin(poison, "replica-2", 1, true)
 		require.False(t, tr.MayRetryOn("replica-2"))
-		end(false)
+		end(suspect.Finished)
 		require.True(t, tr.MayRetryOn("replica-2"))
 		alone, err := tr.Admit(t.Context(), poison)
 		require.NoError(t, err)
@@ -174,18 +174,32 @@
 	tr.Receive(membership.Member{}, &wirepb.Datagram{Crashes: []*wirepb.CrashMark{m}})
 }
 
+// The caller of the poison request hangs up before the replica dies. Taken for a
+// success, that would clear it, and the next send would share a replica again.
+func TestHangingUpDoesNotClear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := lone(0)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
+		for range 3 {
+			admitAlone(t, tr, poison)
+			tr.Begin(poison, "replica-2", 1, true)(suspect.Abandoned)
+		}
+		admitAlone(t, tr, poison)
+	})
+}
+
 // Several nodes tell of one crash under names of their own. Counted twice, it
 // would speak against a request that was only there once, and leave it open who
 // was to blame: another replica would die.
 func TestOneCrashToldByManyCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr, innocent := lone(1), fingerprint(2)
-		tr.Begin(poison, "replica-1", 1, false)(true)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
 		admitAlone(t, tr, poison)
 		endPoison := tr.Begin(poison, "replica-2", 1, true)
 		endInnocent := tr.Begin(innocent, "replica-2", 1, false)
-		endPoison(true)
-		endInnocent(true)
+		endPoison(suspect.Crashed)
+		endInnocent(suspect.Crashed)
 		tell(tr, 77, "replica-2", innocent)
 		_, err := tr.Admit(t.Context(), poison)
 		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), err)
@@ -202,12 +216,12 @@
 		endInnocent := tr.Begin(innocent, "replica-2", 1, true)
 		admitAlone(t, tr, poison)
 		endPoison := tr.Begin(poison, "replica-2", 1, true)
-		endPoison(true)
-		endInnocent(true)
+		endPoison(suspect.Crashed)
+		endInnocent(suspect.Crashed)
 		admitAlone(t, tr, innocent)
-		tr.Begin(innocent, "replica-3", 1, true)(false)
+		tr.Begin(innocent, "replica-3", 1, true)(suspect.Finished)
 		admitAlone(t, tr, poison)
-		tr.Begin(poison, "replica-3", 1, true)(true)
+		tr.Begin(poison, "replica-3", 1, true)(suspect.Crashed)
 		_, err := tr.Admit(t.Context(), poison)
 		require.True(t, fennelerr.Is(err, fennelerr.Quarantined))
 	})
@@ -229,7 +243,7 @@
 			}
 		}
 		require.InDelta(t, suspect.DefaultMaxQuarantine.Minutes(), barred.Minutes(), 10)
-		tr.Begin(poison, "replica-3", 1, true)(true)
+		tr.Begin(poison, "replica-3", 1, true)(suspect.Crashed)
 		_, err := tr.Admit(t.Context(), poison)
 		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), "one crash on probation is enough")
 		time.Sleep(suspect.DefaultQuarantineFor + suspect.DefaultProbationFor + time.Second)
@@ -247,7 +261,7 @@
 		convict(t, tr, poison)
 		for n := range uint64(18_000) {
 			fp := fingerprint(n + 10)
-			tr.Begin(fp, "replica-9", int64(n), false)(true)
+			tr.Begin(fp, "replica-9", int64(n), false)(suspect.Crashed)
 		}
 		suspects := 0
 		for n := range uint64(18_000) {
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -20,6 +20,19 @@
 // String returns the fingerprint in hex, as it appears in logs.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Ending is how a run on a replica ended.
+type Ending int
+
+const (
+	// Finished means that the whole answer came. It clears a suspect.
+	Finished Ending = iota
+	// Crashed means that the replica crashed under the run.
+	Crashed
+	// Abandoned means that the run ended otherwise, such as by its caller going away. It
+	// proves nothing: a crash may have been about to come.
+	Abandoned
+)
+
 // key is the part of a fingerprint that nodes exchange.
 type key uint64
 
