gateway, routing: suspects take the nodes' turns on replicas

Cause: the router knows only this node's suspects; two nodes at once may choose one replica for two suspects, and a crash there tells nothing (see the simulation). The change: Quarantine.MayRetryOn narrows the router's choice for retries alone (routing.Request.MayRetryOn), and a suspect looks again every 50 ms, for at most 10 s, while none is its node's to take. The daemon gives the tracker its rank.

--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -114,7 +114,7 @@
 	req := n.set.Requests
 	n.admission = admission.New(admission.Options{Self: admission.Node{ID: n.set.Node, Zone: n.set.Zone}, LimitOf: n.limitOf, MaxWait: req.Deadline})
 	n.claims = claims.New(claims.Options{Store: n.store, Node: n.set.Node, Incarnation: n.incarnation, Retention: req.ClaimRetention, Log: n.log})
-	n.suspects = suspect.New(suspect.Options{Node: n.set.Node, Log: n.log, Nudge: n.members.Nudge, Peers: n.livePeers})
+	n.suspects = suspect.New(suspect.Options{Node: n.set.Node, Log: n.log, Nudge: n.members.Nudge, Peers: n.livePeers, Rank: n.members.Rank})
 	n.pools = engine.NewPools(engine.PoolOptions{})
 	n.gateway = gateway.New(gateway.Options{
 		Node: n.set.Node, Rules: n.rules, Router: n.routing, Services: n.vms, Admitter: n.admission, Claimer: gateway.StoreClaimer{Manager: n.claims},
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -79,6 +79,9 @@
 	// suspect it waits until no other node or request retries it, and reports
 	// alone=true: the caller then asks the router for a replica without suspects.
 	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	// MayRetryOn reports whether a suspect may run on the replica now: no other
+	// node's suspect is there, and it is this node's turn to take it.
+	MayRetryOn(replica cluster.ReplicaID) bool
 	// Begin records that fp runs on the replica; the returned func ends it and
 	// says how.
 	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Ending))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -150,6 +150,7 @@
 type noQuarantine struct{ crashes atomic.Int64 }
 
 func (q *noQuarantine) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
+func (q *noQuarantine) MayRetryOn(cluster.ReplicaID) bool                        { return true }
 func (q *noQuarantine) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Ending) {
 	return func(how suspect.Ending) {
 		if how == suspect.Crashed {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -103,9 +103,7 @@
 		}
 		return s.withRun(err)
 	}
-	choice, err := s.g.opts.Router.Choose(routing.Request{
-		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude, Alone: alone,
-	})
+	choice, err := s.chooseReplica(ctx, alone)
 	if err != nil {
 		return s.withRun(err)
 	}
@@ -118,6 +116,34 @@
 	return nil
 }
 
+const (
+	// retryTurnPoll is how often a suspect looks for a replica to run on alone.
+	retryTurnPoll = 50 * time.Millisecond
+	// maxRetryTurnWait bounds that wait.
+	maxRetryTurnWait = 10 * time.Second
+)
+
+// chooseReplica asks the router. A suspect waits for a replica that no other
+// suspect runs on and that is this node's to take.
+func (s *session) chooseReplica(ctx context.Context, alone bool) (routing.Choice, error) {
+	req := routing.Request{
+		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude,
+		Alone: alone, MayRetryOn: s.g.opts.Quarantine.MayRetryOn,
+	}
+	giveUp := time.Now().Add(maxRetryTurnWait)
+	for {
+		choice, err := s.g.opts.Router.Choose(req)
+		if err == nil || !alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(giveUp) {
+			return choice, err
+		}
+		select {
+		case <-ctx.Done():
+			return choice, err
+		case <-time.After(retryTurnPoll):
+		}
+	}
+}
+
 // attempt runs one exchange with the target.
 func (s *session) attempt(ctx context.Context) error {
 	body, err := s.req.engineBody(s.prefix())
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -263,6 +263,9 @@
 		if !c.Whole || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
 			continue
 		}
+		if req.MayRetryOn != nil && !req.MayRetryOn(c.ID) {
+			continue
+		}
 		if !out.Found || c.InFlight < out.Candidate.InFlight {
 			out.Candidate, out.Found = c, true
 		}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -23,6 +23,8 @@
 	Exclude []cluster.ReplicaID
 	// Alone asks for a replica on which no other suspect runs (see package suspect).
 	Alone bool
+	// MayRetryOn narrows the replicas for Alone; nil means all.
+	MayRetryOn func(cluster.ReplicaID) bool
 }
 
 // Choice is the decision and why it fell.
--- a/internal/suspect/sim_test.go
+++ b/internal/suspect/sim_test.go
@@ -28,6 +28,7 @@
 type naive struct{}
 
 func (naive) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
+func (naive) MayRetryOn(cluster.ReplicaID) bool                        { return true }
 func (naive) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Ending) {
 	return func(suspect.Ending) {}
 }
