suspect: a request sent to a replica that is dead already proves nothing

Cause: found by a new test through the gateway: after a poison request had crashed two engines, an innocent one was sent to both before the router knew, failed as if they had crashed under it, and was quarantined. The change: a run that began within 5 s after a known crash of the same replica and generation is no evidence and leaves the suspicion as it was. Ruled out: counting only requests that had received bytes (a poison request often crashes the engine before its first token). Seen red first: the gateway test as above, and TestDeadReplicaSaysNothing with the check off.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -30,6 +30,9 @@
 	// crashWindow is how long after a crash a request that was in flight on the
 	// replica may notice it: a silent connection takes a while.
 	crashWindow = time.Minute
+	// deadGrace is for how long after a crash requests may still be sent to the
+	// dead replica.
+	deadGrace = 5 * time.Second
 	// sameCrashGap is how far apart two nodes may date one crash.
 	sameCrashGap = 5 * time.Second
 	// crashTold is for how long a crash is passed on.
@@ -49,15 +52,23 @@
 }
 
 // local finds or adds the crash that ended a run of this node which began at began.
-// A run that began after a crash of the same replica met another crash.
+// A run that began after a crash of the same replica met another crash; but soon
+// after, it met the dead replica before its health was noticed, and nil is
+// returned: that says nothing about the request.
 func (s *crashShard) local(replica cluster.ReplicaID, generation int64, k key, began, now time.Time, newID uint64) *crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.crashes {
-		if c.replica == replica && c.generation == generation && !began.After(c.at) && now.Sub(c.at) <= crashWindow {
+	for _, c := range slices.Backward(s.crashes) {
+		if c.replica != replica || c.generation != generation || now.Sub(c.at) > crashWindow {
+			continue
+		}
+		if !began.After(c.at) {
 			c.add(k)
 			return c
 		}
+		if began.Sub(c.at) <= deadGrace {
+			return nil
+		}
 	}
 	c := s.insert(newID, replica, generation, now)
 	c.add(k)
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -225,7 +225,7 @@
 	left := until.Sub(t.now()).Round(time.Second)
 	return fennelerr.New(fennelerr.Quarantined,
 		"replicas crashed while this request ran, the last one while it was the only suspect there; "+
-			"it was not run this time and is refused for %s (fingerprint %s)", left, k).
+			"it is refused for %s more, or longer if it is sent again (fingerprint %s)", left, k).
 		WithOp("suspect.admit").WithRun(fennelerr.NotRun).WithRetryAfter(left)
 }
 
@@ -280,8 +280,12 @@
 func (t *Tracker) crashed(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
 	metricCrashed.Inc()
 	now := t.now()
-	t.noteCrash(now)
 	c := t.crashShard(replica).local(replica, generation, k, began, now, rand.Uint64())
+	if c == nil {
+		t.abandonedAlone(k)
+		return
+	}
+	t.noteCrash(now)
 	var onTrial bool
 	t.change(k, func(r *record) {
 		r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing)
--- a/internal/suspect/tracker_test.go
+++ b/internal/suspect/tracker_test.go
@@ -188,6 +188,27 @@
 	})
 }
 
+// A replica died a moment ago and the router does not know yet. Requests sent to
+// it fail as if it had crashed under them; counted as evidence, innocent ones
+// would be quarantined in a row.
+func TestDeadReplicaSaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, innocent := lone(0), fingerprint(2)
+		convict(t, tr, poison)
+		for range 3 {
+			time.Sleep(time.Second)
+			alone, err := tr.Admit(t.Context(), innocent)
+			require.NoError(t, err)
+			require.False(t, alone)
+			tr.Begin(innocent, "replica-1", 1, alone)(suspect.Crashed)
+			tr.Begin(innocent, "replica-2", 1, alone)(suspect.Crashed)
+		}
+		time.Sleep(10 * time.Second)
+		tr.Begin(innocent, "replica-2", 1, false)(suspect.Crashed)
+		admitAlone(t, tr, innocent)
+	})
+}
+
 // Several nodes tell of one crash under names of their own. Counted twice, it
 // would speak against a request that was only there once, and leave it open who
 // was to blame: another replica would die.
