--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -58,7 +58,7 @@
 // target is the replica that a session runs on, with what must be undone after.
 type target struct {
 	choice  routing.Choice
-	endMark func(crashed bool)
+	endMark func(suspect.Ending)
 	began   time.Time
 	first   time.Time
 	tokens  int
@@ -103,9 +103,7 @@
 		}
 		return s.withRun(err)
 	}
-	choice, err := s.g.opts.Router.Choose(routing.Request{
-		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude, Alone: alone,
-	})
+	choice, err := s.chooseReplica(ctx, alone)
 	if err != nil {
 		return s.withRun(err)
 	}
@@ -118,6 +116,34 @@
 	return nil
 }
 
+const (
+	// retryTurnPoll is how often a suspect looks for a replica to run on alone.
+	retryTurnPoll = 50 * time.Millisecond
+	// maxRetryTurnWait bounds that wait.
+	maxRetryTurnWait = 10 * time.Second
+)
+
+// chooseReplica asks the router. A suspect waits for a replica that no other
+// suspect runs on and that is this node's to take.
+func (s *session) chooseReplica(ctx context.Context, alone bool) (routing.Choice, error) {
+	req := routing.Request{
+		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude,
+		Alone: alone, MayRetryOn: s.g.opts.Quarantine.MayRetryOn,
+	}
+	giveUp := time.Now().Add(maxRetryTurnWait)
+	for {
+		choice, err := s.g.opts.Router.Choose(req)
+		if err == nil || !alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(giveUp) {
+			return choice, err
+		}
+		select {
+		case <-ctx.Done():
+			return choice, err
+		case <-time.After(retryTurnPoll):
+		}
+	}
+}
+
 // attempt runs one exchange with the target.
 func (s *session) attempt(ctx context.Context) error {
 	body, err := s.req.engineBody(s.prefix())
@@ -306,6 +332,17 @@
 	}
 }
 
+func ending(res routing.Result, crashed bool) suspect.Ending {
+	switch {
+	case crashed:
+		return suspect.Crashed
+	case res.OK:
+		return suspect.Finished
+	default:
+		return suspect.Abandoned
+	}
+}
+
 // leave ends the session's stay on its target.
 func (s *session) leave(res routing.Result, crashed bool) {
 	t := s.target
@@ -318,7 +355,7 @@
 	if !t.first.IsZero() {
 		res.FirstToken = t.first.Sub(t.began)
 	}
-	t.endMark(crashed)
+	t.endMark(ending(res, crashed))
 	s.g.opts.Router.End(t.choice, res)
 }
 
