--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -29,6 +30,7 @@
 	zone     cluster.ZoneID
 	replicas map[cluster.ReplicaID]cluster.Replica
 	holder   map[cluster.VMID]cluster.ReplicaID
+	sorted   []cluster.Replica // what Replicas returned last; nil after a change
 }
 
 // NewBook returns a Book of the given replicas, or a *BookError if two share a VM.
@@ -55,13 +57,17 @@
 // HolderOf returns the replica that has the VM, or "".
 func (b *Book) HolderOf(vm cluster.VMID) cluster.ReplicaID { return b.holder[vm] }
 
-// Replicas returns all replicas ordered by id.
+// Replicas returns all replicas ordered by id; callers must not change the slice.
 func (b *Book) Replicas() []cluster.Replica {
+	if b.sorted != nil {
+		return b.sorted
+	}
 	out := make([]cluster.Replica, 0, len(b.replicas))
 	for _, r := range b.replicas {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(x, y cluster.Replica) int { return compare(x.ID, y.ID) })
+	slices.SortFunc(out, func(x, y cluster.Replica) int { return cmp.Compare(x.ID, y.ID) })
+	b.sorted = out
 	return out
 }
 
@@ -98,6 +104,7 @@
 		// the middle of the streams that the drain lets finish.
 		old.Leaving = true
 		b.replicas[old.ID] = old
+		b.sorted = nil
 		return Change{Replica: old}, nil
 	case Replace:
 		return b.replace(a, old, s)
@@ -168,6 +175,7 @@
 }
 
 func (b *Book) insert(r cluster.Replica) {
+	b.sorted = nil
 	b.replicas[r.ID] = r
 	for _, vm := range r.Members {
 		b.holder[vm] = r.ID
@@ -175,19 +183,9 @@
 }
 
 func (b *Book) remove(r cluster.Replica) {
+	b.sorted = nil
 	delete(b.replicas, r.ID)
 	for _, vm := range r.Members {
 		delete(b.holder, vm)
 	}
 }
-
-func compare[T ~string](x, y T) int {
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -23,6 +23,8 @@
 	LastSeen time.Time
 	// DownSince is when the engine stopped answering; zero while it answers.
 	DownSince time.Time
+	// Model is the model whose weights the engine has loaded; empty if none.
+	Model string
 }
 
 // Usable reports whether a new replica may take the VM: it is listed, stays and answers.
@@ -53,8 +55,9 @@
 type Kind string
 
 // Kinds of actions. Drain marks a replica as leaving so that it gets no new
-// work; Replace swaps one member and raises the generation; Hold and Wait change
-// nothing and are there for the decision log.
+// work; Replace swaps members and raises the generation; Hold has a spare load
+// the group's model and Wait says why a replica is left as it is: these two
+// change nothing in the table.
 const (
 	Form    Kind = "form"
 	BreakUp Kind = "break-up"
@@ -71,7 +74,7 @@
 	Replica cluster.ReplicaID // all kinds but Form and Hold
 	Members []cluster.VMID    // Form: the first one serves
 	Out, In []cluster.VMID    // Replace: the members that go and those that come
-	VM      cluster.VMID      // Hold
+	VM      cluster.VMID      // Hold: an idle VM that loads the group's model ahead
 	Reason  string
 }
 
