--- a/internal/placement/naive.go
+++ b/internal/placement/naive.go
@@ -22,7 +22,11 @@
 	taken := make(map[cluster.VMID]bool)
 	count := make(map[cluster.GroupName]int)
 	for _, r := range in.Replicas {
-		if reason := brokenReason(r, vms, in.Groups); reason != "" {
+		reason := brokenReason(r, vms, in.Groups)
+		if g := FindGroup(in.Groups, r.Group); reason == "" && g.Replicas > 0 && count[r.Group] >= g.Replicas {
+			reason = "more-than-wanted"
+		}
+		if reason != "" {
 			plan.Actions = append(plan.Actions, Action{Kind: BreakUp, Group: r.Group, Replica: r.ID, Reason: reason})
 			continue
 		}
@@ -49,7 +53,7 @@
 	if r.Leaving {
 		return "replica-leaving"
 	}
-	if g := FindGroup(groups, r.Group); g == nil || g.VMs != len(r.Members) || g.Model != r.Model {
+	if !fitsRule(r, FindGroup(groups, r.Group), vms) {
 		return "group-rule-changed"
 	}
 	for _, id := range r.Members {
@@ -60,6 +64,25 @@
 	return ""
 }
 
+// fitsRule reports whether the replica is as its group's rule wants replicas.
+func fitsRule(r cluster.Replica, g *rules.Group, vms map[cluster.VMID]VM) bool {
+	if g == nil || g.VMs != len(r.Members) || g.Model != r.Model {
+		return false
+	}
+	var domain cluster.DomainID
+	for _, id := range r.Members {
+		d := vms[id].Domain
+		if !g.SameDomain || d == "" {
+			continue
+		}
+		if domain != "" && d != domain {
+			return false
+		}
+		domain = d
+	}
+	return true
+}
+
 // firstFit takes the first g.VMs free VMs, all of one domain if the group asks
 // for it, and marks them taken. It returns nil when there are not enough.
 func firstFit(vms []VM, taken map[cluster.VMID]bool, g rules.Group) []cluster.VMID {
--- a/internal/placement/weighted.go
+++ b/internal/placement/weighted.go
@@ -88,7 +88,7 @@
 func (p *planner) review() {
 	for _, r := range p.in.Replicas {
 		g := FindGroup(p.in.Groups, r.Group)
-		if g == nil || g.VMs != len(r.Members) || g.Model != r.Model {
+		if !fitsRule(r, g, p.vms) {
 			p.retire(r, "group-rule-changed")
 			continue
 		}
@@ -102,7 +102,9 @@
 			continue
 		}
 		p.serving[g.Name]++
-		p.intact = append(p.intact, b)
+		if r.Leaving || !g.SameDomain {
+			p.intact = append(p.intact, b)
+		}
 	}
 }
 
--- a/internal/placement/weighted_form.go
+++ b/internal/placement/weighted_form.go
@@ -16,12 +16,20 @@
 		if !ok {
 			return
 		}
-		members := p.take(g.VMs, domain, g)
-		p.serving[g.Name]++
-		p.add(Action{Kind: Form, Group: g.Name, Members: members, Reason: "enough-free"})
+		p.formIn(g, domain, "enough-free")
 	}
 }
 
+// formIn forms a replica of free VMs of the domain, "" for any, if there are enough.
+func (p *planner) formIn(g *rules.Group, domain cluster.DomainID, reason string) {
+	members := p.take(g.VMs, domain, g)
+	if members == nil {
+		return
+	}
+	p.serving[g.Name]++
+	p.add(Action{Kind: Form, Group: g.Name, Members: members, Reason: reason})
+}
+
 // formable is how many replicas of the group to form now. VMs that make up a
 // whole replica are never held back as spares: one replica more serves whatever
 // domain breaks next, spares only their own (docs/placement.md has the figures).
--- a/internal/placement/weighted_room.go
+++ b/internal/placement/weighted_room.go
@@ -16,13 +16,18 @@
 // domains. After a loss the latter are repaired or formed with whatever is free,
 // which can leave them on VMs that strand three others for good.
 func (p *planner) makeRoom(now time.Time) {
+	// Those that an earlier plan drained come first, so that plans do not switch
+	// from one replica to another.
+	slices.SortStableFunc(p.intact, func(a, b brokenReplica) int { return drainedFirst(a) - drainedFirst(b) })
 	for i := range p.in.Groups {
 		g := &p.in.Groups[i]
 		if !g.SameDomain || g.VMs < 1 || g.Replicas > 0 && p.serving[g.Name] >= g.Replicas {
 			continue
 		}
 		for _, d := range p.domains {
-			p.roomFor(g, d, g.VMs-len(p.free[d])%g.VMs)
+			if p.roomFor(g, d, g.VMs-len(p.free[d])%g.VMs) {
+				p.formIn(g, d, "room-made")
+			}
 		}
 	}
 	p.roomForBroken(now)
@@ -37,18 +42,18 @@
 			return false
 		}
 		d := p.domainOf(b.Replica)
-		p.roomFor(g, d, len(b.missing)-len(p.free[d]))
-		return p.fill(b, "room-made")
+		return p.roomFor(g, d, len(b.missing)-len(p.free[d])) && p.fill(b, "room-made")
 	})
 }
 
 // roomFor frees `short` VMs of the domain: replicas that may spread over domains
 // move elsewhere or, if they are of a later rule that takes whatever is left, are
-// broken up. All of them drain first; the domain's free VMs wait for them.
-func (p *planner) roomFor(g *rules.Group, d cluster.DomainID, short int) {
+// broken up. All of them drain first; the domain's free VMs wait for them. It
+// reports whether the VMs are free now.
+func (p *planner) roomFor(g *rules.Group, d cluster.DomainID, short int) bool {
 	steps, freed := p.roomSteps(g, d, short)
 	if freed < short {
-		return
+		return false
 	}
 	busy := slices.ContainsFunc(steps, func(s roomStep) bool { return p.in.Load[s.ID].Running > 0 })
 	if busy {
@@ -65,6 +70,7 @@
 			p.move(step)
 		}
 	}
+	return !busy
 }
 
 // roomStep is one replica that leaves a domain: to in, or for good if in is nil.
@@ -77,12 +83,12 @@
 // says how many VMs that frees.
 func (p *planner) roomSteps(g *rules.Group, d cluster.DomainID, short int) (steps []roomStep, freed int) {
 	var spare []cluster.VMID
-	// Those that an earlier plan drained come first, so that plans do not switch
-	// from one replica to another.
-	slices.SortStableFunc(p.intact, func(a, b brokenReplica) int { return drainedFirst(a) - drainedFirst(b) })
 	for _, r := range p.intact {
+		if freed >= short || r.group.SameDomain {
+			continue
+		}
 		out := p.membersIn(r, d)
-		if freed >= short || r.group.SameDomain || len(out) == 0 {
+		if len(out) == 0 {
 			continue
 		}
 		out = out[:min(len(out), short-freed)]
@@ -117,10 +123,11 @@
 	}
 }
 
+// membersIn returns the replica's members in the domain that another could take.
 func (p *planner) membersIn(r brokenReplica, d cluster.DomainID) []cluster.VMID {
 	var out []cluster.VMID
 	for _, id := range r.Members {
-		if p.vms[id].Domain == d {
+		if vm := p.vms[id]; vm.Domain == d && vm.Usable() {
 			out = append(out, id)
 		}
 	}
