--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -93,10 +93,15 @@
 
 type openSlot struct{ o *openAdmitter }
 
+func (s openSlot) FirstToken() {}
+
 func (s openSlot) Release(int) { s.o.held.Add(-1) }
 
 // memoryClaims is a Claimer without faults.
 type memoryClaims struct {
+	// lapsed makes all claims look as after a long pause of the process.
+	lapsed atomic.Bool
+
 	mu   sync.Mutex
 	keys map[string]*memoryClaim
 }
@@ -131,6 +136,8 @@
 	c.state, c.answer = state, a
 }
 
+func (c *memoryClaim) StillHeld(time.Time) bool { return !c.m.lapsed.Load() }
+
 func (c *memoryClaim) Release(context.Context) {
 	c.m.mu.Lock()
 	defer c.m.mu.Unlock()
@@ -153,7 +160,7 @@
 
 // bench is one gateway before stand-in engines, each a replica of one VM.
 type bench struct {
-	t          *testing.T
+	t          testing.TB
 	gateway    *Gateway
 	server     *httptest.Server
 	engines    []*standinengine.Server
@@ -166,7 +173,7 @@
 	opts       Options
 }
 
-func testSet(t *testing.T) *rules.Set {
+func testSet(t testing.TB) *rules.Set {
 	t.Helper()
 	set, err := rules.Parse(fmt.Sprintf(testRules, tokenHash(testToken)))
 	require.NoError(t, err)
@@ -174,7 +181,7 @@
 }
 
 // newBench starts n engines and a gateway; change may be nil.
-func newBench(t *testing.T, n int, engineOpts standinengine.Options, change func(*bench)) *bench {
+func newBench(t testing.TB, n int, engineOpts standinengine.Options, change func(*bench)) *bench {
 	t.Helper()
 	b := &bench{t: t, router: &listRouter{}, admitter: &openAdmitter{}, claims: &memoryClaims{}, quarantine: &noQuarantine{}}
 	for i := range n {
@@ -189,14 +196,17 @@
 		NewID: func() string { return fmt.Sprintf("req-%d", ids.Add(1)) },
 	}
 	if testing.Verbose() {
-		b.opts.Log = slog.New(slog.NewTextHandler(t.Output(), nil))
+		b.opts.Log = slog.New(slog.NewTextHandler(b.t.Output(), nil))
 	}
 	if change != nil {
 		change(b)
 	}
 	b.opts.Services = b.services
 	b.gateway = New(b.opts)
-	b.server = httptest.NewServer(b.gateway)
+	b.server = httptest.NewUnstartedServer(b.gateway)
+	b.server.Listener = smallBuffers{b.server.Listener}
+	b.server.Start()
+	b.server.Client().Transport.(*http.Transport).DialContext = dialSmallBuffers
 	t.Cleanup(func() {
 		b.server.CloseClientConnections()
 		b.server.Close()
@@ -207,6 +217,40 @@
 	return b
 }
 
+// smallBuffers makes connections on which a reader that pauses is soon felt by the writer.
+type smallBuffers struct{ net.Listener }
+
+const smallBuffer = 8 << 10
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+	}
+	return c, err
+}
+
+func dialSmallBuffers(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err == nil {
+		err = c.(*net.TCPConn).SetReadBuffer(smallBuffer)
+	}
+	return c, err
+}
+
+// deadProbes is a Prober to which one address seems dead.
+type deadProbes struct {
+	Prober
+	addr string
+}
+
+func (d deadProbes) State(ctx context.Context, addr string) (engine.State, error) {
+	if addr == d.addr {
+		return engine.State{}, &engine.CallError{Kind: engine.CallNoAnswer, Addr: addr, Err: context.DeadlineExceeded}
+	}
+	return d.Prober.State(ctx, addr)
+}
+
 func (b *bench) addEngine(i int, opts standinengine.Options) {
 	opts.VM = cluster.VMID(fmt.Sprintf("vm-%d", i))
 	eng := standinengine.New(opts)
@@ -254,7 +298,10 @@
 	return reply{resp.StatusCode, resp.Header, string(text), err}
 }
 
-func (b *bench) chat(body string) reply { b.t.Helper(); return b.send(http.MethodPost, engine.ChatPath, body) }
+func (b *bench) chat(body string) reply {
+	b.t.Helper()
+	return b.send(http.MethodPost, engine.ChatPath, body)
+}
 
 // streamText is the text of a stream's chunks; whole tells whether it ended with the marker.
 func streamText(body string) (text string, whole bool) {
@@ -277,7 +324,7 @@
 }
 
 // requireWhole asserts a clean stream with exactly the engine's text.
-func requireWhole(t *testing.T, r reply, body string) {
+func requireWhole(t testing.TB, r reply, body string) {
 	t.Helper()
 	require.Equal(t, http.StatusOK, r.status, r.body)
 	require.NoError(t, r.err)
@@ -309,7 +356,7 @@
 	opened int
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -30,6 +30,7 @@
 	}
 	s.sink = g.newSink(w, c, s.req)
 	defer s.sink.close()
+	s.right = right
 	err = g.runSession(r, s, deadline)
 	g.settle(right, s.outcome(err))
 	g.endModel(w, r, s, err)
@@ -83,6 +84,10 @@
 		return s.withRun(err)
 	}
 	defer func() { slot.Release(s.tokens) }()
+	s.slot = slot
+	if err := mayDispatch(s.right); err != nil {
+		return err
+	}
 	return s.serve(r.Context(), deadline)
 }
 
@@ -111,7 +116,6 @@
 	countRefusal(e)
 	log.Error("answer aborted", "code", e.Code, "run", e.Run, "err", err.Error())
 	s.sink.abort(e)
-	s.sink.close()
 	panic(http.ErrAbortHandler)
 }
 
