grouping: warm spares, drains that wait for streams, rolling versions

Cause: the first controller broke up whatever lost a VM, and a new version was ordered from all engines of a group at once, which would be an outage of the whole group. Change: the plan's held spares load their group's model ahead (the stand-in engine keeps weights while idle with a model); a drained replica counts as busy until its engine, asked 5 s after the drain, says it is idle; at most a tenth of a group's replicas load a new version at a time. Found on the way: an engine last seen loading was never asked again while its serving VM's digest covered it, and the roll stood still (TestNewVersionRolls red, then green). Red without holds, without the wait, without the rate, without the share; the naive policy fails DarkDomain. Run: go test -race ./internal/grouping

--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -32,25 +32,18 @@
 	Whole(id cluster.ReplicaID, generation int64) bool
 }
 
-// Loads gives the work on the zone's replicas.
-type Loads interface {
-	ReplicaLoads() map[cluster.ReplicaID]placement.Load
-}
-
 // Options sets up a Controller. Zone, Node, Store, VMs, Rules, Engines, Policy
 // and Log are required.
 type Options struct {
-	Zone    cluster.ZoneID
-	Node    cluster.NodeID
-	Store   store.Store
-	VMs     VMSource
-	Rules   Rules
-	Engines Engines
-	Policy  placement.Policy
-	Log     *slog.Logger
-	// Wholeness and Loads may be nil.
-	Wholeness Wholeness
-	Loads     Loads
+	Zone      cluster.ZoneID
+	Node      cluster.NodeID
+	Store     store.Store
+	VMs       VMSource
+	Rules     Rules
+	Engines   Engines
+	Policy    placement.Policy
+	Log       *slog.Logger
+	Wholeness Wholeness // may be nil
 	// Candidate reports whether this node should try for the lease. Each try
 	// costs the store a call, so only a few nodes of a zone should; nil means yes.
 	Candidate func() bool
@@ -150,6 +143,10 @@
 	commit *committer
 	fleet  *fleet
 	ids    idSequence
+	// holds has the spares of the last plan and the groups whose model they load.
+	holds map[cluster.VMID]cluster.GroupName
+	// drained is since when this holder has known a replica to be drained.
+	drained map[cluster.ReplicaID]time.Time
 	// loaded is false when the table must be read anew before the next write.
 	loaded bool
 }
@@ -169,6 +166,8 @@
 		commit: &committer{store: c.opts.Store, zone: c.opts.Zone, lease: lease},
 		fleet:  newFleet(c.opts.Zone, c.opts.Engines, c.opts.DownAfter),
 		ids:    idSequence{zone: c.opts.Zone, fence: lease.Fence()},
+
+		drained: make(map[cluster.ReplicaID]time.Time),
 	}
 	// The former holder may have sent its last order just before its lease
 	// lapsed; an engine that ignores fencing numbers would take it after ours.
@@ -229,14 +228,15 @@
 	replicas := t.commit.book.Replicas()
 	in := placement.Input{
 		Zone: c.opts.Zone, Groups: set.Groups, Replicas: replicas,
-		VMs: t.fleet.placementVMs(replicas, now),
-	}
-	if c.opts.Loads != nil {
-		in.Load = c.opts.Loads.ReplicaLoads()
+		VMs: t.fleet.placementVMs(replicas, now), Load: t.work(replicas, now),
 	}
 	plan := c.opts.Policy.Plan(in, now)
+	t.holds = make(map[cluster.VMID]cluster.GroupName)
 	var batch []placement.Change
 	for _, action := range plan.Actions {
+		if action.Kind == placement.Hold {
+			t.holds[action.VM] = action.Group
+		}
 		if !action.Changes() {
 			c.opts.Log.Debug("placement", "zone", c.opts.Zone, "action", action.Kind, "group", action.Group, "vm", action.VM, "reason", action.Reason)
 			continue
@@ -263,6 +263,34 @@
 	return slices.ContainsFunc(batch, func(c placement.Change) bool { return c.Replica.ID == id })
 }
 
+// drainGrace is how long after a drain an engine's report may still miss work:
+// nodes go on sending until they know of the drain, and reports lag.
+const drainGrace = 5 * time.Second
+
+// work returns the replicas that may have streams running: all but those that
+// were drained a while ago and say since that they are idle.
+func (t *tenure) work(replicas []cluster.Replica, now time.Time) map[cluster.ReplicaID]placement.Load {
+	out := make(map[cluster.ReplicaID]placement.Load, len(replicas))
+	draining := make(map[cluster.ReplicaID]time.Time)
+	for _, r := range replicas {
+		if !r.Leaving {
+			out[r.ID] = placement.Load{Running: 1}
+			continue
+		}
+		since, known := t.drained[r.ID]
+		if !known {
+			since = now
+		}
+		draining[r.ID] = since
+		view := t.fleet.views[r.Serving]
+		if view == nil || view.asked.Before(since.Add(drainGrace)) || view.state.Load.Running+view.state.Load.Waiting > 0 {
+			out[r.ID] = placement.Load{Running: 1}
+		}
+	}
+	t.drained = draining
+	return out
+}
+
 func (c *Controller) commitBatch(ctx context.Context, t *tenure, batch []placement.Change) error {
 	if len(batch) == 0 {
 		return nil
--- a/internal/grouping/engines.go
+++ b/internal/grouping/engines.go
@@ -88,6 +88,9 @@
 		if f.down(view, now) {
 			vm.DownSince = view.failing
 		}
+		if view.known && view.state.Loaded {
+			vm.Model = view.state.Assignment.Model
+		}
 		out = append(out, vm)
 	}
 	for _, r := range replicas {
--- a/internal/grouping/orders.go
+++ b/internal/grouping/orders.go
@@ -14,15 +14,21 @@
 )
 
 // desired returns what each VM's engine should believe, by the committed table.
-// VMs of no replica have no entry: they should be idle.
-func desired(replicas []cluster.Replica, set *rules.Set, addr func(cluster.VMID) string) map[cluster.VMID]engine.Assignment {
+// Spares in holds should be idle with their group's model loaded. VMs without an
+// entry should be idle.
+func desired(replicas []cluster.Replica, holds map[cluster.VMID]cluster.GroupName, groups []rules.Group, addr func(cluster.VMID) string) map[cluster.VMID]engine.Assignment {
 	out := make(map[cluster.VMID]engine.Assignment)
+	for id, name := range holds {
+		if g := placement.FindGroup(groups, name); g != nil {
+			out[id] = engine.Assignment{Role: engine.RoleIdle, Model: g.Model, Version: g.Version, Adapters: g.Adapters}
+		}
+	}
 	for _, r := range replicas {
 		base := engine.Assignment{
 			Replica: r.ID, Generation: r.Generation, Members: r.Members, Serving: r.Serving,
 			Model: r.Model, Addrs: make(map[cluster.VMID]string, len(r.Members)),
 		}
-		if g := placement.FindGroup(set.Groups, r.Group); g != nil {
+		if g := placement.FindGroup(groups, r.Group); g != nil {
 			base.Version, base.Adapters = g.Version, g.Adapters
 		}
 		for _, id := range r.Members {
@@ -41,12 +47,13 @@
 }
 
 // orderFor returns the order that takes an engine from have to want, or "" when
-// none is needed. An idle engine is wanted when assigned is false.
-func orderFor(have engine.Assignment, want engine.Assignment, assigned bool) engine.OrderKind {
+// none is needed. An engine that is not wanted may keep its weights, but not its
+// place in a replica.
+func orderFor(have, want engine.Assignment, wanted bool) engine.OrderKind {
 	switch {
-	case !assigned && have.Replica != "":
+	case !wanted && have.Replica != "":
 		return engine.OrderRelease
-	case !assigned:
+	case !wanted:
 		return ""
 	case have.Replica != want.Replica || have.Generation != want.Generation ||
 		have.Role != want.Role || have.Model != want.Model:
--- a/internal/grouping/world_test.go
+++ b/internal/grouping/world_test.go
@@ -37,19 +37,31 @@
 	engines map[string]*fakeEngine // by address
 	// beforeOrder runs before an order reaches its engine; it may block.
 	beforeOrder func(order engine.Order)
+	policy      placement.Policy
+	loadsPerSec float64
+	loadTime    time.Duration
 	orders      []engine.Order // accepted
 }
 
 type fakeEngine struct {
 	state engine.State
 	down  bool
+	loads int // readings of weights
+	ready time.Time
+}
+
+// seen is the engine's state now.
+func (e *fakeEngine) seen() engine.State {
+	state := e.state
+	state.Loaded = state.Assignment.Model != "" && !time.Now().Before(e.ready)
+	return state
 }
 
 func newWorld(t *testing.T, vms int, group rules.Group) *world {
 	w := &world{
 		t: t, store: memstore.New(memstore.Options{}), log: slog.New(slog.DiscardHandler),
-		engines: make(map[string]*fakeEngine),
-		set:     &rules.Set{Groups: []rules.Group{group}},
+		engines: make(map[string]*fakeEngine), policy: placement.Naive{},
+		set: &rules.Set{Groups: []rules.Group{group}},
 	}
 	for i := range vms {
 		w.addVM(cluster.VMID(fmt.Sprintf("vm%02d", i)), "d1")
@@ -115,7 +127,7 @@
 
 // answer adds the digest of the members that answer to a serving VM's state.
 func (w *world) answer(e *fakeEngine) engine.State {
-	state := e.state
+	state := e.seen()
 	if state.Assignment.Role != engine.RoleServing {
 		return state
 	}
@@ -148,13 +160,16 @@
 		return engine.OrderResult{Reason: "old fencing number", State: e.state}, nil
 	}
 	e.state.Fence = max(e.state.Fence, order.Fence)
-	e.state.Loaded = order.Kind != engine.OrderRelease
+	if needsWeights(e.seen(), order) {
+		e.loads++
+		e.ready = time.Now().Add(w.loadTime)
+	}
 	e.state.Assignment = order.Assignment
 	if order.Kind == engine.OrderRelease {
 		e.state.Assignment = engine.Assignment{Role: engine.RoleIdle}
 	}
 	w.orders = append(w.orders, order)
-	return engine.OrderResult{Accepted: true, State: e.state}, nil
+	return engine.OrderResult{Accepted: true, State: e.seen()}, nil
 }
 
 // node is one controller, run as one process would.
@@ -169,7 +184,8 @@
 		through = w.store
 	}
 	c := NewController(Options{
-		Zone: testZone, Node: id, Store: through, VMs: w, Rules: w, Engines: w, Policy: placement.Naive{}, Log: w.log,
+		Zone: testZone, Node: id, Store: through, VMs: w, Rules: w, Engines: w, Policy: w.policy, Log: w.log,
+		LoadsPerSecond: w.loadsPerSec,
 	})
 	ctx, cancel := context.WithCancel(w.t.Context())
 	n := &node{done: make(chan struct{})}
@@ -195,7 +211,7 @@
 	for _, id := range r.Members {
 		e := w.engines[string(id)+":1"]
 		a := e.state.Assignment
-		if e.down || !e.state.Loaded || a.Replica != r.ID || a.Generation != r.Generation {
+		if e.down || !e.seen().Loaded || a.Replica != r.ID || a.Generation != r.Generation {
 			return false
 		}
 	}
@@ -234,3 +250,9 @@
 	downFaults    = memstore.Faults{Down: true}
 	healthyFaults = memstore.Faults{}
 )
+
+func (w *world) setGroups(groups ...rules.Group) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.set = &rules.Set{Groups: groups}
+}
--- a/internal/standin/engine/members.go
+++ b/internal/standin/engine/members.go
@@ -51,7 +51,7 @@
 }
 
 func (s *Server) loadedLocked(now time.Time) bool {
-	return s.assignment.Role != engine.RoleIdle && !now.Before(s.loadedAt)
+	return s.assignment.Model != "" && !now.Before(s.loadedAt)
 }
 
 // wholeLocked reports whether every member was heard lately and agrees.
@@ -115,7 +115,7 @@
 
 func (s *Server) assumeLocked(next engine.Assignment, now time.Time) {
 	prev := s.assignment
-	sameWeights := prev.Role != engine.RoleIdle && prev.Model == next.Model &&
+	sameWeights := prev.Model != "" && prev.Model == next.Model &&
 		prev.Version == next.Version && slices.Equal(prev.Adapters, next.Adapters)
 	sameMembers := prev.Replica == next.Replica && prev.Serving == next.Serving &&
 		slices.Equal(prev.Members, next.Members)
