--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -57,6 +57,10 @@
 	// DownAfter is how long an engine must fail to answer before its VM counts
 	// as down; zero means DefaultDownAfter.
 	DownAfter time.Duration
+	// PollQuiet is how often an engine that is as it should be is asked; it bounds
+	// how long one that ignores fencing numbers can be misled. Zero means
+	// DefaultPollQuiet.
+	PollQuiet time.Duration
 	// LoadsPerSecond is how many VMs a second may start to read weights;
 	// zero means no bound. LoadBurst is how many may start at once.
 	LoadsPerSecond float64
@@ -69,6 +73,7 @@
 	DefaultTick      = time.Second
 	DefaultOrderLife = 2 * time.Second
 	DefaultDownAfter = 3 * time.Second
+	DefaultPollQuiet = 5 * time.Second
 )
 
 var (
@@ -93,6 +98,7 @@
 	setDefault(&opts.Tick, DefaultTick)
 	setDefault(&opts.OrderLife, DefaultOrderLife)
 	setDefault(&opts.DownAfter, DefaultDownAfter)
+	setDefault(&opts.PollQuiet, DefaultPollQuiet)
 	if opts.Candidate == nil {
 		opts.Candidate = func() bool { return true }
 	}
--- a/internal/grouping/reconcile.go
+++ b/internal/grouping/reconcile.go
@@ -10,11 +10,8 @@
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
-// pollQuiet is how often the holder asks an engine that is as it should be.
-const pollQuiet = 5 * time.Second
-
 // due returns the VMs to ask now, ordered by id: at once those that are not as
-// the table wants them or do not answer, and every pollQuiet the free ones and
+// the table wants them or do not answer, and every PollQuiet the free ones and
 // the serving VMs, whose digest covers their members. Members whose last sign
 // of life is old are asked themselves. Replicas that the zone's health checks
 // hold to be whole are not asked at all.
@@ -54,12 +51,12 @@
 		return true // its load has to be seen to end, and no digest tells
 	}
 	assigned := want.Replica != ""
-	quiet := now.Sub(view.asked) >= pollQuiet
+	quiet := now.Sub(view.asked) >= c.opts.PollQuiet
 	if assigned && c.opts.Wholeness != nil {
 		return true
 	}
 	if assigned && view.vm.ID != want.Serving {
-		return quiet && now.Sub(view.lastSeen) >= pollQuiet+c.opts.DownAfter
+		return quiet && now.Sub(view.lastSeen) >= c.opts.PollQuiet+c.opts.DownAfter
 	}
 	return quiet
 }
--- a/internal/grouping/repair_test.go
+++ b/internal/grouping/repair_test.go
@@ -163,7 +163,7 @@
 			}
 		}
 		w.setGroups(group)
-		time.Sleep(3 * (testLoadTime + 2*pollQuiet))
+		time.Sleep(3 * (testLoadTime + 2*DefaultPollQuiet))
 		synctest.Wait()
 		require.Equal(t, before, w.committed())
 		require.Len(t, loading, 3)
