Zones may use each other's replicas; groupings travel between nodes only when new

Cause: a zone whose backend servers were all dark refused its callers though the next zone had room; nodes that do not watch asked three peers for the whole table each second (about 200 KB a table at 265 replicas of 32 VMs, against 6 KB/s). Ruled out: store watches on other zones, whose number would grow with the square of the zones. Change: neighbor_zones names the zones whose replicas a node also uses, read from those zones' nodes; a question for a grouping carries the revision held, and one peer is asked at a time; capacity is split only over nodes that use the same replicas. The weighted placement policy is in use. Conclusion: a dark zone is served by its neighbour.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -30,6 +30,9 @@
 	Overcommit float64
 	// PeerExpiry is the silence after which a node counts as unseen.
 	PeerExpiry time.Duration
+	// SharesCapacity reports whether the nodes of a zone send to the same replicas
+	// as this one and so need a part of their capacity; nil means all do.
+	SharesCapacity func(cluster.ZoneID) bool
 	// Now is the clock; default time.Now.
 	Now func() time.Time
 }
@@ -54,6 +57,9 @@
 	if o.PeerExpiry == 0 {
 		o.PeerExpiry = DefaultPeerExpiry
 	}
+	if o.SharesCapacity == nil {
+		o.SharesCapacity = func(cluster.ZoneID) bool { return true }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -95,7 +101,7 @@
 // called for a group, its requests are bounded by the teams' limits only.
 func New(opts Options) *Controller {
 	opts = opts.withDefaults()
-	c := &Controller{opts: opts, peers: peerBook{self: opts.Self, expiry: opts.PeerExpiry, heard: map[cluster.NodeID]peerDemand{}}}
+	c := &Controller{opts: opts, peers: peerBook{self: opts.Self, expiry: opts.PeerExpiry, sharesCapacity: opts.SharesCapacity, heard: map[cluster.NodeID]peerDemand{}}}
 	for i := range shards {
 		c.groups[i].queues = map[cluster.GroupName]*groupQueue{}
 		c.teams[i].m = map[cluster.TeamID]*teamState{}
--- a/internal/admission/peers.go
+++ b/internal/admission/peers.go
@@ -26,6 +26,8 @@
 type peerBook struct {
 	self   Node
 	expiry time.Duration
+	// sharesCapacity reports whether a zone's nodes send to the same replicas.
+	sharesCapacity func(cluster.ZoneID) bool
 
 	mu    sync.Mutex
 	nodes []Node // all others
@@ -80,7 +82,7 @@
 	return out
 }
 
-// ofAll lists the nodes' whole demand. An availability zone of which no node is
+// ofAll lists the whole demand of the nodes that send to the same replicas. An availability zone of which no node is
 // seen is taken to be cut off: it cannot reach the replicas that this node
 // still finds whole, and a part kept for it would idle exactly when capacity is
 // short. Should it reach them after all, the engines refuse what is too much.
@@ -95,7 +97,7 @@
 	}
 	out := []nodeDemand{{id: b.self.ID, demand: own, seen: true}}
 	for _, n := range b.nodes {
-		if p := b.heard[n.ID]; seenZones[n.Zone] {
+		if p := b.heard[n.ID]; seenZones[n.Zone] && b.sharesCapacity(n.Zone) {
 			out = append(out, nodeDemand{id: n.ID, demand: p.total, seen: b.fresh(p, now)})
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,15 +39,19 @@
 	// incarnation tells this process from earlier ones of the same node.
 	incarnation uint64
 
-	store      store.Store
-	vms        *vmlist.Watcher
-	rules      *rulestore.Holder
-	transport  *wire.Transport
-	members    *membership.Service
-	keyring    *wire.Keyring
-	tls        *wire.TLSConfig
-	peers      *peer.Client
+	store     store.Store
+	vms       *vmlist.Watcher
+	rules     *rulestore.Holder
+	transport *wire.Transport
+	members   *membership.Service
+	keyring   *wire.Keyring
+	tls       *wire.TLSConfig
+	peers     *peer.Client
+	// peerTurn spreads questions over the peers.
+	peerTurn atomic.Uint64
+	// table is the own zone's grouping, neighbors those of other zones in use.
 	table      *grouping.Table
+	neighbors  []*grouping.Table
 	controller *grouping.Controller
 	engines    *engine.Client
 	prober     *engine.Client
--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/admission"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/health"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
@@ -20,10 +21,12 @@
 
 // connect joins the parts: what one learns, the others are told.
 func (n *Node) connect() {
-	n.table.OnChange(func(g cluster.Grouping) {
-		n.health.SetGrouping(g)
-		n.setRoutes(g, n.vms.List())
-	})
+	for _, table := range n.tables() {
+		table.OnChange(func(g cluster.Grouping) {
+			n.health.SetGrouping(g)
+			n.setRoutes(g, n.vms.List())
+		})
+	}
 	n.health.OnChange(func(r cluster.Replica, whole bool, reason string) {
 		n.log.Info("replica", "replica", r.ID, "generation", r.Generation, "whole", whole, "reason", reason)
 		n.routing.SetWhole(r.ID, r.Generation, whole)
@@ -45,9 +48,14 @@
 // vmsChanged passes on a new VM list.
 func (n *Node) vmsChanged(list cluster.VMList) {
 	n.health.SetVMs(list)
-	n.setRoutes(n.table.Current(), list)
+	for _, table := range n.tables() {
+		n.setRoutes(table.Current(), list)
+	}
 }
 
+// tables are the groupings of all zones whose replicas this node uses.
+func (n *Node) tables() []*grouping.Table { return append([]*grouping.Table{n.table}, n.neighbors...) }
+
 // setRoutes passes the committed replicas to the router with the addresses of
 // their serving VMs.
 func (n *Node) setRoutes(g cluster.Grouping, list cluster.VMList) {
@@ -59,11 +67,14 @@
 	for i, r := range g.Replicas {
 		entries[i] = routing.Entry{Replica: r, Addr: addrs[r.Serving]}
 	}
-	n.routing.SetReplicas(n.set.Zone, entries)
+	n.routing.SetReplicas(g.Zone, entries)
 }
 
 // startDuties runs everything that goes on beside requests.
 func (n *Node) startDuties(ctx context.Context) {
+	for _, table := range n.neighbors {
+		n.duties.Go(func() { table.Run(ctx) })
+	}
 	for _, run := range []func(context.Context){
 		n.vms.Run, n.members.Run, n.rules.Run, n.table.Run, n.health.Run, n.controller.Run, n.cachePoller().Run, n.ledger.run, n.review,
 	} {
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/health"
 	"github.com/fennelcourse/fennelcourse/internal/ledger"
 )
 
@@ -148,7 +150,7 @@
 func (l *ledgerDuty) replicasNow() map[cluster.ReplicaID]seenReplica {
 	seen := map[cluster.ReplicaID]seenReplica{}
 	formed := map[cluster.GroupName]int{}
-	for _, s := range l.n.health.Status() {
+	for _, s := range l.ownReplicas() {
 		cause := causeNotWhole
 		if s.Replica.Leaving {
 			cause = causePlanned
@@ -171,12 +173,17 @@
 	return seen
 }
 
+// ownReplicas are those of this node's zone: other zones keep their own ledger.
+func (l *ledgerDuty) ownReplicas() []health.ReplicaStatus {
+	return slices.DeleteFunc(l.n.health.Status(), func(s health.ReplicaStatus) bool { return s.Replica.Zone != l.n.set.Zone })
+}
+
 // feedStranded counts live engine VMs that serve nobody: members of a replica
 // that is not whole, and VMs in no replica.
 func (l *ledgerDuty) feedStranded(now time.Time) {
 	level := map[strandedKey]int{}
 	member := map[cluster.VMID]seenReplica{}
-	for _, s := range l.n.health.Status() {
+	for _, s := range l.ownReplicas() {
 		for _, vm := range s.Replica.Members {
 			member[vm] = seenReplica{group: s.Replica.Group, down: !s.Whole}
 		}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
 
@@ -22,36 +24,33 @@
 	return nil, fennelerr.New(fennelerr.NotFound, "no address of node %s is known", node)
 }
 
-// groupingAsked bounds how many peers are asked for a grouping at a time.
-const groupingAsked = 3
-
-// FetchGrouping implements grouping.Peers: it asks a few nodes of the zone, the
-// most recently heard first.
+// FetchGrouping implements grouping.Peers. It asks one node of the zone at a
+// time, another one with each call: the answer is as large as the zone's table
+// when there is news, and small otherwise.
 func (f peerFetcher) FetchGrouping(ctx context.Context, zone cluster.ZoneID, have int64) (cluster.Grouping, error) {
-	newest := cluster.Grouping{Zone: zone}
-	var last error
-	asked := 0
-	for _, m := range f.n.members.Members() {
-		if m.Zone != zone || m.PeerAddr == "" || asked == groupingAsked {
-			continue
-		}
-		asked++
-		resp, err := f.n.peers.FetchGrouping(ctx, m.PeerAddr, zone)
-		if err != nil {
-			last = err
-			continue
-		}
-		if resp.Revision <= max(have, newest.Revision) {
-			continue
-		}
-		if err := json.Unmarshal(resp.GroupingJson, &newest); err != nil {
-			last = err
-		}
+	none := cluster.Grouping{Zone: zone}
+	addr := f.nextPeer(zone)
+	if addr == "" {
+		return none, fennelerr.New(fennelerr.NotFound, "no node of zone %s is known", zone)
 	}
-	if newest.Revision == 0 && last != nil {
-		return newest, last
+	resp, err := f.n.peers.FetchGrouping(ctx, addr, zone, have)
+	if err != nil || resp.Revision <= have || len(resp.GroupingJson) == 0 {
+		return none, err
 	}
-	return newest, nil
+	var newer cluster.Grouping
+	if err := json.Unmarshal(resp.GroupingJson, &newer); err != nil {
+		return none, err
+	}
+	return newer, nil
+}
+
+// nextPeer takes the zone's live nodes in turn.
+func (f peerFetcher) nextPeer(zone cluster.ZoneID) string {
+	members := slices.DeleteFunc(f.n.servingMembers(), func(m membership.Member) bool { return m.Zone != zone || m.PeerAddr == "" })
+	if len(members) == 0 {
+		return ""
+	}
+	return members[f.n.peerTurn.Add(1)%uint64(len(members))].PeerAddr
 }
 
 // peerSource answers other nodes' questions.
@@ -63,11 +62,14 @@
 }
 
 // FetchGrouping implements peer.GroupingSource.
-func (s peerSource) FetchGrouping(_ context.Context, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+func (s peerSource) FetchGrouping(_ context.Context, zone cluster.ZoneID, have int64) (*wirepb.FetchGroupingResponse, error) {
 	if zone != s.n.set.Zone {
 		return nil, fennelerr.New(fennelerr.NotFound, "this node keeps the grouping of zone %s only", s.n.set.Zone)
 	}
 	g := s.n.table.Current()
+	if g.Revision <= have {
+		return &wirepb.FetchGroupingResponse{Zone: string(zone), Revision: g.Revision}, nil
+	}
 	doc, err := json.Marshal(g)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
@@ -31,8 +32,10 @@
 	watchersPerZone = 2
 	// placementCandidates is how many nodes of a zone try for the placement lease.
 	placementCandidates = 2
-	readHeaderTimeout   = 10 * time.Second
-	idleTimeout         = 2 * time.Minute
+	// loadBurst is how many VMs may start to read weights at once.
+	loadBurst         = 8
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
 )
 
 func (n *Node) setupPlatform() error {
@@ -95,15 +98,19 @@
 	n.prober = engine.NewProber(gateway.DefaultProbeTimeout)
 	n.table = grouping.NewTable(grouping.TableOptions{Zone: zone, Store: n.store, Log: n.log, Peers: peerFetcher{n},
 		Watches: func() bool { return n.members.Duty("watch-grouping", watchersPerZone) }})
+	for _, neighbor := range n.set.Control.NeighborZones {
+		n.neighbors = append(n.neighbors, grouping.NewTable(grouping.TableOptions{Zone: neighbor, Store: n.store, Log: n.log,
+			Peers: peerFetcher{n}, Watches: func() bool { return false }}))
+	}
 	bounds := health.DefaultBounds()
 	bounds.MaxAge = n.set.Control.ConfirmWithin
 	n.health = health.New(health.Options{Engines: n.engines, Log: n.log, Bounds: bounds,
 		Duty: func(id cluster.ReplicaID) bool { return n.members.Duty("poll/"+string(id), 1) }})
 	n.controller = grouping.NewController(grouping.Options{
-		Zone: zone, Node: n.set.Node, Store: n.store, VMs: n.vms, Rules: n.rules, Engines: n.engines, Policy: placement.Naive{},
+		Zone: zone, Node: n.set.Node, Store: n.store, VMs: n.vms, Rules: n.rules, Engines: n.engines, Policy: placement.Weighted{},
 		Log: n.log, Wholeness: n.health, LeaseTTL: n.set.Control.PlacementLease,
 		Candidate:      func() bool { return n.members.Duty("place", placementCandidates) },
-		LoadsPerSecond: n.set.Control.LoadsPerMinute / time.Minute.Seconds(),
+		LoadsPerSecond: n.set.Control.LoadsPerMinute / time.Minute.Seconds(), LoadBurst: loadBurst,
 	})
 	n.ledger = newLedgerDuty(n)
 	n.routing = routing.NewTable(routing.Options{Zone: zone, Seed: n.incarnation})
@@ -112,7 +119,8 @@
 
 func (n *Node) setupRequests() error {
 	req := n.set.Requests
-	n.admission = admission.New(admission.Options{Self: admission.Node{ID: n.set.Node, Zone: n.set.Zone}, LimitOf: n.limitOf, MaxWait: req.Deadline})
+	n.admission = admission.New(admission.Options{Self: admission.Node{ID: n.set.Node, Zone: n.set.Zone}, LimitOf: n.limitOf, MaxWait: req.Deadline,
+		SharesCapacity: n.usesZone})
 	n.claims = claims.New(claims.Options{Store: n.store, Node: n.set.Node, Incarnation: n.incarnation, Retention: req.ClaimRetention, Log: n.log})
 	n.suspects = suspect.New(suspect.Options{Node: n.set.Node, Log: n.log, Nudge: n.members.Nudge, Peers: n.livePeers, Rank: n.members.Rank})
 	n.pools = engine.NewPools(engine.PoolOptions{})
@@ -126,6 +134,11 @@
 	return nil
 }
 
+// usesZone reports whether the zone's nodes and this one send to the same replicas.
+func (n *Node) usesZone(zone cluster.ZoneID) bool {
+	return zone == n.set.Zone || slices.Contains(n.set.Control.NeighborZones, zone)
+}
+
 func (n *Node) limitOf(team cluster.TeamID) rules.Limit {
 	if set := n.rules.Current(); set != nil {
 		return set.LimitOf(team)
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -155,6 +155,8 @@
 	vms      []cluster.VM
 	engines  map[cluster.VMID]*proc
 	nodes    []*node
+	// neighbors is added to the control settings of nodes started from now on.
+	neighbors string
 }
 
 func newSystem(t *testing.T) *system {
@@ -224,7 +226,7 @@
   heartbeat: 200ms
   seeds: [%s]
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
-control: {placement_lease: 3s}
+control: {placement_lease: 3s, loads_per_minute: 6000%s}
 tls: {off: true}
 drain: {notice: 100ms}
 %s
@@ -242,7 +244,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", n.datagrams))
 	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), extra)
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.neighbors, extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
 	n.callers = n.await(`msg=serving.* callers=(\S+)`)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -73,11 +73,12 @@
 	return resp.Msg, nil
 }
 
-// FetchGrouping asks the peer at addr, an ip:port, for the newest grouping it knows of a zone.
-func (c *Client) FetchGrouping(ctx context.Context, addr string, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+// FetchGrouping asks the peer at addr, an ip:port, for the newest grouping it knows
+// of a zone; the answer has no grouping when none is newer than revision have.
+func (c *Client) FetchGrouping(ctx context.Context, addr string, zone cluster.ZoneID, have int64) (*wirepb.FetchGroupingResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	req := connect.NewRequest(&wirepb.FetchGroupingRequest{Zone: string(zone)})
+	req := connect.NewRequest(&wirepb.FetchGroupingRequest{Zone: string(zone), HaveRevision: have})
 	resp, err := c.service(addr).FetchGrouping(ctx, req)
 	if err != nil {
 		return nil, fromConnect(err, "peer.fetch_grouping", addr)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -26,7 +26,7 @@
 	return &wirepb.FetchRulesResponse{Revision: have + 1, Text: "rules"}, nil
 }
 
-func (f fakeSource) FetchGrouping(_ context.Context, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+func (f fakeSource) FetchGrouping(_ context.Context, zone cluster.ZoneID, _ int64) (*wirepb.FetchGroupingResponse, error) {
 	return nil, fennelerr.New(fennelerr.NotFound, "no grouping of %s", zone)
 }
 
@@ -47,9 +47,9 @@
 	resp, err := client.FetchRules(t.Context(), addr, 41)
 	require.NoError(t, err)
 	require.EqualValues(t, 42, resp.Revision)
-	_, err = client.FetchGrouping(t.Context(), addr, "serra-a")
+	_, err = client.FetchGrouping(t.Context(), addr, "serra-a", 0)
 	require.True(t, fennelerr.Is(err, fennelerr.NotFound), err)
-	_, err = client.FetchGrouping(t.Context(), addr, "")
+	_, err = client.FetchGrouping(t.Context(), addr, "", 0)
 	require.True(t, fennelerr.Is(err, fennelerr.InvalidRequest), err)
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,7 +23,7 @@
 
 // GroupingSource answers with the newest committed grouping known here of a zone.
 type GroupingSource interface {
-	FetchGrouping(ctx context.Context, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error)
+	FetchGrouping(ctx context.Context, zone cluster.ZoneID, have int64) (*wirepb.FetchGroupingResponse, error)
 }
 
 // maxRequest bounds a request's body, in bytes; requests only carry a name or a number.
@@ -55,7 +55,7 @@
 	if req.Msg.Zone == "" {
 		return nil, toConnect(fennelerr.New(fennelerr.InvalidRequest, "no zone given").WithField("zone"))
 	}
-	resp, err := s.groupings.FetchGrouping(ctx, cluster.ZoneID(req.Msg.Zone))
+	resp, err := s.groupings.FetchGrouping(ctx, cluster.ZoneID(req.Msg.Zone), req.Msg.HaveRevision)
 	if err != nil {
 		return nil, toConnect(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,10 @@
 	PlacementLease time.Duration `yaml:"placement_lease"`
 	// ConfirmWithin is the greatest age of a replica's confirmation by all its VMs; default 3s.
 	ConfirmWithin time.Duration `yaml:"confirm_within"`
+	// NeighborZones are other zones whose replicas this node also uses: when its own
+	// are lost or full, or the route says prefer=any. Each costs polls of its
+	// replicas, shared by the zone's nodes; default none.
+	NeighborZones []cluster.ZoneID `yaml:"neighbor_zones"`
 	// LoadsPerMinute is the weight store's rate, in model loads a minute; default 60.
 	LoadsPerMinute float64 `yaml:"loads_per_minute"`
 }
@@ -231,6 +235,12 @@
 	if !isURL(s.Platform.VMList) {
 		bad("platform.vm_list", s.Platform.VMList, "an http or https URL")
 	}
+	for i, zone := range s.Control.NeighborZones {
+		if zone == s.Zone {
+			bad(fmt.Sprintf("control.neighbor_zones[%d]", i), string(zone), "a zone other than the node's own")
+		}
+		checkName(fmt.Sprintf("control.neighbor_zones[%d]", i), string(zone))
+	}
 	for i, addr := range s.Peers.Seeds {
 		if !isIPPort(addr) {
 			bad(fmt.Sprintf("peers.seeds[%d]", i), addr, "ip:port of a node's datagrams")
