gateway: a claimed model call never moves once it may have run

Cause: a resume whose dial fails counted as 'not started', although the attempt it resumed had started on that replica; nextStep then restarted the call on another replica, also when it may run at most once. And an engine's 4xx with Fennel-Started: no reset the run state to not-run, although an earlier replica had run the request and crashed. Ruled out: the claim itself (held once), the streamer (its NotStartedError is true of its own attempt), resume on the same replica (the engine keeps the id). Change: the decision goes by whether any attempt may have run; the run state only leaves not-run and never returns to it. The table test now varies that instead of the number of events, which implies it.

--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -30,8 +30,10 @@
 type situation struct {
 	failure failure
 	fate    fate
-	// events counts the events taken in so far.
-	events int64
+	// mayHaveRun is true when this attempt or an earlier one may have started the
+	// request on a replica. A resume whose dial fails did not start it, but the
+	// attempt that it resumes did.
+	mayHaveRun bool
 	// committed is true once the caller has received bytes.
 	committed bool
 	// canContinue is true when another replica can go on after these events.
@@ -72,7 +74,7 @@
 		return step{stepGiveUp, "no progress", fennelerr.BackendFailed}
 	case s.failure == failedInterrupted && s.fate == fateAlive:
 		return step{kind: stepResume, reason: "connection failed, replica alive"}
-	case s.failure == failedNotStarted && s.events == 0:
+	case s.failure == failedNotStarted && !s.mayHaveRun:
 		return step{kind: stepRestart, reason: "not started"}
 	case !s.repeatable:
 		return step{stepGiveUp, "may not run again", fennelerr.OutcomeUnknown}
--- a/internal/gateway/honest_test.go
+++ b/internal/gateway/honest_test.go
@@ -187,17 +187,17 @@
 				s := situation{failure: failure, fate: fate, maxFruitless: 3, committed: flags&1 > 0, canContinue: flags&2 > 0,
 					repeatable: flags&4 > 0, lostByReplica: flags&8 > 0}
 				if flags&16 > 0 {
-					s.events = 4
+					s.mayHaveRun = true
 				}
 				got := nextStep(s)
 				name := fmt.Sprintf("%+v -> %+v", s, got)
 				if got.kind == stepRestart {
-					require.False(t, s.committed && s.events > 0, name)
+					require.False(t, s.committed && s.mayHaveRun, name)
 				}
 				if got.kind == stepContinue {
 					require.True(t, s.canContinue && s.repeatable, name)
 				}
-				if !s.repeatable && (s.events > 0 || s.failure == failedInterrupted) {
+				if !s.repeatable && (s.mayHaveRun || s.failure == failedInterrupted) {
 					require.NotContains(t, []stepKind{stepRestart, stepContinue}, got.kind, name)
 				}
 				if got.kind == stepGiveUp {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -130,7 +130,7 @@
 		Addr: s.target.choice.Addr, Path: s.req.path, RequestID: s.c.id, Replica: replica.ID, Generation: replica.Generation,
 		Priority: s.c.team.Priority, Body: body, ResumeAfter: s.prog.lastID, Resume: s.resume, Continue: s.carryOn,
 	}, func(info engine.StreamInfo) { s.info = info }, s.take)
-	if _, notStarted := errors.Into[*engine.NotStartedError](err); !notStarted && s.run == fennelerr.NotRun {
+	if s.run == fennelerr.NotRun && !provesNotStarted(err) {
 		s.run = fennelerr.Unknown
 	}
 	if s.prog.lastID > before {
@@ -141,6 +141,16 @@
 	return err
 }
 
+// provesNotStarted reports whether the attempt that ended with err certainly did
+// not start the request. It says nothing about earlier attempts.
+func provesNotStarted(err error) bool {
+	if r, ok := errors.Into[*engine.RejectedError](err); ok {
+		return r.NotStarted
+	}
+	_, ok := errors.Into[*engine.NotStartedError](err)
+	return ok
+}
+
 // prefix is the text to continue from at another replica; empty otherwise.
 func (s *session) prefix() string {
 	if !s.carryOn {
@@ -250,7 +260,7 @@
 // classify turns an attempt's error, and a probe where it matters, into a situation.
 func (s *session) classify(ctx context.Context, err error) situation {
 	now := situation{
-		events: s.prog.lastID, committed: s.sink.committed(), repeatable: s.route.Once != rules.OnceRequired,
+		mayHaveRun: s.run != fennelerr.NotRun, committed: s.sink.committed(), repeatable: s.route.Once != rules.OnceRequired,
 		canContinue: s.info.CanContinue && s.req.choices == 1 && s.prog.plain,
 		fruitless:   s.fruitless, maxFruitless: s.g.opts.MaxAttempts,
 	}
@@ -261,12 +271,9 @@
 		}
 		return now
 	}
-	if r, ok := errors.Into[*engine.RejectedError](err); ok {
+	if _, ok := errors.Into[*engine.RejectedError](err); ok {
 		now.failure = failedRejected
 		now.lostByReplica = s.resume || s.carryOn
-		if r.NotStarted && s.prog.lastID == 0 && !s.resume {
-			s.run = fennelerr.NotRun
-		}
 		return now
 	}
 	now.failure = failedInterrupted
