--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -220,10 +220,12 @@
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
 control: {placement_lease: 3s}
 tls: {off: true}
-drain: {notice: 100ms}
 %s
 `
 
+// shortNotice is the drain setting of nodes whose extra settings name none.
+const shortNotice = "drain: {notice: 100ms}\n"
+
 // startNode starts a fenneld that knows the nodes running now as seeds. platform
 // is where it looks for the platform; empty means the system's.
 func (s *system) startNode(name cluster.NodeID, zone cluster.ZoneID, platform, extra string) *node {
@@ -235,6 +237,9 @@
 	for _, n := range s.nodes {
 		seeds = append(seeds, fmt.Sprintf("%q", n.datagrams))
 	}
+	if !strings.Contains(extra, "drain:") {
+		extra += shortNotice
+	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
 	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
