controlbench: ask for quarantines without claiming them

Cause: the measure polled Admit, which claims a suspect's retry; with 25 nodes the nodes took turns holding the claim and the event never ended. The change: Tracker.Quarantined only looks.

--- a/cmd/controlbench/measure.go
+++ b/cmd/controlbench/measure.go
@@ -7,8 +7,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 )
 
 // joinTimeout bounds the wait for all nodes to know each other.
@@ -17,8 +15,6 @@
 // ipUDPHeaders is counted for each datagram beside its payload, in bytes.
 const ipUDPHeaders = 28
 
-func isQuarantined(err error) bool { return fennelerr.Is(err, fennelerr.Quarantined) }
-
 // totals is what all nodes have spent.
 type totals struct {
 	sent, received, bytesSent, bytesReceived uint64
--- a/cmd/controlbench/nodes.go
+++ b/cmd/controlbench/nodes.go
@@ -153,10 +153,7 @@
 	if n.naive != nil {
 		return n.naive.quarantine.Load() >= event
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	alone, err := n.tracker.Admit(ctx, fingerprint(uint64(event)))
-	return !alone && err != nil && ctx.Err() != nil && isQuarantined(err)
+	return n.tracker.Quarantined(fingerprint(uint64(event)))
 }
 
 func (s *system) close() {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// Quarantined reports whether fp is refused now. Unlike Admit it changes nothing.
+func (t *Tracker) Quarantined(fp Fingerprint) bool {
+	k := fp.key()
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	return r != nil && r.phase == quarantined && t.now().Before(r.until)
+}
+
 // ask decides under the lock; a claim is entered and a refusal prolonged there too.
 func (t *Tracker) ask(k key) (decision, <-chan struct{}) {
 	s := t.keyShard(k)
