--- a/cmd/controlbench/main.go
+++ b/cmd/controlbench/main.go
@@ -37,6 +37,7 @@
 	costFlags := ff.NewFlagSet("cost")
 	costNodes := costFlags.StringLong("nodes", "4,8,16,25,50", "nodes of a zone, one run for each number")
 	zones := costFlags.IntLong("zones", 1, "zones of that many nodes")
+	alone := costFlags.BoolLong("alone", "do not run the naive design beside it")
 	seconds := costFlags.IntLong("seconds", 10, "how long each run is measured")
 	spreadFlags := ff.NewFlagSet("spread")
 	spreadNodes := spreadFlags.IntLong("nodes", 25, "nodes of a zone")
@@ -45,7 +46,7 @@
 	cost := &ff.Command{
 		Name: "cost", Usage: "controlbench cost [FLAGS]", ShortHelp: "bytes, datagrams, CPU and memory per node", Flags: costFlags,
 		Exec: func(ctx context.Context, _ []string) error {
-			return runCost(ctx, *costNodes, *zones, time.Duration(*seconds)*time.Second)
+			return runCost(ctx, *costNodes, *zones, *alone, time.Duration(*seconds)*time.Second)
 		},
 	}
 	spread := &ff.Command{
--- a/cmd/controlbench/measure.go
+++ b/cmd/controlbench/measure.go
@@ -44,8 +44,10 @@
 	return m.HeapAlloc + m.StackInuse
 }
 
-// runCost prints one line for each number of nodes and design.
-func runCost(ctx context.Context, list string, zones int, length time.Duration) error {
+// runCost prints one line for each number of nodes and design. Buffers that an
+// earlier run left in pools make the memory of later ones look smaller: for
+// memory, take a run of one number with --alone.
+func runCost(ctx context.Context, list string, zones int, alone bool, length time.Duration) error {
 	numbers, err := parseNumbers(list)
 	if err != nil {
 		return err
@@ -53,6 +55,9 @@
 	fmt.Println("design      zones nodes  sent_B/s recv_B/s  sent/s recv/s  cpu_ms/s  us/datagram  KB/node   (per node)")
 	for _, perZone := range numbers {
 		for _, naive := range []bool{false, true} {
+			if naive && alone {
+				continue
+			}
 			if err := measureCost(ctx, zones, perZone, naive, length); err != nil {
 				return err
 			}
@@ -82,7 +87,7 @@
 		return err
 	}
 	after, seconds := s.totals(), time.Since(began).Seconds()
-	heap := heapInUse() - idle
+	heap := int64(heapInUse()) - int64(idle)
 	per := func(before, after uint64) float64 { return float64(after-before) / seconds / float64(len(s.nodes)) }
 	datagrams := float64(after.sent - before.sent + after.received - before.received)
 	cpu := after.cpu - before.cpu
