--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,13 +8,12 @@
 	"bytes"
 	"encoding/hex"
 	"fmt"
-	"net"
-	"net/url"
+	"io"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -138,28 +137,6 @@
 	minSecretHex           = 32
 )
 
-// FieldError names the field that is wrong, what was found and what would be right.
-type FieldError struct {
-	Field, Found, Want string
-}
-
-// Error implements error.
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("%s: found %q; want %s", e.Field, e.Found, e.Want)
-}
-
-// Errors are all faults of one file.
-type Errors []error
-
-// Error implements error.
-func (e Errors) Error() string {
-	lines := make([]string, len(e))
-	for i, err := range e {
-		lines[i] = err.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Load reads, completes and checks the file at path.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
@@ -173,8 +150,11 @@
 func Parse(text []byte) (*Settings, error) {
 	s := &Settings{}
 	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
-	if err := dec.Decode(s); err != nil {
-		return nil, Errors{err}
+	if err := dec.Decode(s); err != nil && !errors.Is(err, io.EOF) {
+		return nil, Errors{yamlError(err)}
+	}
+	if err := dec.Decode(&Settings{}); !errors.Is(err, io.EOF) {
+		return nil, Errors{&FieldError{"---", "a second document", "one document: what follows would be ignored"}}
 	}
 	s.setDefaults()
 	if errs := s.check(); len(errs) > 0 {
@@ -205,67 +185,6 @@
 	}
 }
 
-func (s *Settings) check() Errors {
-	var errs Errors
-	bad := func(field, found, want string) { errs = append(errs, &FieldError{field, found, want}) }
-	checkName := func(field, value string) {
-		if value == "" || strings.ContainsAny(value, "/ \t\n") {
-			bad(field, value, "a name without spaces or slashes")
-		}
-	}
-	checkName("node", string(s.Node))
-	checkName("zone", string(s.Zone))
-	for field, addr := range map[string]string{"listen.callers": s.Listen.Callers, "listen.control": s.Listen.Control, "listen.datagrams": s.Listen.Datagrams} {
-		if !isIPPort(addr) {
-			bad(field, addr, "ip:port, such as 10.0.0.5:8080")
-		}
-	}
-	if len(s.Platform.Store) == 0 {
-		bad("platform.store", "", "at least one base URL")
-	}
-	for i, u := range s.Platform.Store {
-		if !isURL(u) {
-			bad(fmt.Sprintf("platform.store[%d]", i), u, "an http or https URL")
-		}
-	}
-	if !isURL(s.Platform.VMList) {
-		bad("platform.vm_list", s.Platform.VMList, "an http or https URL")
-	}
-	for i, addr := range s.Peers.Seeds {
-		if !isIPPort(addr) {
-			bad(fmt.Sprintf("peers.seeds[%d]", i), addr, "ip:port of a node's datagrams")
-		}
-	}
-	errs = append(errs, s.checkKeys()...)
-	errs = append(errs, s.checkTLS()...)
-	errs = append(errs, s.checkRanges()...)
-	slices.SortFunc(errs, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	return errs
-}
-
-func (s *Settings) checkKeys() Errors {
-	var errs Errors
-	if len(s.Peers.Keys) == 0 {
-		errs = append(errs, &FieldError{"peers.keys", "", "at least one key"})
-	}
-	seen := map[uint32]bool{}
-	for i, k := range s.Peers.Keys {
-		field := fmt.Sprintf("peers.keys[%d]", i)
-		if seen[k.ID] {
-			errs = append(errs, &FieldError{field + ".id", fmt.Sprint(k.ID), "an id that no other key has"})
-		}
-		seen[k.ID] = true
-		if (k.Secret == "") == (k.SecretFile == "") {
-			errs = append(errs, &FieldError{field, "", "exactly one of secret and secret_file"})
-			continue
-		}
-		if _, err := k.Bytes(); err != nil {
-			errs = append(errs, &FieldError{field, "(not shown)", err.Error()})
-		}
-	}
-	return errs
-}
-
 // Bytes returns the key's secret, read from its file when it has one.
 func (k Key) Bytes() ([]byte, error) {
 	text := k.Secret
@@ -282,56 +201,3 @@
 	}
 	return secret, nil
 }
-
-func (s *Settings) checkTLS() Errors {
-	t := s.TLS
-	if t.Off {
-		if t.Cert+t.Key+t.CA != "" {
-			return Errors{&FieldError{"tls.off", "true", "no cert, key or ca beside it"}}
-		}
-		return nil
-	}
-	var errs Errors
-	for field, path := range map[string]string{"tls.cert": t.Cert, "tls.key": t.Key, "tls.ca": t.CA} {
-		if path == "" {
-			errs = append(errs, &FieldError{field, "", "a PEM file (or tls.off: true for a trial on one machine)"})
-		}
-	}
-	return errs
-}
-
-func (s *Settings) checkRanges() Errors {
-	var errs Errors
-	positive := map[string]time.Duration{
-		"platform.timeout": s.Platform.Timeout, "platform.vm_list_every": s.Platform.VMListEvery, "peers.heartbeat": s.Peers.Heartbeat,
-		"requests.deadline": s.Requests.Deadline, "requests.call_timeout": s.Requests.CallTimeout,
-		"requests.claim_retention": s.Requests.ClaimRetention, "control.confirm_within": s.Control.ConfirmWithin, "drain.notice": s.Drain.Notice,
-	}
-	for field, d := range positive {
-		if d < 0 {
-			errs = append(errs, &FieldError{field, d.String(), "a duration above zero, such as 2s"})
-		}
-	}
-	if s.Control.PlacementLease < 2*time.Second {
-		errs = append(errs, &FieldError{"control.placement_lease", s.Control.PlacementLease.String(), "at least 2s"})
-	}
-	if s.Requests.MaxBody < 0 {
-		errs = append(errs, &FieldError{"requests.max_body", fmt.Sprint(s.Requests.MaxBody), "bytes above zero"})
-	}
-	switch s.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		errs = append(errs, &FieldError{"log.level", s.Log.Level, "debug, info, warn or error"})
-	}
-	return errs
-}
-
-func isIPPort(addr string) bool {
-	host, port, err := net.SplitHostPort(addr)
-	return err == nil && port != "" && net.ParseIP(host) != nil
-}
-
-func isURL(text string) bool {
-	u, err := url.Parse(text)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-}
