daemon: the control address serves TLS when its settings say so

Cause: Run called http.Server.Serve on the plain listener; TLSConfig alone does nothing there, so with tls set the node spoke plain HTTP on the control address, while peers and fennelctl spoke TLS to it. Change: ServeTLS. The HTTP servers' own messages go to the key=value log. The nodes' base attribute is 'self': node= and zone= stood twice in lines about others. 'rules in force' was logged twice for each change; the daemon's own line went.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,9 +73,19 @@
 	server *http.Server
 }
 
+// serve takes connections until the server is closed. Serve alone would speak
+// plain HTTP on a server that has TLS settings, without a word: anyone could
+// then read and replace the rules.
+func (l listener) serve() error {
+	if l.server.TLSConfig != nil {
+		return l.server.ServeTLS(l.socket, "", "") // the certificate comes from TLSConfig
+	}
+	return l.server.Serve(l.socket)
+}
+
 // New opens the node's sockets and puts its parts together. Nothing runs before Run.
 func New(set *settings.Settings, version string, log *slog.Logger) (*Node, error) {
-	n := &Node{set: set, log: log.With("node", set.Node, "zone", set.Zone), version: version, incarnation: uint64(time.Now().UnixNano())}
+	n := &Node{set: set, log: log.With("self", set.Node), version: version, incarnation: uint64(time.Now().UnixNano())}
 	steps := []struct {
 		name string
 		do   func() error
@@ -105,9 +115,9 @@
 	n.startDuties(dutyCtx)
 	failed := make(chan error, 2)
 	for _, l := range []listener{n.callers, n.control} {
-		go func() { failed <- l.server.Serve(l.socket) }()
+		go func() { failed <- l.serve() }()
 	}
-	n.log.Info("serving", "version", n.version, "callers", n.CallersAddr(), "control", n.ControlAddr(), "datagrams", n.transport.Addr())
+	n.log.Info("serving", "zone", n.set.Zone, "version", n.version, "callers", n.CallersAddr(), "control", n.ControlAddr(), "datagrams", n.transport.Addr())
 	var err error
 	select {
 	case err = <-failed:
--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -30,10 +30,7 @@
 		n.ledger.wake()
 	})
 	n.health.OnLoad(func(r cluster.Replica, load engine.Load) { n.routing.ReportLoad(r.ID, load, time.Now()) })
-	n.rules.OnChange(func(set *rules.Set) {
-		n.log.Info("rules in force", "revision", set.Revision, "routes", len(set.Routes), "groups", len(set.Groups))
-		n.members.Nudge()
-	})
+	n.rules.OnChange(func(*rules.Set) { n.members.Nudge() })
 	n.members.SetRulesRevision(n.rules.Revision)
 	n.members.OnDatagram(n.observe)
 	n.members.OnDatagram(n.suspects.Receive)
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -139,18 +140,19 @@
 		return err
 	}
 	n.callers.socket = socket
-	n.callers.server = newServer(n.callersHandler())
-	n.control.server = newServer(n.controlHandler())
+	n.callers.server = n.newServer(n.callersHandler())
+	n.control.server = n.newServer(n.controlHandler())
 	if n.tls != nil {
 		n.control.server.TLSConfig = n.tls.Server(true)
 	}
 	return nil
 }
 
-func newServer(h http.Handler) *http.Server {
+func (n *Node) newServer(h http.Handler) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 }
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -149,11 +150,15 @@
 	vms      []cluster.VM
 	engines  map[cluster.VMID]*proc
 	nodes    []*node
+	// tls is the nodes' setting, ctlTLS fennelctl's flags to match; without
+	// them the control addresses are plain.
+	tls    string
+	ctlTLS []string
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), engines: map[cluster.VMID]*proc{}}
+	s := &system{t: t, dir: t.TempDir(), tls: "{off: true}", engines: map[cluster.VMID]*proc{}}
 	s.platProc = start(t, "platform", "fennel-standin", "platform", "--listen", "127.0.0.1:0")
 	s.platform = "http://" + s.platProc.await(listening)
 	return s
@@ -219,7 +224,7 @@
   seeds: [%s]
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
 control: {placement_lease: 3s}
-tls: {off: true}
+tls: %s
 drain: {notice: 100ms}
 %s
 `
@@ -236,7 +241,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", n.datagrams))
 	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), extra)
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.tls, extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
 	n.callers = n.await(`msg=serving.* callers=(\S+)`)
@@ -249,10 +254,15 @@
 // ctl runs fennelctl against the nodes and returns its output and exit code.
 func (s *system) ctl(args ...string) (string, int) {
 	s.t.Helper()
+	scheme := "http://"
+	if s.ctlTLS != nil {
+		scheme = "https://"
+	}
 	var servers []string
 	for _, n := range s.nodes {
-		servers = append(servers, "http://"+n.control)
+		servers = append(servers, scheme+n.control)
 	}
+	args = append(slices.Clone(s.ctlTLS), args...)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(bins, "fennelctl"), append([]string{"--server", strings.Join(servers, ",")}, args...)...)
--- /dev/null
+++ b/internal/wire/wiretest/certs.go
@@ -0,0 +1,83 @@
+package wiretest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/wire"
+)
+
+// Authority signs certificates for 127.0.0.1.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	// PEM is the authority's certificate.
+	PEM []byte
+}
+
+// NewAuthority makes an authority with a key of its own.
+func NewAuthority(t testing.TB) *Authority {
+	t.Helper()
+	key := newKey(t)
+	cert := template(1)
+	cert.IsCA = true
+	a := &Authority{cert: cert, key: key}
+	a.PEM = a.sign(t, cert, key)
+	return a
+}
+
+// Issue writes a new certificate, its key and the authority's certificate into
+// dir, each at once, as a careful operator does.
+func (a *Authority) Issue(t testing.TB, dir string) wire.TLSFiles {
+	t.Helper()
+	key := newKey(t)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	files := wire.TLSFiles{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
+	WriteAtOnce(t, files.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}))
+	WriteAtOnce(t, files.Cert, a.sign(t, template(time.Now().UnixNano()), key))
+	WriteAtOnce(t, files.CA, a.PEM)
+	return files
+}
+
+// WriteAtOnce puts a whole file in the place of an old one.
+func WriteAtOnce(t testing.TB, path string, text []byte) {
+	t.Helper()
+	require.NoError(t, os.WriteFile(path+".new", text, 0o600))
+	require.NoError(t, os.Rename(path+".new", path))
+}
+
+func (a *Authority) sign(t testing.TB, cert *x509.Certificate, key *ecdsa.PrivateKey) []byte {
+	t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
+
+func newKey(t testing.TB) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	return key
+}
+
+func template(serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "fennel"}, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
