--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -37,7 +37,7 @@
 	c := &change{}
 	fs := a.subFlags("apply")
 	fs.IntVar(&c.base, 0, "base", noBase, "REVISION that the file was made from; -1 takes it from the file's first line or else the newest")
-	fs.StringVar(&c.author, 0, "author", os.Getenv("USER"), "NAME of whoever makes the change")
+	fs.StringVar(&c.author, 0, "author", os.Getenv("USER"), "NAME of whoever makes the change; $USER if not given")
 	fs.StringVar(&c.writeID, 0, "write-id", "", "ID of an earlier apply whose outcome is unknown, to settle it")
 	fs.BoolVar(&c.wait, 'w', "wait", "wait until the change is in force on all nodes")
 	return &ff.Command{
@@ -52,7 +52,7 @@
 
 func (a *app) apply(ctx context.Context, c *change, args []string) error {
 	if c.author == "" {
-		return usageError("--author: want the name of whoever makes the change")
+		return usageError("--author: want the name of whoever makes the change (or set USER)")
 	}
 	file, err := readRules(args)
 	if err != nil {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if len(addrs) == 0 {
-		return nil, usageError("--server: want the control address of a node, such as 10.1.0.4:9090 (or set FENNELCTL_SERVER)")
+		return nil, usageError("--server: want the control address of a node, such as 10.1.0.4:8444 (or set FENNELCTL_SERVER)")
 	}
 	config, err := a.tlsConfig()
 	if err != nil {
@@ -126,7 +126,25 @@
 	unsettled bool
 }
 
-func (e *callError) Error() string { return e.addr + ": " + e.err.Error() }
+func (e *callError) Error() string { return e.addr + ": " + e.err.Error() + e.hint() }
+
+// hint says what most likely mends a wrong --server; empty when nothing is known.
+func (e *callError) hint() string {
+	text, code := e.err.Error(), connect.CodeOf(e.err)
+	// An HTTP status that carries no answer of connect: something else listens there.
+	foreign := !connect.IsWireError(e.err) && (code == connect.CodeUnauthenticated || code == connect.CodeUnimplemented || text == code.String())
+	switch {
+	case strings.Contains(text, "server gave HTTP response to HTTPS client"):
+		return "; the node serves without TLS: give http://" + strings.TrimPrefix(e.addr, tlsScheme)
+	case strings.Contains(text, "certificate required"), strings.Contains(text, "bad certificate"):
+		return "; the node wants an operator's certificate that its CA signed: give --cert and --key"
+	case strings.Contains(text, "certificate signed by unknown authority"):
+		return "; give --ca with the authority that signed the nodes' certificates"
+	case foreign:
+		return "; no operators' service is there: is it the control address (listen.control)?"
+	}
+	return ""
+}
 
 func (e *callError) Unwrap() error { return e.err }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -71,7 +71,7 @@
 be given by FENNELCTL_SERVER, FENNELCTL_CA, FENNELCTL_CERT and FENNELCTL_KEY.
 
 EXAMPLES
-  export FENNELCTL_SERVER=10.1.0.4:9090,10.1.0.5:9090
+  export FENNELCTL_SERVER=10.1.0.4:8444,10.1.0.5:8444
   fennelctl rules show > rules.txt      then edit rules.txt
   fennelctl rules check rules.txt
   fennelctl rules apply rules.txt --wait
@@ -105,7 +105,8 @@
 	if errors.Is(err, ff.ErrNoExec) {
 		selected := root.GetSelected()
 		if args := selected.Flags.GetArgs(); len(args) > 0 {
-			printf(a.log, "fennelctl: unknown command %q\n", args[0])
+			printf(a.log, "fennelctl: unknown command %q, want one of %s\nSee %s --help.\n", args[0], subcommandNames(selected), commandPath(selected))
+			return ExitUsage
 		}
 		printHelp(a.log, root)
 		return ExitUsage
@@ -192,6 +193,14 @@
 	return nil
 }
 
+func subcommandNames(cmd *ff.Command) string {
+	names := make([]string, len(cmd.Subcommands))
+	for i, sub := range cmd.Subcommands {
+		names[i] = sub.Name
+	}
+	return strings.Join(names, ", ")
+}
+
 func takesValue(cmd *ff.Command, arg string) bool {
 	name := strings.TrimLeft(arg, "-")
 	if strings.Contains(name, "=") {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -253,3 +253,16 @@
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
 	require.Equal(t, int64(86400), list[0].Seconds)
 }
+
+func TestWrongServerSaysTheMend(t *testing.T) {
+	newSystem(t)
+	callers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) }))
+	defer callers.Close()
+	_, log := run(t, ExitFailed, "--server", callers.URL, "status")
+	require.Contains(t, log, "is it the control address")
+	plain := strings.TrimPrefix(callers.URL, "http://")
+	_, log = run(t, ExitFailed, "--server", plain, "status")
+	require.Contains(t, log, "the node serves without TLS: give http://"+plain)
+	_, log = run(t, ExitUsage, "rules", "aply", "x")
+	require.Contains(t, log, `unknown command "aply", want one of check, diff, apply`)
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -85,6 +85,9 @@
 }
 
 func ago(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
 	return (time.Duration(ms) * time.Millisecond).Round(100*time.Millisecond).String() + " ago"
 }
 
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -47,7 +46,7 @@
 	}
 	for _, s := range n.health.Status() {
 		report := &wirepb.ReplicaReport{Replica: string(s.Replica.ID), Group: string(s.Replica.Group), Zone: string(s.Replica.Zone),
-			Generation: s.Replica.Generation, Whole: s.Whole, Reason: s.Reason, Running: int32(s.Load.Running), Waiting: int32(s.Load.Waiting)}
+			Generation: s.Replica.Generation, Whole: s.Whole, Reason: s.Reason, Running: int32(s.Load.Running), Waiting: int32(s.Load.Waiting), ConfirmedAgoMs: neverConfirmed}
 		if !s.ConfirmedAt.IsZero() {
 			report.ConfirmedAgoMs = now.Sub(s.ConfirmedAt).Milliseconds()
 		}
@@ -83,11 +82,11 @@
 	}
 	choice, ok := o.n.routing.Peek(routing.Request{Group: rt.Group, Prefer: rt.Prefer})
 	if !ok {
-		resp.Reason = strings.TrimSpace(resp.Reason + " no whole replica of " + string(rt.Group) + " is known here")
+		resp.Reason = resp.Reason + "; no whole replica of " + string(rt.Group) + " is known here"
 		return resp, nil
 	}
 	resp.Replica = string(choice.Replica.ID)
-	resp.Reason = strings.TrimSpace(fmt.Sprintf("%s %s, of %d compared", resp.Reason, choice.Reason, choice.Considered))
+	resp.Reason = fmt.Sprintf("%s; replica by %s, of %d compared", resp.Reason, choice.Reason, choice.Considered)
 	return resp, nil
 }
 
--- a/internal/health/check.go
+++ b/internal/health/check.go
@@ -256,7 +256,6 @@
 	} else {
 		turnedUnwhole.Inc()
 	}
-	c.opts.Log.Info("replica health", "replica", tr.Replica.ID, "generation", tr.Replica.Generation, "whole", tr.Whole, "reason", tr.Reason)
 	for _, fn := range listeners {
 		fn(tr.Replica, tr.Whole, tr.Reason)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/rulestore"
 	"github.com/fennelcourse/fennelcourse/internal/store"
@@ -226,6 +227,7 @@
 		unknown  *rulestore.OutcomeUnknownError
 		behind   *rulestore.StoreBehindError
 		failure  *store.Error
+		ready    *fennelerr.Error
 	)
 	switch {
 	case errors.As(err, &lines), errors.As(err, &size), errors.As(err, &request):
@@ -238,6 +240,8 @@
 		return connect.CodeUnknown
 	case errors.As(err, &failure):
 		return connect.CodeUnavailable
+	case errors.As(err, &ready) && ready.Code == fennelerr.NotReady:
+		return connect.CodeUnavailable
 	case errors.Is(err, context.DeadlineExceeded):
 		return connect.CodeDeadlineExceeded
 	case errors.Is(err, context.Canceled):
