--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -35,7 +35,10 @@
 	mux.Handle(wirepbconnect.NewOperatorServiceHandler(operator.New(operator.Parts{
 		Rules: n.rules, Nodes: operators{n}, Status: operators{n}, Explain: operators{n}, Outages: operators{n},
 	})))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+		n.writeGauges(w)
+	})
 	return mux
 }
 
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -32,6 +32,8 @@
 	keeper *ledger.Keeper
 	// known are the replicas, missing ones included, that the keeper was told of.
 	known map[cluster.ReplicaID]bool // value: down
+	// down counts the replicas told to be down, by group.
+	down map[cluster.GroupName]int
 	// stranded is the last level told, by group and cause.
 	stranded map[strandedKey]int
 }
@@ -85,7 +87,7 @@
 	n := l.n
 	keeper := ledger.NewKeeper(n.store, ledger.RecorderOptions{Observer: n.set.Node, Incarnation: uint64(time.Now().UnixNano()), Zone: n.set.Zone}, n.log)
 	l.mu.Lock()
-	l.keeper, l.known, l.stranded = keeper, map[cluster.ReplicaID]bool{}, map[strandedKey]int{}
+	l.keeper, l.known, l.down, l.stranded = keeper, map[cluster.ReplicaID]bool{}, nil, map[strandedKey]int{}
 	l.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
@@ -123,6 +125,7 @@
 
 func (l *ledgerDuty) feedReplicas(now time.Time) {
 	seen := l.replicasNow()
+	l.down = downByGroup(seen)
 	for id, r := range seen {
 		down, told := l.known[id]
 		if told && down == r.down {
@@ -143,6 +146,19 @@
 	}
 }
 
+// downByGroup counts the replicas that are down; a group without any has a zero.
+func downByGroup(seen map[cluster.ReplicaID]seenReplica) map[cluster.GroupName]int {
+	down := map[cluster.GroupName]int{}
+	for _, r := range seen {
+		count := down[r.group]
+		if r.down {
+			count++
+		}
+		down[r.group] = count
+	}
+	return down
+}
+
 // replicasNow lists the zone's committed replicas and, for groups whose rule
 // names a number, the wanted ones that are missing.
 func (l *ledgerDuty) replicasNow() map[cluster.ReplicaID]seenReplica {
--- a/internal/store/etcdgw/etcdgw.go
+++ b/internal/store/etcdgw/etcdgw.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/store"
@@ -189,6 +191,7 @@
 		return nil, false, err
 	}
 	req.Header.Set("Content-Type", etcdjson.ContentType)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`fennel_etcdgw_calls_total{op=%q}`, k.op)).Inc()
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
