--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -157,11 +157,15 @@
 	nodes    []*node
 	// neighbors is added to the control settings of nodes started from now on.
 	neighbors string
+	// tls is the nodes' setting, ctlTLS fennelctl's flags to match; without
+	// them the control addresses are plain.
+	tls    string
+	ctlTLS []string
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), engines: map[cluster.VMID]*proc{}}
+	s := &system{t: t, dir: t.TempDir(), tls: "{off: true}", engines: map[cluster.VMID]*proc{}}
 	s.platProc = start(t, "platform", "fennel-standin", "platform", "--listen", "127.0.0.1:0")
 	s.platform = "http://" + s.platProc.await(listening)
 	return s
@@ -227,7 +231,7 @@
   seeds: [%s]
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
 control: {placement_lease: 3s, loads_per_minute: 6000%s}
-tls: {off: true}
+tls: %s
 %s
 `
 
@@ -249,7 +253,7 @@
 		extra += shortNotice
 	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.neighbors, extra)
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.neighbors, s.tls, extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
 	n.callers = n.await(`msg=serving.* callers=(\S+)`)
@@ -262,10 +266,15 @@
 // ctl runs fennelctl against the nodes and returns its output and exit code.
 func (s *system) ctl(args ...string) (string, int) {
 	s.t.Helper()
+	scheme := "http://"
+	if s.ctlTLS != nil {
+		scheme = "https://"
+	}
 	var servers []string
 	for _, n := range s.nodes {
-		servers = append(servers, "http://"+n.control)
+		servers = append(servers, scheme+n.control)
 	}
+	args = append(slices.Clone(s.ctlTLS), args...)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(bins, "fennelctl"), append([]string{"--server", strings.Join(servers, ",")}, args...)...)
