--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -169,7 +169,7 @@
 	return &wirepb.FetchRulesResponse{}, nil
 }
 
-func (s groupingSource) FetchGrouping(context.Context, cluster.ZoneID) (*wirepb.FetchGroupingResponse, error) {
+func (s groupingSource) FetchGrouping(context.Context, cluster.ZoneID, int64) (*wirepb.FetchGroupingResponse, error) {
 	return &wirepb.FetchGroupingResponse{Zone: "praha-a", Revision: 5, GroupingJson: s.doc}, nil
 }
 
