--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -187,7 +187,7 @@
 			require.NoError(b, err)
 			defer client.Close()
 			for b.Loop() {
-				resp, err := client.FetchGrouping(context.Background(), addr, "praha-a")
+				resp, err := client.FetchGrouping(context.Background(), addr, "praha-a", 0)
 				require.NoError(b, err)
 				require.Len(b, resp.GroupingJson, len(doc))
 			}
