health: an old break told again breaks nothing; gateway: no token at the deadline

The log shows a replica going from whole to 'a peer saw it broken' and back ten times a second: a node that saw it broken while it formed, and had no duty to poll it again, told that sighting with every heartbeat, and each time it counted as new. (3) The race detector found the cursor of the replica section shared by heartbeats and nudges. Change: a break is told with its age and counts from then; it is not told once a newer confirmation is known. One atomic settles whether token or deadline came first. The cursor has a lock. New tests: TestOldBreakToldAgainBreaksNothing, TestTokenAtTheDeadlineIsNotShown.

--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
@@ -148,7 +149,10 @@
 	for _, s := range statuses {
 		id := cluster.ReplicaID(s.Replica)
 		n.routing.ObservePeerOutstanding(from.Node, id, int(s.Outstanding), now)
-		o := health.Observation{Replica: id, Generation: s.Generation, Broken: s.Broken}
+		o := health.Observation{Replica: id, Generation: s.Generation}
+		if s.Broken {
+			o.BrokenAt = now.Add(-time.Duration(s.BrokenAgoMs) * time.Millisecond)
+		}
 		if s.ConfirmedAgoMs >= 0 {
 			o.ConfirmedAt = now.Add(-time.Duration(s.ConfirmedAgoMs) * time.Millisecond)
 		}
@@ -171,8 +175,11 @@
 // polls and how many of its requests run there. Breaks go first: they stop work
 // on other nodes.
 func (n *Node) replicaSource() membership.Source {
+	var mu sync.Mutex // heartbeats and nudges ask at the same time
 	next := 0
 	return func(budget int) membership.Section {
+		mu.Lock()
+		defer mu.Unlock()
 		var section membership.Section
 		outstanding := make(map[cluster.ReplicaID]int)
 		now := time.Now()
@@ -183,7 +190,7 @@
 		for _, s := range n.health.Status() {
 			p := replicaStatus(s, outstanding[s.Replica.ID], now)
 			switch {
-			case s.OwnBroken:
+			case !s.OwnBrokenAt.IsZero():
 				broken = append(broken, p)
 			case p.ConfirmedAgoMs != neverConfirmed || p.Outstanding > 0:
 				rest = append(rest, p)
@@ -216,8 +223,11 @@
 }
 
 func replicaStatus(s health.ReplicaStatus, outstanding int, now time.Time) *wirepb.ReplicaStatus {
-	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation, Broken: s.OwnBroken,
+	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation,
 		ConfirmedAgoMs: neverConfirmed, Outstanding: int32(outstanding)}
+	if !s.OwnBrokenAt.IsZero() {
+		p.Broken, p.BrokenAgoMs = true, now.Sub(s.OwnBrokenAt).Milliseconds()
+	}
 	if !s.OwnConfirmedAt.IsZero() {
 		p.ConfirmedAgoMs = now.Sub(s.OwnConfirmedAt).Milliseconds()
 		p.Running, p.Waiting, p.KvUsed = int32(s.Load.Running), int32(s.Load.Waiting), float32(s.Load.KVUsed)
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -116,8 +116,7 @@
 	set := testSet(b)
 	req, err := parseModelRequest(engine.ChatPath, []byte(chatStrm))
 	require.NoError(b, err)
-	s := &session{g: g, c: caller{id: "r", set: set, team: &set.Teams[0]}, req: req, prog: newProgress(), target: &target{}, sink: discardSink{}, slot: openSlot{&openAdmitter{}},
-		stopClock: func() {}}
+	s := &session{g: g, c: caller{id: "r", set: set, team: &set.Teams[0]}, req: req, prog: newProgress(), target: &target{}, sink: discardSink{}, slot: openSlot{&openAdmitter{}}}
 	data := []byte(`{"id":"chatcmpl-r","object":"chat.completion.chunk","created":1700000000,"model":"assistente-fit","choices":[{"index":0,"delta":{"content":" shell"},"finish_reason":null}]}`)
 	b.ReportAllocs()
 	for i := int64(1); b.Loop(); i++ {
--- a/internal/gateway/honest_test.go
+++ b/internal/gateway/honest_test.go
@@ -207,3 +207,31 @@
 		}
 	}
 }
+
+// The first token comes just as the caller's time is up, and the request is being
+// cancelled. A caller shown that token would then see its answer cut off; it must
+// get the refusal alone, with the time to come back.
+func TestTokenAtTheDeadlineIsNotShown(t *testing.T) {
+	set := testSet(t)
+	req, err := parseModelRequest(engine.ChatPath, []byte(chatStrm))
+	require.NoError(t, err)
+	s := &session{g: New(Options{}), c: caller{id: "r", set: set, team: &set.Teams[0]}, req: req, prog: newProgress(), target: &target{},
+		sink: failSink{t: t}, slot: openSlot{&openAdmitter{}}}
+	s.first.Store(firstLate)
+	took := s.take(engine.Event{ID: 1, Data: []byte(`{"id":"chatcmpl-r","choices":[{"index":0,"delta":{"content":"a"}}]}`)})
+	refused := typed(s.gone(t.Context(), took))
+	require.Equal(t, fennelerr.Timeout, refused.Code)
+	require.Equal(t, fennelerr.Ran, refused.Run)
+	require.NotZero(t, refused.RetryAfter)
+}
+
+// failSink fails the test when anything reaches the caller.
+type failSink struct {
+	sink
+	t *testing.T
+}
+
+func (f failSink) event([]byte, *chunk) error {
+	f.t.Error("an event reached the caller")
+	return nil
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -52,9 +53,18 @@
 	right     Claim
 	started   time.Time
 	firstSeen time.Time
-	stopClock func()
+	// first settles whether the first token or its deadline came first. Without
+	// it a token at the very deadline reached the caller, whose stream was then cut.
+	first atomic.Int32
 }
 
+// States of session.first.
+const (
+	firstAwaited int32 = iota
+	firstCame
+	firstLate
+)
+
 // target is the replica that a session runs on, with what must be undone after.
 type target struct {
 	choice  routing.Choice
@@ -68,8 +78,11 @@
 func (s *session) serve(ctx context.Context, deadline time.Time) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	clock := time.AfterFunc(time.Until(deadline), func() { cancel(errFirstTokenLate) })
-	s.stopClock = func() { clock.Stop() }
+	clock := time.AfterFunc(time.Until(deadline), func() {
+		if s.first.CompareAndSwap(firstAwaited, firstLate) {
+			cancel(errFirstTokenLate)
+		}
+	})
 	defer clock.Stop()
 
 	for {
@@ -202,6 +215,9 @@
 		return &engine.MismatchError{Addr: addr, Want: want, Got: c.ID}
 	}
 	s.run = fennelerr.Ran
+	if s.first.Load() != firstCame && !s.first.CompareAndSwap(firstAwaited, firstCame) {
+		return errFirstTokenLate
+	}
 	s.noteToken()
 	if err := s.sink.event(ev.Data, c); err != nil {
 		return &callerGoneError{err}
@@ -218,7 +234,6 @@
 	}
 	if s.firstSeen.IsZero() {
 		s.firstSeen = s.target.first
-		s.stopClock()
 		s.slot.FirstToken()
 		firstByteSeconds.Update(s.firstSeen.Sub(s.started).Seconds())
 	}
@@ -226,11 +241,12 @@
 
 // gone returns an error when the caller left or the first token is too late.
 func (s *session) gone(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		if errors.Is(cause, errFirstTokenLate) {
-			late := *errFirstTokenLate
-			return late.WithRun(s.run).WithRetryAfter(time.Second)
-		}
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errFirstTokenLate) || errors.Is(err, errFirstTokenLate) {
+		late := *errFirstTokenLate
+		return late.WithRun(s.run).WithRetryAfter(time.Second)
+	}
+	if cause != nil {
 		return &callerGoneError{cause}
 	}
 	if g, ok := errors.Into[*callerGoneError](err); ok {
--- a/internal/health/status.go
+++ b/internal/health/status.go
@@ -19,10 +19,11 @@
 	// ConfirmedAt is the newest confirmation from any source; zero if none.
 	ConfirmedAt time.Time
 	Load        engine.Load
-	// OwnConfirmedAt and OwnBroken are what this node found by its own polls:
-	// only these are told to peers, so that old news does not go round.
+	// OwnConfirmedAt and OwnBrokenAt are what this node found by its own polls:
+	// only these are told to peers, so that old news does not go round. OwnBrokenAt
+	// is zero once a newer confirmation is known.
 	OwnConfirmedAt time.Time
-	OwnBroken      bool
+	OwnBrokenAt    time.Time
 }
 
 func (t *Tracker) appendStatus(out []ReplicaStatus, now time.Time) []ReplicaStatus {
@@ -30,12 +31,21 @@
 		whole, reason := t.verdict(e, now)
 		out = append(out, ReplicaStatus{
 			Replica: e.replica, Whole: whole, Reason: reason, ConfirmedAt: e.confirmedAt(), Load: e.load,
-			OwnConfirmedAt: e.ownDigestAt, OwnBroken: e.ownBroken,
+			OwnConfirmedAt: e.ownDigestAt, OwnBrokenAt: e.toldBreak(),
 		})
 	}
 	return out
 }
 
+// toldBreak is the break that peers are told of; zero when a confirmation by
+// anyone is newer.
+func (e *entry) toldBreak() time.Time {
+	if e.digestAt.After(e.ownBrokenAt) {
+		return time.Time{}
+	}
+	return e.ownBrokenAt
+}
+
 // Whole reports whether the replica is whole at the given generation.
 func (t *Tracker) Whole(id cluster.ReplicaID, generation int64, now time.Time) bool {
 	e := t.entries[id]
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -70,8 +70,10 @@
 	Generation int64
 	// ConfirmedAt is zero if the peer never saw the replica whole.
 	ConfirmedAt time.Time
-	Broken      bool
-	Load        *engine.Load
+	// BrokenAt is when the peer last saw a member missing or disagreeing; zero if
+	// it knows of a newer confirmation, or never did.
+	BrokenAt time.Time
+	Load     *engine.Load
 }
 
 // entry is the knowledge about one committed replica. Evidence about another
@@ -80,9 +82,9 @@
 	replica    cluster.Replica
 	digestAt   time.Time // when all members were last known to confirm
 	presenceAt time.Time // when an ordinary answer last showed the replica at work
-	// ownDigestAt and ownBroken are what this node itself found by polling.
+	// ownDigestAt and ownBrokenAt are what this node itself found by polling.
 	ownDigestAt time.Time
-	ownBroken   bool
+	ownBrokenAt time.Time
 	brokenAt    time.Time
 	broken      string
 	leaving     string // the member that the VM list says is leaving
@@ -178,10 +180,9 @@
 	}
 	oldest, problem := t.judge(e.replica, a)
 	if problem != "" {
-		e.ownBroken = true
+		e.ownBrokenAt = later(e.ownBrokenAt, a.Sent)
 		return t.breakEntry(e, problem, a.Sent, now)
 	}
-	e.ownBroken = false
 	e.digestAt = later(e.digestAt, oldest)
 	e.ownDigestAt = later(e.ownDigestAt, oldest)
 	return t.refresh(e, now)
@@ -271,8 +272,9 @@
 	return t.refresh(e, now)
 }
 
-// Observe takes what other nodes saw. A report of a break counts from now until
-// a confirmation that is newer.
+// Observe takes what other nodes saw. A report of a break counts from when it was
+// seen until a confirmation that is newer: a peer without the duty to poll may
+// tell an old one for as long as it has not heard better.
 func (t *Tracker) Observe(observations []Observation, now time.Time) []Transition {
 	var out []Transition
 	for _, o := range observations {
@@ -283,8 +285,8 @@
 		if o.Load != nil && o.Load.AsOf.After(e.load.AsOf) {
 			e.load = *o.Load
 		}
-		if o.Broken {
-			out = append(out, t.breakEntry(e, "a peer saw it broken", now, now)...)
+		if !o.BrokenAt.IsZero() && !o.BrokenAt.After(now) {
+			out = append(out, t.breakEntry(e, "a peer saw it broken", o.BrokenAt, now)...)
 			continue
 		}
 		if o.ConfirmedAt.After(e.digestAt) && !o.ConfirmedAt.After(now) {
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -164,9 +164,9 @@
 func TestPeersObservations(t *testing.T) {
 	tracker := wholeTracker(t)
 	at := testStart.Add(time.Second)
-	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, Broken: true}}, at)
+	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: at}}, at)
 	require.Len(t, got, 1)
-	require.False(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBrokenAt.IsZero())
 	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at.Add(1)))
 	newer := at.Add(time.Millisecond)
 	load := &engine.Load{AsOf: newer, Running: 3}
@@ -174,6 +174,28 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
+// A node saw a replica broken while it formed, and polls it no more since that is
+// another node's duty. It goes on telling its old news: the replica must not be
+// taken out for it again and again, or callers find no capacity for minutes.
+func TestOldBreakToldAgainBreaksNothing(t *testing.T) {
+	tracker := wholeTracker(t)
+	old := testStart.Add(-time.Second)
+	for i := range 5 {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: old}}, now))
+	}
+
+	teller := NewTracker(testBounds)
+	teller.SetReplicas([]cluster.Replica{testReplica}, testStart)
+	partial := stateOf(testReplica)
+	partial.Members = partial.Members[:2]
+	teller.Answered(answer(partial, testStart), testStart)
+	require.Equal(t, testStart, teller.appendStatus(nil, testStart)[0].OwnBrokenAt)
+	newer := testStart.Add(time.Second)
+	teller.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer)
+	require.True(t, teller.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero(), "no news any more")
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
