--- a/internal/e2e/claims_test.go
+++ b/internal/e2e/claims_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -321,10 +322,13 @@
 	require.Equal(t, survivors, s.engineRuns(), "no other replica ran it")
 }
 
-// engineFaults sets the faults of all engines that run.
-func (s *system) engineFaults(f standinengine.Faults) {
+// engineFaults sets the faults of all engines that run, but for some.
+func (s *system) engineFaults(f standinengine.Faults, except ...cluster.VMID) {
 	s.t.Helper()
 	for id := range s.engines {
+		if slices.Contains(except, id) {
+			continue
+		}
 		s.send(http.MethodPost, "http://"+s.vm(id).Addr+standinengine.FaultsPath, f)
 	}
 }
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -372,18 +372,22 @@
 // awaitWhole waits until the node holds that many replicas for whole.
 func (s *system) awaitWhole(n *node, replicas int) {
 	s.t.Helper()
+	require.Eventually(s.t, func() bool { return s.wholeAt(n) == replicas }, patience, pollEvery,
+		"%s never held %d replicas for whole", n.name, replicas)
+}
+
+// wholeAt counts the replicas that the node holds for whole; -1 if it does not answer.
+func (s *system) wholeAt(n *node) int {
 	client := wirepbconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+n.control)
-	require.Eventually(s.t, func() bool {
-		resp, err := client.Status(s.t.Context(), connect.NewRequest(&wirepb.StatusRequest{}))
-		if err != nil {
-			return false
-		}
-		whole := 0
-		for _, r := range resp.Msg.Replicas {
-			if r.Whole {
-				whole++
-			}
+	resp, err := client.Status(s.t.Context(), connect.NewRequest(&wirepb.StatusRequest{}))
+	if err != nil {
+		return -1
+	}
+	whole := 0
+	for _, r := range resp.Msg.Replicas {
+		if r.Whole {
+			whole++
 		}
-		return whole == replicas
-	}, patience, pollEvery, "%s never held %d replicas for whole", n.name, replicas)
+	}
+	return whole
 }
