health: a break that another node found mended is told no more

Cause: a node that once polled a replica while it was loading kept 'broken' as its own finding until its next own poll. Callers were refused with no_whole_replica and 'no capacity' before sound replicas. Ruled out: the engines (all members confirmed in each poll), the VM list, placement (no action in that time). Change: an own break counts, and is told, only until a newer confirmation by any node, as the replica's own verdict does already. Before: unit test red (still told after a newer confirmation). After: green.

--- a/internal/health/status.go
+++ b/internal/health/status.go
@@ -20,7 +20,8 @@
 	ConfirmedAt time.Time
 	Load        engine.Load
 	// OwnConfirmedAt and OwnBroken are what this node found by its own polls:
-	// only these are told to peers, so that old news does not go round.
+	// only these are told to peers, so that old news does not go round. A break
+	// that any node has found mended since is not told any more.
 	OwnConfirmedAt time.Time
 	OwnBroken      bool
 }
@@ -30,7 +31,7 @@
 		whole, reason := t.verdict(e, now)
 		out = append(out, ReplicaStatus{
 			Replica: e.replica, Whole: whole, Reason: reason, ConfirmedAt: e.confirmedAt(), Load: e.load,
-			OwnConfirmedAt: e.ownDigestAt, OwnBroken: e.ownBroken,
+			OwnConfirmedAt: e.ownDigestAt, OwnBroken: e.ownBroken(),
 		})
 	}
 	return out
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -80,9 +80,10 @@
 	replica    cluster.Replica
 	digestAt   time.Time // when all members were last known to confirm
 	presenceAt time.Time // when an ordinary answer last showed the replica at work
-	// ownDigestAt and ownBroken are what this node itself found by polling.
+	// ownDigestAt and ownBrokenAt are when this node's own polls last found the
+	// replica sound and broken.
 	ownDigestAt time.Time
-	ownBroken   bool
+	ownBrokenAt time.Time
 	brokenAt    time.Time
 	broken      string
 	leaving     string // the member that the VM list says is leaving
@@ -178,10 +179,9 @@
 	}
 	oldest, problem := t.judge(e.replica, a)
 	if problem != "" {
-		e.ownBroken = true
+		e.ownBrokenAt = later(e.ownBrokenAt, a.Sent)
 		return t.breakEntry(e, problem, a.Sent, now)
 	}
-	e.ownBroken = false
 	e.digestAt = later(e.digestAt, oldest)
 	e.ownDigestAt = later(e.ownDigestAt, oldest)
 	return t.refresh(e, now)
@@ -357,6 +357,13 @@
 	}
 }
 
+// ownBroken reports whether this node's own polls found a break that nobody has
+// found mended since. Without the second half a node that polled once, and then
+// left the polls to the node on duty, would tell of an old break for good.
+func (e *entry) ownBroken() bool {
+	return !e.ownBrokenAt.IsZero() && !e.digestAt.After(e.ownBrokenAt)
+}
+
 // confirmedAt is the newest confirmation of any kind.
 func (e *entry) confirmedAt() time.Time { return later(e.digestAt, e.presenceAt) }
 
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -174,6 +174,23 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
+// A node polled a replica that was still loading and told its peers. The poll
+// duty is another node's, which finds it whole a moment later. If the first one
+// went on telling of the break, every peer would take the replica out again with
+// each heartbeat, for good, and callers would be refused before a sound replica.
+func TestBreakIsNotToldAfterANewerConfirmation(t *testing.T) {
+	tracker := wholeTracker(t)
+	broken, at := stateOf(testReplica), testStart.Add(time.Second)
+	broken.Loaded = false
+	require.Len(t, tracker.Answered(answer(broken, at), at), 1)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at))
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken, "the confirmation is not newer")
+	newer := at.Add(time.Second)
+	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer), 1)
+	require.False(t, tracker.appendStatus(nil, newer)[0].OwnBroken)
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
