health: a node's own break ends with a newer confirmation

Cause: a node that polled a replica once, while its engines still started, and then lost the duty kept its own break for ever and told of it in every datagram. Ruled out: a real loss of a member (its engines answered all the time) and the duty node's polls (each found all members). Change: the break is forgotten, for its teller too, once a newer confirmation is known, from whomever it came. Red before: TestOwnBreakEndsWithAPeersConfirmation fails without the change.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -313,7 +313,10 @@
 
 func (t *Tracker) verdict(e *entry, now time.Time) (bool, string) {
 	if e.broken != "" && e.digestAt.After(e.brokenAt) {
-		e.broken = ""
+		// A node that no longer polls the replica would otherwise tell of the
+		// break for ever, and take the replica from service on all nodes again
+		// with every datagram.
+		e.broken, e.ownBroken = "", false
 	}
 	digestAge := now.Sub(e.digestAt)
 	switch {
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -165,6 +165,22 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
+// A node polls a replica once while its engines still start, finds it broken, and
+// the polls are then another node's duty. If it went on telling of that break, all
+// nodes would take the replica from service again with each of its datagrams, and
+// callers would find a replica that is whole refused every other second.
+func TestOwnBreakEndsWithAPeersConfirmation(t *testing.T) {
+	tracker := wholeTracker(t)
+	at := testStart.Add(time.Second)
+	lost := stateOf(testReplica)
+	lost.Members = nil
+	require.Len(t, tracker.Answered(answer(lost, at), at), 1)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	newer := at.Add(time.Second)
+	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer), 1)
+	require.False(t, tracker.appendStatus(nil, newer)[0].OwnBroken)
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
