--- a/internal/e2e/grouping_test.go
+++ b/internal/e2e/grouping_test.go
@@ -95,6 +95,7 @@
 // ignores them obeys until the new holder reads its state and puts it right;
 // meanwhile nobody is routed to it, since no node finds what it says committed.
 func TestHolderFrozenInTheMiddleOfAnOrder(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		args    []string
 		rules   string
@@ -172,6 +173,7 @@
 // that went by the address alone would send fitters to an engine that is in no
 // replica, or in one that was broken up.
 func TestVMComesBackAsIfNothingHappened(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		away, back func(s *system, id cluster.VMID)
 	}{
