The VM list is shared among nodes

Cause: every node read the platform's VM list by itself, so those calls grew with the nodes, and a node that started while the platform was down had rules and grouping from its peers but no VM list: it stayed unready (seen red in TestNewNodeNeverTakesOldRules: readyz never came within 60 s). Ruled out: passing the list on in datagrams, which it does not fit. Change: two nodes of a zone read the platform; the others ask a peer by connect-go (FetchVMs), which answers without the VMs when the asker has the same ones. A node whose peers bring nothing newer reads the platform itself, 15 to 45 s apart. A node without a grouping is not ready. Interface: peer.NewHandler takes a third source.

--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -173,6 +173,10 @@
 	return &wirepb.FetchGroupingResponse{Zone: "praha-a", Revision: 5, GroupingJson: s.doc}, nil
 }
 
+func (s groupingSource) FetchVMs(context.Context, uint64) (*wirepb.FetchVMsResponse, error) {
+	return &wirepb.FetchVMsResponse{}, nil
+}
+
 // BenchmarkGroupingFetch is one fetch of a zone's table from a peer by connect-go:
 // bytes both ways without TLS, TCP and IP.
 func BenchmarkGroupingFetch(b *testing.B) {
@@ -181,7 +185,7 @@
 			doc, err := json.Marshal(cluster.Grouping{Zone: "praha-a", Revision: 5, Replicas: replicas(size.replicas, size.vms)})
 			require.NoError(b, err)
 			mux := http.NewServeMux()
-			mux.Handle(peer.NewHandler(groupingSource{doc}, groupingSource{doc}))
+			mux.Handle(peer.NewHandler(groupingSource{doc}, groupingSource{doc}, groupingSource{doc}))
 			addr, l := serve(b, mux)
 			client, err := peer.NewClient(peer.ClientOptions{Plain: true})
 			require.NoError(b, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,7 +190,14 @@
 	case n.rules.Current() == nil:
 		return "no rules known yet"
 	case n.vms.List().AsOf.IsZero():
-		return "no VM list read yet"
+		return "no VM list known yet"
+	}
+	select {
+	case <-n.table.Ready():
+		return ""
+	default:
+		// Without the grouping it would refuse every request to a model while
+		// other nodes could answer it.
+		return "no grouping known yet"
 	}
-	return ""
 }
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -31,7 +31,7 @@
 // controlHandler serves peers, operators and the metrics scraper.
 func (n *Node) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewHandler(peerSource{n}, peerSource{n}))
+	mux.Handle(peer.NewHandler(peerSource{n}, peerSource{n}, peerSource{n}))
 	mux.Handle(wirepbconnect.NewOperatorServiceHandler(operator.New(operator.Parts{
 		Rules: n.rules, Nodes: operators{n}, Status: operators{n}, Explain: operators{n}, Outages: operators{n},
 	})))
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -44,9 +44,9 @@
 	return newer, nil
 }
 
-// nextPeer takes the zone's live nodes in turn.
+// nextPeer takes the zone's live nodes in turn; those of all zones if none is given.
 func (f peerFetcher) nextPeer(zone cluster.ZoneID) string {
-	members := slices.DeleteFunc(f.n.servingMembers(), func(m membership.Member) bool { return m.Zone != zone || m.PeerAddr == "" })
+	members := slices.DeleteFunc(f.n.servingMembers(), func(m membership.Member) bool { return (zone != "" && m.Zone != zone) || m.PeerAddr == "" })
 	if len(members) == 0 {
 		return ""
 	}
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -42,7 +42,7 @@
 func (n *Node) setupPlatform() error {
 	p := n.set.Platform
 	n.store = etcdgw.New(etcdgw.Options{Endpoints: p.Store, Timeout: p.Timeout})
-	n.vms = vmlist.NewWatcher(vmlist.Options{Fetcher: vmlist.NewClient(p.VMList, p.Timeout), Zone: n.set.Zone,
+	n.vms = vmlist.NewWatcher(vmlist.Options{Fetcher: n.sharedVMs(), Zone: n.set.Zone,
 		Interval: p.VMListEvery, OnChange: n.vmsChanged, Log: n.log})
 	return nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -86,6 +86,18 @@
 	return resp.Msg, nil
 }
 
+// FetchVMs asks the peer at addr, an ip:port, for the newest VM list it knows; the
+// answer has no VMs when their sum is haveSum.
+func (c *Client) FetchVMs(ctx context.Context, addr string, haveSum uint64) (*wirepb.FetchVMsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.service(addr).FetchVMs(ctx, connect.NewRequest(&wirepb.FetchVMsRequest{HaveSum: haveSum}))
+	if err != nil {
+		return nil, fromConnect(err, "peer.fetch_vms", addr)
+	}
+	return resp.Msg, nil
+}
+
 func (c *Client) service(addr string) wirepbconnect.PeerServiceClient {
 	return wirepbconnect.NewPeerServiceClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxResponse))
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -30,10 +30,14 @@
 	return nil, fennelerr.New(fennelerr.NotFound, "no grouping of %s", zone)
 }
 
+func (f fakeSource) FetchVMs(_ context.Context, haveSum uint64) (*wirepb.FetchVMsResponse, error) {
+	return &wirepb.FetchVMsResponse{AsOfUnixNs: 1, Sum: haveSum}, nil
+}
+
 func serve(t *testing.T, source fakeSource) string {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewHandler(source, source))
+	mux.Handle(peer.NewHandler(source, source, source))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -47,6 +51,9 @@
 	resp, err := client.FetchRules(t.Context(), addr, 41)
 	require.NoError(t, err)
 	require.EqualValues(t, 42, resp.Revision)
+	vms, err := client.FetchVMs(t.Context(), addr, 7)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, vms.Sum)
 	_, err = client.FetchGrouping(t.Context(), addr, "serra-a", 0)
 	require.True(t, fennelerr.Is(err, fennelerr.NotFound), err)
 	_, err = client.FetchGrouping(t.Context(), addr, "", 0)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,19 +26,25 @@
 	FetchGrouping(ctx context.Context, zone cluster.ZoneID, have int64) (*wirepb.FetchGroupingResponse, error)
 }
 
+// VMSource answers with the newest VM list known here.
+type VMSource interface {
+	FetchVMs(ctx context.Context, haveSum uint64) (*wirepb.FetchVMsResponse, error)
+}
+
 // maxRequest bounds a request's body, in bytes; requests only carry a name or a number.
 const maxRequest = 4 << 10
 
 // NewHandler returns the path and handler of the PeerService, to be mounted on
 // the node's inner listener.
-func NewHandler(rules RulesSource, groupings GroupingSource) (string, http.Handler) {
-	s := &server{rules: rules, groupings: groupings}
+func NewHandler(rules RulesSource, groupings GroupingSource, vms VMSource) (string, http.Handler) {
+	s := &server{rules: rules, groupings: groupings, vms: vms}
 	return wirepbconnect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxRequest))
 }
 
 type server struct {
 	rules     RulesSource
 	groupings GroupingSource
+	vms       VMSource
 }
 
 // FetchRules implements wirepbconnect.PeerServiceHandler.
@@ -62,6 +68,15 @@
 	return connect.NewResponse(resp), nil
 }
 
+// FetchVMs implements wirepbconnect.PeerServiceHandler.
+func (s *server) FetchVMs(ctx context.Context, req *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error) {
+	resp, err := s.vms.FetchVMs(ctx, req.Msg.HaveSum)
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
 // connectCodes maps the codes that peers act on; the others are CodeInternal.
 var connectCodes = map[fennelerr.Code]connect.Code{
 	fennelerr.InvalidRequest: connect.CodeInvalidArgument,
--- /dev/null
+++ b/internal/vmlist/shared.go
@@ -0,0 +1,104 @@
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// PeerLists asks another node for the newest list that it knows.
+type PeerLists interface {
+	// FetchVMs returns a list with a zero AsOf when the peer knows none.
+	FetchVMs(ctx context.Context) (cluster.VMList, error)
+}
+
+// DirectEvery is the time, before jitter, between two reads of the platform by a
+// node that should not read it, while its peers bring nothing new.
+const DirectEvery = 30 * time.Second
+
+// freshFor is how many intervals peers may bring nothing newer.
+const freshFor = 3
+
+// Shared is a Fetcher for nodes that share the reading: those on duty read the
+// platform, and the others ask them. The platform's calls then grow with the
+// zones and not with the nodes, and a node that starts while the platform is
+// down has a list all the same. It is used by one goroutine.
+type Shared struct {
+	Platform Fetcher
+	Peers    PeerLists
+	// Duty reports whether this node reads the platform.
+	Duty func() bool
+	// Interval is the time between two calls of Fetch.
+	Interval time.Duration
+
+	asOf       time.Time // of the newest list seen
+	advancedAt time.Time
+	directAt   time.Time // the next read without duty
+}
+
+// Fetch implements Fetcher.
+func (s *Shared) Fetch(ctx context.Context) (cluster.VMList, error) {
+	if s.Duty() {
+		list, err := s.Platform.Fetch(ctx)
+		if err == nil {
+			return s.seen(list), nil
+		}
+		list, peerErr := s.Peers.FetchVMs(ctx)
+		if peerErr != nil || list.AsOf.IsZero() {
+			return list, err
+		}
+		return s.seen(list), nil
+	}
+	list, err := s.Peers.FetchVMs(ctx)
+	if err == nil {
+		s.seen(list)
+	}
+	if now := time.Now(); s.stale(now) && !now.Before(s.directAt) {
+		s.directAt = now.Add(DirectEvery/2 + rand.N(DirectEvery))
+		return s.direct(ctx, list)
+	}
+	if err == nil && list.AsOf.IsZero() {
+		err = fetchFailed(errors.New("no peer knows a list"))
+	}
+	return list, err
+}
+
+// direct reads the platform for want of news from peers.
+func (s *Shared) direct(ctx context.Context, fromPeers cluster.VMList) (cluster.VMList, error) {
+	list, err := s.Platform.Fetch(ctx)
+	if err == nil {
+		return s.seen(list), nil
+	}
+	if fromPeers.AsOf.IsZero() {
+		return list, err
+	}
+	return fromPeers, nil
+}
+
+// stale reports whether no newer list has come for a few intervals, by this
+// node's own clock: AsOf is the platform's.
+func (s *Shared) stale(now time.Time) bool {
+	return s.advancedAt.IsZero() || now.Sub(s.advancedAt) > freshFor*s.Interval
+}
+
+func (s *Shared) seen(list cluster.VMList) cluster.VMList {
+	if list.AsOf.After(s.asOf) {
+		s.asOf, s.advancedAt = list.AsOf, time.Now()
+	}
+	return list
+}
+
+// Sum identifies a list's VMs, whenever it was made; zero means none.
+func Sum(vms []cluster.VM) (uint64, []byte, error) {
+	doc, err := json.Marshal(vms)
+	if err != nil || len(vms) == 0 {
+		return 0, doc, err
+	}
+	return xxhash.Sum64(doc), doc, nil
+}
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -101,3 +101,58 @@
 		require.Equal(t, 3*time.Second, age)
 	})
 }
+
+// listFunc is both a Fetcher and a PeerLists from a function.
+type listFunc func() (cluster.VMList, error)
+
+func (f listFunc) Fetch(context.Context) (cluster.VMList, error)    { return f() }
+func (f listFunc) FetchVMs(context.Context) (cluster.VMList, error) { return f() }
+
+// The platform is down while a node is replaced, or a zone has many nodes. A node
+// that knew only the platform would stay without a list and serve nobody, and with
+// all nodes reading, the platform's calls would grow with the fleet.
+func TestSharedReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 5 * time.Second
+		var direct int
+		var down, silent, duty bool
+		at := func() cluster.VMList { return cluster.VMList{AsOf: time.Now(), VMs: []cluster.VM{{ID: "a"}}} }
+		s := &vmlist.Shared{Interval: interval, Duty: func() bool { return duty },
+			Platform: listFunc(func() (cluster.VMList, error) {
+				direct++
+				if down {
+					return cluster.VMList{}, fennelerr.New(fennelerr.StoreUnavailable, "down")
+				}
+				return at(), nil
+			}),
+			Peers: listFunc(func() (cluster.VMList, error) {
+				if silent {
+					return cluster.VMList{}, fennelerr.New(fennelerr.NotReady, "no peer")
+				}
+				return at(), nil
+			})}
+		fetch := func(rounds int) (calls, lists int) {
+			direct = 0
+			for range rounds {
+				if list, err := s.Fetch(t.Context()); err == nil && !list.AsOf.IsZero() {
+					lists++
+				}
+				time.Sleep(interval)
+			}
+			return direct, lists
+		}
+		calls, lists := fetch(10)
+		require.Zero(t, calls, "peers bring the list")
+		require.Equal(t, 10, lists)
+		silent = true
+		calls, lists = fetch(100) // 500 s, each read 15 to 45 s after the one before
+		require.LessOrEqual(t, calls, 34)
+		require.Positive(t, lists)
+		silent, duty = false, true
+		calls, _ = fetch(10)
+		require.Equal(t, 10, calls)
+		down = true
+		_, lists = fetch(10)
+		require.Equal(t, 10, lists, "from peers while the platform is down")
+	})
+}
--- a/internal/wire/wirepb/wirepbconnect/fennel.connect.go
+++ b/internal/wire/wirepb/wirepbconnect/fennel.connect.go
@@ -43,6 +43,8 @@
 	// PeerServiceFetchGroupingProcedure is the fully-qualified name of the PeerService's FetchGrouping
 	// RPC.
 	PeerServiceFetchGroupingProcedure = "/fennel.v1.PeerService/FetchGrouping"
+	// PeerServiceFetchVMsProcedure is the fully-qualified name of the PeerService's FetchVMs RPC.
+	PeerServiceFetchVMsProcedure = "/fennel.v1.PeerService/FetchVMs"
 	// OperatorServiceGetRulesProcedure is the fully-qualified name of the OperatorService's GetRules
 	// RPC.
 	OperatorServiceGetRulesProcedure = "/fennel.v1.OperatorService/GetRules"
@@ -69,6 +71,8 @@
 	FetchRules(context.Context, *connect.Request[wirepb.FetchRulesRequest]) (*connect.Response[wirepb.FetchRulesResponse], error)
 	// FetchGrouping returns the newest committed grouping of a zone that the peer knows.
 	FetchGrouping(context.Context, *connect.Request[wirepb.FetchGroupingRequest]) (*connect.Response[wirepb.FetchGroupingResponse], error)
+	// FetchVMs returns the newest VM list that the peer knows.
+	FetchVMs(context.Context, *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the fennel.v1.PeerService service. By default, it
@@ -94,6 +98,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchGrouping")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchVMs: connect.NewClient[wirepb.FetchVMsRequest, wirepb.FetchVMsResponse](
+			httpClient,
+			baseURL+PeerServiceFetchVMsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FetchVMs")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -101,6 +111,7 @@
 type peerServiceClient struct {
 	fetchRules    *connect.Client[wirepb.FetchRulesRequest, wirepb.FetchRulesResponse]
 	fetchGrouping *connect.Client[wirepb.FetchGroupingRequest, wirepb.FetchGroupingResponse]
+	fetchVMs      *connect.Client[wirepb.FetchVMsRequest, wirepb.FetchVMsResponse]
 }
 
 // FetchRules calls fennel.v1.PeerService.FetchRules.
@@ -113,12 +124,19 @@
 	return c.fetchGrouping.CallUnary(ctx, req)
 }
 
+// FetchVMs calls fennel.v1.PeerService.FetchVMs.
+func (c *peerServiceClient) FetchVMs(ctx context.Context, req *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error) {
+	return c.fetchVMs.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the fennel.v1.PeerService service.
 type PeerServiceHandler interface {
 	// FetchRules returns the rules in force, as a delta against have_revision when the peer still holds it.
 	FetchRules(context.Context, *connect.Request[wirepb.FetchRulesRequest]) (*connect.Response[wirepb.FetchRulesResponse], error)
 	// FetchGrouping returns the newest committed grouping of a zone that the peer knows.
 	FetchGrouping(context.Context, *connect.Request[wirepb.FetchGroupingRequest]) (*connect.Response[wirepb.FetchGroupingResponse], error)
+	// FetchVMs returns the newest VM list that the peer knows.
+	FetchVMs(context.Context, *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -140,12 +158,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchGrouping")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFetchVMsHandler := connect.NewUnaryHandler(
+		PeerServiceFetchVMsProcedure,
+		svc.FetchVMs,
+		connect.WithSchema(peerServiceMethods.ByName("FetchVMs")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/fennel.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceFetchRulesProcedure:
 			peerServiceFetchRulesHandler.ServeHTTP(w, r)
 		case PeerServiceFetchGroupingProcedure:
 			peerServiceFetchGroupingHandler.ServeHTTP(w, r)
+		case PeerServiceFetchVMsProcedure:
+			peerServiceFetchVMsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -163,6 +189,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fennel.v1.PeerService.FetchGrouping is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) FetchVMs(context.Context, *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fennel.v1.PeerService.FetchVMs is not implemented"))
+}
+
 // OperatorServiceClient is a client for the fennel.v1.OperatorService service.
 type OperatorServiceClient interface {
 	GetRules(context.Context, *connect.Request[wirepb.GetRulesRequest]) (*connect.Response[wirepb.GetRulesResponse], error)
