--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -132,15 +132,15 @@
 	return out
 }
 
-// check fails the test if a VM was ever in two replicas, or if a node sent a
-// request to anything that was never committed.
-func (w *committedWatch) check(s *system) {
+// check fails the test if a VM was ever in two replicas, or if one of the nodes
+// sent a request to anything that was never committed.
+func (w *committedWatch) check(s *system, nodes ...*node) {
 	s.t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	require.Empty(s.t, w.problems)
 	require.NotEmpty(s.t, w.ever)
-	for _, n := range s.nodes {
+	for _, n := range nodes {
 		for _, m := range n.matches(`msg=route .*replica=(\S+) generation=(\d+)`) {
 			require.True(s.t, w.ever[assignment{cluster.ReplicaID(m[1]), parseInt(s, m[2])}], m[0])
 		}
@@ -167,12 +167,6 @@
 	return out
 }
 
-// awaitAgain waits until the pattern has matched more often than before.
-func (p *proc) awaitAgain(pattern string, before int) {
-	p.t.Helper()
-	require.Eventually(p.t, func() bool { return len(p.matches(pattern)) > before }, patience, pollEvery, "%s: %s", p.name, pattern)
-}
-
 // awaitEnginesAgree waits until every engine that runs believes exactly what is
 // committed, and returns how long that took.
 func (s *system) awaitEnginesAgree(w *committedWatch) time.Duration {
--- a/internal/e2e/grouping_test.go
+++ b/internal/e2e/grouping_test.go
@@ -164,7 +164,7 @@
 		p.finish()
 		require.Positive(t, p.ok.Load())
 	}
-	w.check(s)
+	w.check(s, s.nodes...)
 }
 
 // A machine of a replica stops for a while and goes on as if nothing happened,
@@ -214,7 +214,7 @@
 				p.finish()
 				require.Positive(t, p.ok.Load())
 			}
-			w.check(s)
+			w.check(s, s.nodes...)
 		})
 	}
 }
@@ -261,5 +261,5 @@
 	for _, p := range pumps {
 		p.finish()
 	}
-	w.check(s)
+	w.check(s, s.nodes...)
 }
--- /dev/null
+++ b/internal/e2e/outage_test.go
@@ -0,0 +1,199 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/standin/platform"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// calls returns how many calls the platform has had.
+func (s *system) calls() int64 {
+	s.t.Helper()
+	resp, err := http.Get(s.platform + platform.PathCalls)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	var byKind map[string]int64
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&byKind))
+	sum := int64(0)
+	for _, n := range byKind {
+		sum += n
+	}
+	return sum
+}
+
+// rate measures the platform's calls a second over d.
+func (s *system) rate(d time.Duration) float64 {
+	s.t.Helper()
+	before := s.calls()
+	<-time.After(d) // a measurement, not a wait for an event
+	return float64(s.calls()-before) / d.Seconds()
+}
+
+const measured = 6 * time.Second
+
+// outageRates are the platform's calls a second around an outage.
+type outageRates struct{ before, during, after float64 }
+
+// The platform's services go down or fall silent for all nodes, and later all
+// nodes find them again at once. Fitters must be answered throughout; a deposit,
+// which needs a claim in the store, must be refused at once as not run. When the
+// platform is back, nodes that all rush at it would bring it down again: its calls
+// must grow with the zones and not with the nodes.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	kinds := map[string]platform.Faults{
+		"down":   {Store: memstore.Faults{Down: true}, VMsDown: true},
+		"silent": {Silent: true},
+	}
+	sizes := map[string][]int{"down": {2, 8}, "silent": {4}}
+	for kind, faults := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			rates := map[int]outageRates{}
+			for _, nodes := range sizes[kind] {
+				rates[nodes] = platformOutage(t, nodes, faults)
+				t.Logf("%s, %d nodes: %+v calls/s", kind, nodes, rates[nodes])
+			}
+			if few, many := rates[2], rates[8]; kind == "down" {
+				require.Less(t, many.before, 2*few.before+1, "calls grow with the nodes")
+				require.Less(t, many.after, 2*few.after+3, "calls grow with the nodes")
+			}
+		})
+	}
+}
+
+func platformOutage(t *testing.T, nodes int, faults platform.Faults) outageRates {
+	s := newSystem(t)
+	for range 2 {
+		s.engine(zone, "rack-1")
+	}
+	s.service(zone, "caixa")
+	s.publish()
+	for i := range nodes {
+		s.startNode(cluster.NodeID(fmt.Sprintf("serra-a-%d", i+1)), zone, "", "")
+	}
+	s.apply(fitRules)
+	var pumps []*pump
+	for _, n := range s.nodes {
+		s.awaitServing(n)
+	}
+	var r outageRates
+	r.before = s.rate(measured)
+	for _, n := range s.nodes[:2] {
+		pumps = append(pumps, s.startPump(n))
+	}
+	s.faults(faults)
+	r.during = s.rate(measured)
+	for _, n := range s.nodes[:2] {
+		reply := s.call(n, http.MethodPost, "/deposits/42", `{"amount":40}`, nil, "Idempotency-Key", "outage-"+n.name)
+		require.Equal(t, http.StatusServiceUnavailable, reply.status, "%+v", reply)
+		require.Equal(t, "not-run", reply.header.Get("Fennel-Run"))
+		require.NotEmpty(t, reply.header.Get("Retry-After"))
+	}
+	for _, p := range pumps {
+		p.end()
+		require.Zero(t, p.refused.Load(), "refused during the outage")
+		require.Positive(t, p.ok.Load())
+		p.finish()
+	}
+	s.faults(platform.Faults{})
+	r.after = s.rate(measured)
+	for _, n := range s.nodes[:2] {
+		s.awaitNoProblem(func() string {
+			reply := s.call(n, http.MethodPost, "/deposits/42", `{"amount":40}`, nil, "Idempotency-Key", "after-"+n.name)
+			if reply.status != http.StatusCreated {
+				return fmt.Sprintf("%+v", reply)
+			}
+			return ""
+		})
+	}
+	return r
+}
+
+// An entry VM is replaced while the platform is down. The new node knows nothing
+// and can't ask the platform. It must take rules, grouping and VM list from its
+// peers and then serve as they do, or a long outage would wear the system down
+// node by node.
+func TestNodeReplacedWhilePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	s, _ := smallSystem(t)
+	s.faults(platform.Faults{Silent: true})
+	s.nodes[1].kill()
+	s.nodes = s.nodes[:1]
+	n := s.startNode("serra-a-2", zone, "", "")
+	require.Eventually(t, func() bool { return ready(s, n) }, patience, pollEvery)
+	s.awaitServing(n)
+}
+
+// One availability zone loses the platform while the other keeps it. Its nodes
+// still hear the other zone's. Fitters of both zones are served, a rule accepted
+// through the other zone comes into force in both, and the zone that is cut off
+// regroups nothing, since it can't prove that it holds the lease.
+func TestZoneCutFromThePlatform(t *testing.T) {
+	t.Parallel()
+	const far = cluster.ZoneID("serra-b")
+	s := newSystem(t)
+	near, w := s.watchCommitted(zone), s.watchCommitted(far)
+	for _, z := range []cluster.ZoneID{zone, far} {
+		for range 4 {
+			s.engine(z, cluster.DomainID("rack-"+z))
+		}
+	}
+	s.service(zone, "caixa")
+	s.publish()
+	toPlatform := newRelay(s, s.platform)
+	s.startNode("serra-a-1", zone, "", "")
+	s.startNode("serra-b-1", far, toPlatform.url, "")
+	s.startNode("serra-b-2", far, toPlatform.url, "")
+	s.apply(fitRules)
+	for _, n := range s.nodes {
+		s.awaitServing(n)
+	}
+	s.awaitNoProblem(func() string {
+		if n := len(w.assigned()); n != 4 {
+			return fmt.Sprintf("%d VMs of the far zone are in replicas", n)
+		}
+		return ""
+	})
+	before := w.assigned()
+
+	toPlatform.muted.Store(true)
+	pumps := []*pump{s.startPump(s.nodes[0]), s.startPump(s.nodes[1]), s.startPump(s.nodes[2])}
+	for _, n := range s.nodes[1:] {
+		n.await(`msg="placement lease not (tried|extended)"|msg="vm list unavailable"|event=rules_check_failed`)
+	}
+	lost := s.vms[4].ID
+	s.engines[lost].kill()
+	for _, n := range s.nodes[1:] {
+		n.await(notWhole(before[lost]))
+	}
+	through := *s
+	through.nodes = s.nodes[:1]
+	out, code := through.ctl("rules", "apply", "--author", "Ana", s.rulesFile("cut", limitLine(50, "Ana")))
+	require.Zero(t, code, out)
+	revision := s.revision()
+	for _, n := range s.nodes {
+		n.awaitRevision(revision)
+	}
+	for _, p := range pumps {
+		answered := p.ok.Load()
+		require.Eventually(t, func() bool { return p.ok.Load() > answered }, patience, pollEvery)
+		p.finish()
+	}
+	require.Equal(t, before, w.assigned(), "regrouped without the lease")
+	toPlatform.muted.Store(false)
+	s.awaitCommitted(w, lost, false)
+	for _, n := range s.nodes {
+		s.awaitServing(n)
+	}
+	near.check(s, s.nodes[0])
+	w.check(s, s.nodes[1:]...)
+}
