ledger duty: an outage ends when its replica is replaced

Cause: the end of a replica was fed to the ledger without its group, under which its open interval is kept. Downtime of a replica that was broken up, and of a wanted one that was missing until it was formed, went on for as long as the observer lived: the ledger told of outages that were over. Found in a trial by hand: 'assistente-fit/missing-1 ... downtime 1m0s' for a replica that was formed after a second. What to feed is a pure function of told and seen now. Ruled out: the recorder, which ends what it is told to.

--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -32,8 +32,8 @@
 
 	mu     sync.Mutex
 	keeper *ledger.Keeper
-	// known are the replicas, missing ones included, that the keeper was told of.
-	known map[cluster.ReplicaID]bool // value: down
+	// known are the replicas, missing ones included, as the keeper was told of them.
+	known map[cluster.ReplicaID]seenReplica
 	// down counts the replicas told to be down, by group.
 	down map[cluster.GroupName]int
 	// stranded is the last level told, by group and cause.
@@ -89,7 +89,7 @@
 	n := l.n
 	keeper := ledger.NewKeeper(n.store, ledger.RecorderOptions{Observer: n.set.Node, Incarnation: uint64(time.Now().UnixNano()), Zone: n.set.Zone}, n.log)
 	l.mu.Lock()
-	l.keeper, l.known, l.down, l.stranded = keeper, map[cluster.ReplicaID]bool{}, nil, map[strandedKey]int{}
+	l.keeper, l.known, l.down, l.stranded = keeper, map[cluster.ReplicaID]seenReplica{}, nil, map[strandedKey]int{}
 	l.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
@@ -128,24 +128,34 @@
 func (l *ledgerDuty) feedReplicas(now time.Time) {
 	seen := l.replicasNow()
 	l.down = downByGroup(seen)
+	for _, ev := range replicaEvents(l.known, seen, now) {
+		l.keeper.Feed(ev)
+	}
+	l.known = seen
+}
+
+// replicaEvents are the differences between what was told and what is seen now.
+func replicaEvents(told, seen map[cluster.ReplicaID]seenReplica, now time.Time) []ledger.Event {
+	var events []ledger.Event
 	for id, r := range seen {
-		down, told := l.known[id]
-		if told && down == r.down {
+		before, known := told[id]
+		if known && before.down == r.down {
 			continue
 		}
-		l.known[id] = r.down
 		ev := ledger.Event{Kind: ledger.ReplicaUp, At: now, Group: r.group, Replica: id}
 		if r.down {
 			ev.Kind, ev.Cause, ev.Evidence = ledger.ReplicaDown, r.cause, r.evidence
 		}
-		l.keeper.Feed(ev)
+		events = append(events, ev)
 	}
-	for id := range l.known {
-		if _, ok := seen[id]; !ok {
-			delete(l.known, id)
-			l.keeper.Feed(ledger.Event{Kind: ledger.ReplicaGone, At: now, Replica: id})
+	for id, r := range told {
+		if _, still := seen[id]; !still {
+			// Without the group the ledger would not find the open interval, and
+			// the outage would be reported as going on.
+			events = append(events, ledger.Event{Kind: ledger.ReplicaGone, At: now, Group: r.group, Replica: id})
 		}
 	}
+	return events
 }
 
 // downByGroup counts the replicas that are down; a group without any has a zero.
