daemon: the farewell and the heartbeat no longer race over the replicas' cursor

Cause: the cursor of replicaSource was a plain variable. A planned stop sends the farewell from its own goroutine while heartbeats go on: data race, and the node ended with status 66 under the race detector. Change: an atomic cursor.

--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
@@ -171,7 +172,9 @@
 // polls and how many of its requests run there. Breaks go first: they stop work
 // on other nodes.
 func (n *Node) replicaSource() membership.Source {
-	next := 0
+	// next is where the next datagram goes on. Heartbeats, nudges and the farewell
+	// may ask at once; then one of them repeats a part, which does no harm.
+	var next atomic.Int64
 	return func(budget int) membership.Section {
 		var section membership.Section
 		outstanding := make(map[cluster.ReplicaID]int)
@@ -202,14 +205,13 @@
 				return section
 			}
 		}
-		for range rest {
-			if next >= len(rest) {
-				next = 0
-			}
-			if !fits(rest[next]) {
-				return section
-			}
-			next++
+		first := int(next.Load())
+		sent := 0
+		for sent < len(rest) && fits(rest[(first+sent)%len(rest)]) {
+			sent++
+		}
+		if len(rest) > 0 {
+			next.Store(int64((first + sent) % len(rest)))
 		}
 		return section
 	}
