e2e: the log test marks query strings of refused requests too

Red, run anew and uncached: with the request's URI in place of its path in the refusal's line, TestLogsTellNoSecrets names that line (path=...?q=MARK). Before this change it did not: only answered requests carried a marked query. Green without the edit.

--- a/internal/e2e/logs_test.go
+++ b/internal/e2e/logs_test.go
@@ -41,7 +41,7 @@
 	require.Equal(t, http.StatusOK, chat(mark, false, nil).status)
 	require.Equal(t, http.StatusOK, chat(mark, true, func() { s.engines[s.runningOn()].kill() }).status)
 	for _, body := range []string{`{"model":"assistente-fit","messages":"` + mark + `"}`, `{"` + mark, `{"model":"assistente-fit","` + mark + `":[}`} {
-		require.Equal(t, http.StatusBadRequest, s.call(n, http.MethodPost, engine.ChatPath, body, nil).status)
+		require.Equal(t, http.StatusBadRequest, s.call(n, http.MethodPost, engine.ChatPath+"?q="+mark, body, nil).status)
 	}
 	deposit := `{"card":"` + mark + `"}`
 	for _, headers := range [][]string{
@@ -51,9 +51,9 @@
 		{"Authorization", "Bearer " + mark},
 		{"Authorization", mark},
 	} {
-		s.call(n, http.MethodPost, "/deposits/42", deposit, nil, headers...)
+		s.call(n, http.MethodPost, "/deposits/42?q="+mark, deposit, nil, headers...)
 	}
-	s.call(n, http.MethodPost, "/deposits/42", deposit+" ", nil, "Idempotency-Key", mark) // key reused
+	s.call(n, http.MethodPost, "/deposits/42?q="+mark, deposit+" ", nil, "Idempotency-Key", mark) // key reused
 	for _, n := range s.nodes {
 		n.signal(syscall.SIGHUP)
 		n.await("msg=reloaded")
