suspect: word of a retry that has ended casts no doubt on the next crash

A retry heard of counted as another suspect on the replica for 10 s, also after word of its crash had come. The change: word of the crash ends it, and late word of the run is not believed.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -94,6 +94,7 @@
 		if c.add(k) {
 			news = append(news, k)
 		}
+		delete(s.alone[replica], k)
 	}
 	return c, news
 }
@@ -128,8 +129,8 @@
 	return nil
 }
 
-// aloneOn returns the suspects that are believed to run on a replica alone, or were
-// when it crashed.
+// aloneOn returns the suspects that are believed to run on a replica alone and
+// whose end there has not been heard of.
 func (s *crashShard) aloneOn(replica cluster.ReplicaID) []key {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -224,7 +224,7 @@
 	news, believed := false, false
 	t.change(k, func(r *record) {
 		news = r.hearRunner(t.node, heard, now, t.timing)
-		believed = r.run.node == heard.node && r.run.replica == heard.replica
+		believed = r.run.node == heard.node && r.run.replica == heard.replica && !r.crashedSince(heard)
 	})
 	if believed && heard.begun {
 		t.crashShard(heard.replica).setAlone(heard.replica, k, at.Add(t.timing.RunnerTTL))
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -269,6 +269,14 @@
 	return true
 }
 
+// crashedSince reports whether the replica of a run crashed under this
+// fingerprint after the runner's word: the run is over, and the word is late.
+func (r *record) crashedSince(word run) bool {
+	return slices.ContainsFunc(r.evidence, func(e evidence) bool {
+		return e.replica == word.replica && !e.at.Before(word.heard)
+	})
+}
+
 // beats decides which of two nodes that announced the same retry keeps it: one
 // that has begun, else the one that ranks higher for the key. All nodes decide
 // alike, but for a node's own run that has begun and cannot be taken back.
