--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -140,9 +140,13 @@
 	for _, s := range statuses {
 		id := cluster.ReplicaID(s.Replica)
 		n.routing.ObservePeerOutstanding(from.Node, id, int(s.Outstanding), now)
-		o := health.Observation{Replica: id, Generation: s.Generation, Broken: s.Broken}
-		if s.ConfirmedAgoMs >= 0 {
-			o.ConfirmedAt = now.Add(-time.Duration(s.ConfirmedAgoMs) * time.Millisecond)
+		o := health.Observation{Replica: id, Generation: s.Generation}
+		seenAt := now.Add(-time.Duration(s.ConfirmedAgoMs) * time.Millisecond)
+		switch {
+		case s.Broken:
+			o.BrokenAt = seenAt
+		case s.ConfirmedAgoMs >= 0:
+			o.ConfirmedAt = seenAt
 		}
 		if s.MaxRunning > 0 {
 			o.Load = &engine.Load{AsOf: now.Add(-time.Duration(s.LoadAgoMs) * time.Millisecond), Running: int(s.Running),
@@ -174,7 +178,7 @@
 		for _, s := range n.health.Status() {
 			p := replicaStatus(s, outstanding[s.Replica.ID], now)
 			switch {
-			case s.OwnBroken:
+			case !s.OwnBrokenAt.IsZero():
 				broken = append(broken, p)
 			case p.ConfirmedAgoMs != neverConfirmed || p.Outstanding > 0:
 				rest = append(rest, p)
@@ -207,8 +211,12 @@
 }
 
 func replicaStatus(s health.ReplicaStatus, outstanding int, now time.Time) *wirepb.ReplicaStatus {
-	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation, Broken: s.OwnBroken,
+	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation,
 		ConfirmedAgoMs: neverConfirmed, Outstanding: int32(outstanding)}
+	if !s.OwnBrokenAt.IsZero() {
+		p.Broken, p.ConfirmedAgoMs = true, now.Sub(s.OwnBrokenAt).Milliseconds()
+		return p
+	}
 	if !s.OwnConfirmedAt.IsZero() {
 		p.ConfirmedAgoMs = now.Sub(s.OwnConfirmedAt).Milliseconds()
 		p.Running, p.Waiting, p.KvUsed = int32(s.Load.Running), int32(s.Load.Waiting), float32(s.Load.KVUsed)
--- a/internal/health/check_test.go
+++ b/internal/health/check_test.go
@@ -78,7 +78,7 @@
 		time.Sleep(testBounds.PollQuiet + tick)
 		synctest.Wait()
 		require.False(t, check.Whole("r1", 2))
-		require.True(t, check.Status()[0].OwnBroken)
+		require.False(t, check.Status()[0].OwnBrokenAt.IsZero())
 		require.Equal(t, "VM c is in r1 generation 1", check.Status()[0].Reason)
 
 		engines.set("a:1", &good)
--- a/internal/health/status.go
+++ b/internal/health/status.go
@@ -19,10 +19,11 @@
 	// ConfirmedAt is the newest confirmation from any source; zero if none.
 	ConfirmedAt time.Time
 	Load        engine.Load
-	// OwnConfirmedAt and OwnBroken are what this node found by its own polls:
-	// only these are told to peers, so that old news does not go round.
+	// OwnConfirmedAt and OwnBrokenAt are what this node found by its own polls:
+	// only these are told to peers, so that old news does not go round. OwnBrokenAt
+	// is zero unless this node saw the replica broken and nobody saw it whole since.
 	OwnConfirmedAt time.Time
-	OwnBroken      bool
+	OwnBrokenAt    time.Time
 }
 
 func (t *Tracker) appendStatus(out []ReplicaStatus, now time.Time) []ReplicaStatus {
@@ -30,7 +31,7 @@
 		whole, reason := t.verdict(e, now)
 		out = append(out, ReplicaStatus{
 			Replica: e.replica, Whole: whole, Reason: reason, ConfirmedAt: e.confirmedAt(), Load: e.load,
-			OwnConfirmedAt: e.ownDigestAt, OwnBroken: e.ownBroken,
+			OwnConfirmedAt: e.ownDigestAt, OwnBrokenAt: e.ownBrokenAt,
 		})
 	}
 	return out
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -70,8 +70,10 @@
 	Generation int64
 	// ConfirmedAt is zero if the peer never saw the replica whole.
 	ConfirmedAt time.Time
-	Broken      bool
-	Load        *engine.Load
+	// BrokenAt is when the peer saw a member missing or disagreeing, if it has
+	// not seen the replica whole since; else zero.
+	BrokenAt time.Time
+	Load     *engine.Load
 }
 
 // entry is the knowledge about one committed replica. Evidence about another
@@ -80,9 +82,10 @@
 	replica    cluster.Replica
 	digestAt   time.Time // when all members were last known to confirm
 	presenceAt time.Time // when an ordinary answer last showed the replica at work
-	// ownDigestAt and ownBroken are what this node itself found by polling.
+	// ownDigestAt and ownBrokenAt are what this node itself found by polling; the
+	// latter is zero once a newer confirmation from anybody is known.
 	ownDigestAt time.Time
-	ownBroken   bool
+	ownBrokenAt time.Time
 	brokenAt    time.Time
 	broken      string
 	leaving     string // the member that the VM list says is leaving
@@ -178,10 +181,9 @@
 	}
 	oldest, problem := t.judge(e.replica, a)
 	if problem != "" {
-		e.ownBroken = true
+		e.ownBrokenAt = a.Sent
 		return t.breakEntry(e, problem, a.Sent, now)
 	}
-	e.ownBroken = false
 	e.digestAt = later(e.digestAt, oldest)
 	e.ownDigestAt = later(e.ownDigestAt, oldest)
 	return t.refresh(e, now)
@@ -271,8 +273,9 @@
 	return t.refresh(e, now)
 }
 
-// Observe takes what other nodes saw. A report of a break counts from now until
-// a confirmation that is newer.
+// Observe takes what other nodes saw. The newer of a break and a confirmation
+// counts, whoever saw it: a node off duty may have seen the replica while it
+// loaded and not looked again.
 func (t *Tracker) Observe(observations []Observation, now time.Time) []Transition {
 	var out []Transition
 	for _, o := range observations {
@@ -283,8 +286,10 @@
 		if o.Load != nil && o.Load.AsOf.After(e.load.AsOf) {
 			e.load = *o.Load
 		}
-		if o.Broken {
-			out = append(out, t.breakEntry(e, "a peer saw it broken", now, now)...)
+		if !o.BrokenAt.IsZero() {
+			if o.BrokenAt.After(e.digestAt) {
+				out = append(out, t.breakEntry(e, "a peer saw it broken", o.BrokenAt, now)...)
+			}
 			continue
 		}
 		if o.ConfirmedAt.After(e.digestAt) && !o.ConfirmedAt.After(now) {
@@ -338,6 +343,9 @@
 	if e.broken != "" && e.digestAt.After(e.brokenAt) {
 		e.broken = ""
 	}
+	if e.digestAt.After(e.ownBrokenAt) {
+		e.ownBrokenAt = time.Time{}
+	}
 	digestAge := now.Sub(e.digestAt)
 	switch {
 	case e.replica.Leaving:
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -159,19 +159,34 @@
 	require.True(t, tracker.Whole("r1", 2, now))
 }
 
-// Peers split the polls. A break seen by one is news to all at once, and is not
-// passed on as own news; a confirmation that a peer made before does not undo it.
+// Peers split the polls. A break seen by one is news to all, and is not passed on
+// as own news. A peer off duty that saw the replica while it loaded says so until
+// it hears better: repeating it must not break the replica again and again, or
+// requests are refused while all VMs stand ready.
 func TestPeersObservations(t *testing.T) {
+	observe := func(tracker *Tracker, at time.Time, o Observation) []Transition {
+		o.Replica, o.Generation = "r1", 2
+		return tracker.Observe([]Observation{o}, at)
+	}
 	tracker := wholeTracker(t)
 	at := testStart.Add(time.Second)
-	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, Broken: true}}, at)
-	require.Len(t, got, 1)
-	require.False(t, tracker.appendStatus(nil, at)[0].OwnBroken)
-	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at.Add(1)))
+	require.Len(t, observe(tracker, at.Add(1), Observation{BrokenAt: at}), 1)
+	require.Zero(t, tracker.appendStatus(nil, at)[0].OwnBrokenAt)
+	require.Empty(t, observe(tracker, at.Add(1), Observation{ConfirmedAt: at}), "not newer than the break")
 	newer := at.Add(time.Millisecond)
 	load := &engine.Load{AsOf: newer, Running: 3}
-	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer, Load: load}}, newer), 1)
+	require.Len(t, observe(tracker, newer, Observation{ConfirmedAt: newer, Load: load}), 1)
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
+	require.Empty(t, observe(tracker, newer.Add(time.Second), Observation{BrokenAt: at}), "old news again")
+
+	// This node is the peer off duty: its own old finding ends with the news.
+	tracker = wholeTracker(t)
+	loading := stateOf(testReplica)
+	loading.Loaded = false
+	require.Len(t, tracker.Answered(answer(loading, at), at), 1)
+	require.Equal(t, at, tracker.appendStatus(nil, at)[0].OwnBrokenAt)
+	require.Len(t, observe(tracker, newer, Observation{ConfirmedAt: newer}), 1)
+	require.Zero(t, tracker.appendStatus(nil, newer)[0].OwnBrokenAt)
 }
 
 func TestDue(t *testing.T) {
