--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// Quarantined reports whether fp is refused now. Unlike Admit it changes nothing.
+func (t *Tracker) Quarantined(fp Fingerprint) bool {
+	k := fp.key()
+	s := t.keyShard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[k]
+	return r != nil && r.phase == quarantined && t.now().Before(r.until)
+}
+
 // ask decides under the lock; a claim is entered and a refusal prolonged there too.
 func (t *Tracker) ask(k key) (decision, <-chan struct{}) {
 	s := t.keyShard(k)
@@ -225,29 +235,30 @@
 	left := until.Sub(t.now()).Round(time.Second)
 	return fennelerr.New(fennelerr.Quarantined,
 		"replicas crashed while this request ran, the last one while it was the only suspect there; "+
-			"it was not run this time and is refused for %s (fingerprint %s)", left, k).
+			"it is refused for %s more, or longer if it is sent again (fingerprint %s)", left, k).
 		WithOp("suspect.admit").WithRun(fennelerr.NotRun).WithRetryAfter(left)
 }
 
 // Begin records that fp runs on the replica. The returned func ends it and must
-// be called once: crashed says that the replica crashed under it. A retry alone
-// that ends otherwise clears the fingerprint.
-func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(crashed bool)) {
+// be called once. A retry alone that finishes clears the fingerprint.
+func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(Ending)) {
 	k, began := fp.key(), t.now()
 	if alone {
 		t.beginAlone(k, replica)
 	}
 	var once sync.Once
-	return func(crashed bool) {
+	return func(how Ending) {
 		once.Do(func() {
 			if alone {
 				t.crashShard(replica).endAlone(replica, k, t.now())
 			}
 			switch {
-			case crashed:
+			case how == Crashed:
 				t.crashed(k, replica, generation, began, alone)
+			case alone && how == Finished:
+				t.finishedAlone(k)
 			case alone:
-				t.ranToItsEnd(k)
+				t.abandonedAlone(k)
 			}
 		})
 	}
@@ -279,8 +290,12 @@
 func (t *Tracker) crashed(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
 	metricCrashed.Inc()
 	now := t.now()
-	t.noteCrash(now)
 	c := t.crashShard(replica).local(replica, generation, k, began, now, rand.Uint64())
+	if c == nil {
+		t.abandonedAlone(k)
+		return
+	}
+	t.noteCrash(now)
 	var onTrial bool
 	t.change(k, func(r *record) {
 		r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing)
@@ -338,7 +353,16 @@
 	return r != nil && r.hasPrior(crash)
 }
 
-func (t *Tracker) ranToItsEnd(k key) {
+// abandonedAlone leaves the suspicion as it was and the next retry to whoever waits.
+func (t *Tracker) abandonedAlone(k key) {
+	t.update(k, func(r *record) {
+		if r.run.node == t.node {
+			r.run = run{}
+		}
+	})
+}
+
+func (t *Tracker) finishedAlone(k key) {
 	if t.clear(k, t.now()) {
 		metricCleared.Inc()
 		t.nudge()
