grouping: an order's life follows the lease's; daemon: one sender at a time

Cause: with a lease of 3 s the fixed order life of 2 s left a quarter of a second after each extension in which orders went out; the others were put off, and replicas came up seconds late (KilledVMIsTakenOver met one replica only). Change: a fifth of the lease at most. Also the race that two end-to-end runs showed: the replicas' section of a datagram was filled by the heartbeat and by the planned stop at once. Run: go test -race ./internal/grouping; go test ./internal/e2e

--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
@@ -176,7 +177,10 @@
 // on other nodes.
 func (n *Node) replicaSource() membership.Source {
 	next := 0
+	var mu sync.Mutex // a planned stop sends its last datagram beside the heartbeats
 	return func(budget int) membership.Section {
+		mu.Lock()
+		defer mu.Unlock()
 		var section membership.Section
 		outstanding := make(map[cluster.ReplicaID]int)
 		now := time.Now()
--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -52,7 +52,8 @@
 	// Tick is the time between two looks at the zone; zero means DefaultTick.
 	Tick time.Duration
 	// OrderLife bounds one order from its check to its answer, and is how long
-	// a new holder waits before its first order; zero means DefaultOrderLife.
+	// a new holder waits before its first order; zero means
+	// DefaultOrderLife or a fifth of LeaseTTL, whichever is less.
 	OrderLife time.Duration
 	// DownAfter is how long an engine must fail to answer before its VM counts
 	// as down; zero means DefaultDownAfter.
@@ -96,7 +97,9 @@
 func NewController(opts Options) *Controller {
 	setDefault(&opts.LeaseTTL, DefaultLeaseTTL)
 	setDefault(&opts.Tick, DefaultTick)
-	setDefault(&opts.OrderLife, DefaultOrderLife)
+	// With a longer life than this, part of the orders would fall into the time
+	// between two extensions when the lease has too little left for them.
+	setDefault(&opts.OrderLife, min(DefaultOrderLife, opts.LeaseTTL/5))
 	setDefault(&opts.DownAfter, DefaultDownAfter)
 	setDefault(&opts.PollQuiet, DefaultPollQuiet)
 	if opts.Candidate == nil {
