grouping: a replica with a dead VM does not hold up the roll of a version

Cause: such a replica was the first that waited for the new version and kept its place in the roll until its VM was back, hours for a failure. Change: replicas with a member that does not answer take no part. Red: TestNewVersionRolls with a VM down (one replica of three was ordered); green now. Run: go test -race ./internal/grouping

--- a/internal/grouping/reconcile.go
+++ b/internal/grouping/reconcile.go
@@ -143,7 +143,9 @@
 }
 
 // progress reports whether all known members have loaded what they were last
-// told to load, all of them the same, and whether any has yet to be told.
+// told to load, all of them the same, and whether any has yet to be told. A
+// replica with a member that does not answer takes no part: it would hold its
+// place in the roll until the VM is back.
 func (t *tenure) progress(r cluster.Replica, want map[cluster.VMID]engine.Assignment) (loaded, old bool) {
 	loaded = true
 	updated := false
@@ -152,6 +154,9 @@
 		if view == nil || !view.known {
 			continue
 		}
+		if !view.failing.IsZero() {
+			return true, false
+		}
 		loaded = loaded && view.state.Loaded
 		if orderFor(view.state.Assignment, want[id], true) == "" {
 			updated = true
@@ -159,5 +164,5 @@
 			old = true
 		}
 	}
-	return loaded && !(old && updated), old
+	return loaded && (!old || !updated), old
 }
