Gateway: an answer continued elsewhere can be resumed there

Cause: found by reading: after a continuation the resume still asked the engine to continue; the engine runs that request already and refused until the answer was aborted.

--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -87,6 +87,15 @@
 	require.Len(t, b.router.ended, 2)
 }
 
+// A second fault hits the answer that another replica continues: its connection
+// breaks too. The answer is resumed there, and still comes whole.
+func TestContinuedAnswerIsResumed(t *testing.T) {
+	b := newBench(t, 2, standinengine.Options{TokenInterval: 5 * time.Millisecond, CanContinue: true}, nil)
+	b.engines[1].SetFaults(standinengine.Faults{AbortAfter: 8, Streams: 1})
+	requireWhole(t, b.chatWhile(chatStrm, func() { b.engines[0].Crash() }), chatStrm)
+	require.Len(t, b.router.ended, 2)
+}
+
 // The replica dies, the next one cannot continue, and the caller waits for the
 // answer in one piece, of which it has nothing yet: it is made anew, once, whole.
 func TestUnsentAnswerRestartsElsewhere(t *testing.T) {
