--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/health"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
@@ -20,20 +22,19 @@
 
 // connect joins the parts: what one learns, the others are told.
 func (n *Node) connect() {
-	n.table.OnChange(func(g cluster.Grouping) {
-		n.health.SetGrouping(g)
-		n.setRoutes(g, n.vms.List())
-	})
+	for _, table := range n.tables() {
+		table.OnChange(func(g cluster.Grouping) {
+			n.health.SetGrouping(g)
+			n.setRoutes(g, n.vms.List())
+		})
+	}
 	n.health.OnChange(func(r cluster.Replica, whole bool, reason string) {
 		n.log.Info("replica", "replica", r.ID, "generation", r.Generation, "whole", whole, "reason", reason)
 		n.routing.SetWhole(r.ID, r.Generation, whole)
 		n.ledger.wake()
 	})
 	n.health.OnLoad(func(r cluster.Replica, load engine.Load) { n.routing.ReportLoad(r.ID, load, time.Now()) })
-	n.rules.OnChange(func(set *rules.Set) {
-		n.log.Info("rules in force", "revision", set.Revision, "routes", len(set.Routes), "groups", len(set.Groups))
-		n.members.Nudge()
-	})
+	n.rules.OnChange(func(*rules.Set) { n.members.Nudge() })
 	n.members.SetRulesRevision(n.rules.Revision)
 	n.members.OnDatagram(n.observe)
 	n.members.OnDatagram(n.suspects.Receive)
@@ -45,9 +46,14 @@
 // vmsChanged passes on a new VM list.
 func (n *Node) vmsChanged(list cluster.VMList) {
 	n.health.SetVMs(list)
-	n.setRoutes(n.table.Current(), list)
+	for _, table := range n.tables() {
+		n.setRoutes(table.Current(), list)
+	}
 }
 
+// tables are the groupings of all zones whose replicas this node uses.
+func (n *Node) tables() []*grouping.Table { return append([]*grouping.Table{n.table}, n.neighbors...) }
+
 // setRoutes passes the committed replicas to the router with the addresses of
 // their serving VMs.
 func (n *Node) setRoutes(g cluster.Grouping, list cluster.VMList) {
@@ -59,11 +65,14 @@
 	for i, r := range g.Replicas {
 		entries[i] = routing.Entry{Replica: r, Addr: addrs[r.Serving]}
 	}
-	n.routing.SetReplicas(n.set.Zone, entries)
+	n.routing.SetReplicas(g.Zone, entries)
 }
 
 // startDuties runs everything that goes on beside requests.
 func (n *Node) startDuties(ctx context.Context) {
+	for _, table := range n.neighbors {
+		n.duties.Go(func() { table.Run(ctx) })
+	}
 	for _, run := range []func(context.Context){
 		n.vms.Run, n.members.Run, n.rules.Run, n.table.Run, n.health.Run, n.controller.Run, n.cachePoller().Run, n.ledger.run, n.review,
 	} {
@@ -140,13 +149,17 @@
 	for _, s := range statuses {
 		id := cluster.ReplicaID(s.Replica)
 		n.routing.ObservePeerOutstanding(from.Node, id, int(s.Outstanding), now)
-		o := health.Observation{Replica: id, Generation: s.Generation, Broken: s.Broken}
+		o := health.Observation{Replica: id, Generation: s.Generation}
+		if s.Broken {
+			o.BrokenAt = now.Add(-time.Duration(s.BrokenAgoMs) * time.Millisecond)
+		}
 		if s.ConfirmedAgoMs >= 0 {
 			o.ConfirmedAt = now.Add(-time.Duration(s.ConfirmedAgoMs) * time.Millisecond)
 		}
 		if s.MaxRunning > 0 {
 			o.Load = &engine.Load{AsOf: now.Add(-time.Duration(s.LoadAgoMs) * time.Millisecond), Running: int(s.Running),
 				Waiting: int(s.Waiting), KVUsed: float64(s.KvUsed), MaxRunning: int(s.MaxRunning)}
+			n.routing.ReportLoad(id, *o.Load, now)
 		}
 		observations = append(observations, o)
 	}
@@ -162,7 +175,9 @@
 // polls and how many of its requests run there. Breaks go first: they stop work
 // on other nodes.
 func (n *Node) replicaSource() membership.Source {
-	next := 0
+	// next is where the next datagram goes on. Heartbeats, nudges and the farewell
+	// may ask at once; then one of them repeats a part, which does no harm.
+	var next atomic.Int64
 	return func(budget int) membership.Section {
 		var section membership.Section
 		outstanding := make(map[cluster.ReplicaID]int)
@@ -174,7 +189,7 @@
 		for _, s := range n.health.Status() {
 			p := replicaStatus(s, outstanding[s.Replica.ID], now)
 			switch {
-			case s.OwnBroken:
+			case !s.OwnBrokenAt.IsZero():
 				broken = append(broken, p)
 			case p.ConfirmedAgoMs != neverConfirmed || p.Outstanding > 0:
 				rest = append(rest, p)
@@ -193,22 +208,24 @@
 				return section
 			}
 		}
-		for range rest {
-			if next >= len(rest) {
-				next = 0
-			}
-			if !fits(rest[next]) {
-				return section
-			}
-			next++
+		first := int(next.Load())
+		sent := 0
+		for sent < len(rest) && fits(rest[(first+sent)%len(rest)]) {
+			sent++
+		}
+		if len(rest) > 0 {
+			next.Store(int64((first + sent) % len(rest)))
 		}
 		return section
 	}
 }
 
 func replicaStatus(s health.ReplicaStatus, outstanding int, now time.Time) *wirepb.ReplicaStatus {
-	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation, Broken: s.OwnBroken,
+	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation,
 		ConfirmedAgoMs: neverConfirmed, Outstanding: int32(outstanding)}
+	if !s.OwnBrokenAt.IsZero() {
+		p.Broken, p.BrokenAgoMs = true, now.Sub(s.OwnBrokenAt).Milliseconds()
+	}
 	if !s.OwnConfirmedAt.IsZero() {
 		p.ConfirmedAgoMs = now.Sub(s.OwnConfirmedAt).Milliseconds()
 		p.Running, p.Waiting, p.KvUsed = int32(s.Load.Running), int32(s.Load.Waiting), float32(s.Load.KVUsed)
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -14,16 +14,20 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
 // patience bounds every wait for an event; a healthy run stays far below it.
@@ -99,7 +103,9 @@
 func (p *proc) tail(n int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return strings.Join(p.log[max(0, len(p.log)-n):], "\n")
+	// Callers that wait for capacity are refused many times a second.
+	log := slices.DeleteFunc(slices.Clone(p.log), func(line string) bool { return strings.Contains(line, "code=overloaded") })
+	return strings.Join(log[max(0, len(log)-n):], "\n")
 }
 
 // await returns the first submatch of the first log line that matches.
@@ -149,11 +155,17 @@
 	vms      []cluster.VM
 	engines  map[cluster.VMID]*proc
 	nodes    []*node
+	// neighbors is added to the control settings of nodes started from now on.
+	neighbors string
+	// tls is the nodes' setting, ctlTLS fennelctl's flags to match; without
+	// them the control addresses are plain.
+	tls    string
+	ctlTLS []string
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), engines: map[cluster.VMID]*proc{}}
+	s := &system{t: t, dir: t.TempDir(), tls: "{off: true}", engines: map[cluster.VMID]*proc{}}
 	s.platProc = start(t, "platform", "fennel-standin", "platform", "--listen", "127.0.0.1:0")
 	s.platform = "http://" + s.platProc.await(listening)
 	return s
@@ -218,12 +230,14 @@
   heartbeat: 200ms
   seeds: [%s]
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
-control: {placement_lease: 3s}
-tls: {off: true}
-drain: {notice: 100ms}
+control: {placement_lease: 3s, loads_per_minute: 6000%s}
+tls: %s
 %s
 `
 
+// shortNotice is the drain setting of nodes whose extra settings name none.
+const shortNotice = "drain: {notice: 100ms}\n"
+
 // startNode starts a fenneld that knows the nodes running now as seeds. platform
 // is where it looks for the platform; empty means the system's.
 func (s *system) startNode(name cluster.NodeID, zone cluster.ZoneID, platform, extra string) *node {
@@ -235,8 +249,11 @@
 	for _, n := range s.nodes {
 		seeds = append(seeds, fmt.Sprintf("%q", n.datagrams))
 	}
+	if !strings.Contains(extra, "drain:") {
+		extra += shortNotice
+	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), extra)
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.neighbors, s.tls, extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
 	n.callers = n.await(`msg=serving.* callers=(\S+)`)
@@ -249,10 +266,15 @@
 // ctl runs fennelctl against the nodes and returns its output and exit code.
 func (s *system) ctl(args ...string) (string, int) {
 	s.t.Helper()
+	scheme := "http://"
+	if s.ctlTLS != nil {
+		scheme = "https://"
+	}
 	var servers []string
 	for _, n := range s.nodes {
-		servers = append(servers, "http://"+n.control)
+		servers = append(servers, scheme+n.control)
 	}
+	args = append(slices.Clone(s.ctlTLS), args...)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(bins, "fennelctl"), append([]string{"--server", strings.Join(servers, ",")}, args...)...)
@@ -357,3 +379,26 @@
 		return last.status == http.StatusOK
 	}, patience, pollEvery, "%s never answered: %+v", n.name, &last)
 }
+
+// awaitWhole waits until the node holds that many replicas for whole.
+func (s *system) awaitWhole(n *node, replicas int) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool { return s.wholeAt(n) == replicas }, patience, pollEvery,
+		"%s never held %d replicas for whole", n.name, replicas)
+}
+
+// wholeAt counts the replicas that the node holds for whole; -1 if it does not answer.
+func (s *system) wholeAt(n *node) int {
+	client := wirepbconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+n.control)
+	resp, err := client.Status(s.t.Context(), connect.NewRequest(&wirepb.StatusRequest{}))
+	if err != nil {
+		return -1
+	}
+	whole := 0
+	for _, r := range resp.Msg.Replicas {
+		if r.Whole {
+			whole++
+		}
+	}
+	return whole
+}
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -30,15 +30,23 @@
 	PollQuiet, PollBusy, PollBroken time.Duration
 }
 
-// DefaultBounds are the bounds for replicas of a few VMs; docs/placement.md has
-// the bytes they cost and the bounds for replicas of 32 VMs.
-func DefaultBounds() Bounds {
+// DefaultMaxAge keeps the polls of a node's share of quiet replicas of 32 VMs
+// within half of its 6 KB a second; docs/placement.md has the figures.
+const DefaultMaxAge = 8 * time.Second
+
+// BoundsWithin returns the bounds that go with the greatest age of a
+// confirmation. A replica is polled so often that one lost poll does not matter.
+func BoundsWithin(maxAge time.Duration) Bounds {
+	part := maxAge / 8
 	return Bounds{
-		MaxAge: 6 * time.Second, MaxDigestAge: 12 * time.Second, MemberLost: 3 * time.Second,
-		PollQuiet: 2 * time.Second, PollBusy: 5 * time.Second, PollBroken: time.Second,
+		MaxAge: maxAge, MaxDigestAge: 15 * part, MemberLost: 3 * part,
+		PollQuiet: 3 * part, PollBusy: 5 * part, PollBroken: part,
 	}
 }
 
+// DefaultBounds are the bounds within DefaultMaxAge.
+func DefaultBounds() Bounds { return BoundsWithin(DefaultMaxAge) }
+
 // Transition is a change of a replica between whole and not whole.
 type Transition struct {
 	Replica cluster.Replica
@@ -62,8 +70,10 @@
 	Generation int64
 	// ConfirmedAt is zero if the peer never saw the replica whole.
 	ConfirmedAt time.Time
-	Broken      bool
-	Load        *engine.Load
+	// BrokenAt is when the peer last saw a member missing or disagreeing; zero if
+	// it knows of a newer confirmation, or never did.
+	BrokenAt time.Time
+	Load     *engine.Load
 }
 
 // entry is the knowledge about one committed replica. Evidence about another
@@ -72,9 +82,9 @@
 	replica    cluster.Replica
 	digestAt   time.Time // when all members were last known to confirm
 	presenceAt time.Time // when an ordinary answer last showed the replica at work
-	// ownDigestAt and ownBroken are what this node itself found by polling.
+	// ownDigestAt and ownBrokenAt are what this node itself found by polling.
 	ownDigestAt time.Time
-	ownBroken   bool
+	ownBrokenAt time.Time
 	brokenAt    time.Time
 	broken      string
 	leaving     string // the member that the VM list says is leaving
@@ -170,10 +180,9 @@
 	}
 	oldest, problem := t.judge(e.replica, a)
 	if problem != "" {
-		e.ownBroken = true
+		e.ownBrokenAt = later(e.ownBrokenAt, a.Sent)
 		return t.breakEntry(e, problem, a.Sent, now)
 	}
-	e.ownBroken = false
 	e.digestAt = later(e.digestAt, oldest)
 	e.ownDigestAt = later(e.ownDigestAt, oldest)
 	return t.refresh(e, now)
@@ -208,6 +217,9 @@
 	case !a.State.Loaded:
 		return time.Time{}, fmt.Sprintf("VM %s is loading", r.Serving)
 	}
+	if a.State.Summary != nil {
+		return t.judgeSummary(r, a)
+	}
 	digests := make(map[cluster.VMID]engine.MemberDigest, len(a.State.Members))
 	for _, d := range a.State.Members {
 		digests[d.VM] = d
@@ -234,6 +246,18 @@
 	return oldest, ""
 }
 
+// judgeSummary is judge for a brief state, in which the hash speaks for the members.
+func (t *Tracker) judgeSummary(r cluster.Replica, a Answer) (time.Time, string) {
+	if a.State.Summary.Hash != engine.ReplicaHash(r) {
+		return time.Time{}, "a VM is missing or disagrees"
+	}
+	seenAgo := time.Duration(a.State.Summary.OldestMs) * time.Millisecond
+	if seenAgo < 0 || seenAgo > t.bounds.MemberLost {
+		return time.Time{}, fmt.Sprintf("a VM last heard %v ago", seenAgo)
+	}
+	return a.Sent.Add(-seenAgo), ""
+}
+
 // ConfirmServing takes the sign of an ordinary answer: the serving VM generated
 // tokens at the given time for the given generation, which needs every member.
 func (t *Tracker) ConfirmServing(id cluster.ReplicaID, generation int64, at, now time.Time) []Transition {
@@ -248,8 +272,9 @@
 	return t.refresh(e, now)
 }
 
-// Observe takes what other nodes saw. A report of a break counts from now until
-// a confirmation that is newer.
+// Observe takes what other nodes saw. A report of a break counts from when it was
+// seen until a confirmation that is newer: a peer without the duty to poll may
+// tell an old one for as long as it has not heard better.
 func (t *Tracker) Observe(observations []Observation, now time.Time) []Transition {
 	var out []Transition
 	for _, o := range observations {
@@ -260,8 +285,8 @@
 		if o.Load != nil && o.Load.AsOf.After(e.load.AsOf) {
 			e.load = *o.Load
 		}
-		if o.Broken {
-			out = append(out, t.breakEntry(e, "a peer saw it broken", now, now)...)
+		if !o.BrokenAt.IsZero() && !o.BrokenAt.After(now) {
+			out = append(out, t.breakEntry(e, "a peer saw it broken", o.BrokenAt, now)...)
 			continue
 		}
 		if o.ConfirmedAt.After(e.digestAt) && !o.ConfirmedAt.After(now) {
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -68,6 +69,14 @@
 		"member not heard for long":  answer(edit(func(s *engine.State) { s.Members[2].SeenAgoMs = 3001 }), at),
 		"nonsense age of the member": answer(edit(func(s *engine.State) { s.Members[2].SeenAgoMs = -1 }), at),
 	}
+	for name, a := range maps.Clone(answers) {
+		if a.Err == nil {
+			brief := a
+			brief.State = a.State.Brief()
+			answers["brief: "+name] = brief
+		}
+	}
+	delete(answers, "brief: nonsense age of the member") // the largest age is what a summary has
 	for name, a := range answers {
 		t.Run(name, func(t *testing.T) {
 			tracker := wholeTracker(t)
@@ -155,9 +164,9 @@
 func TestPeersObservations(t *testing.T) {
 	tracker := wholeTracker(t)
 	at := testStart.Add(time.Second)
-	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, Broken: true}}, at)
+	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: at}}, at)
 	require.Len(t, got, 1)
-	require.False(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBrokenAt.IsZero())
 	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at.Add(1)))
 	newer := at.Add(time.Millisecond)
 	load := &engine.Load{AsOf: newer, Running: 3}
@@ -165,6 +174,28 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
+// A node saw a replica broken while it formed, and polls it no more since that is
+// another node's duty. It goes on telling its old news: the replica must not be
+// taken out for it again and again, or callers find no capacity for minutes.
+func TestOldBreakToldAgainBreaksNothing(t *testing.T) {
+	tracker := wholeTracker(t)
+	old := testStart.Add(-time.Second)
+	for i := range 5 {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: old}}, now))
+	}
+
+	teller := NewTracker(testBounds)
+	teller.SetReplicas([]cluster.Replica{testReplica}, testStart)
+	partial := stateOf(testReplica)
+	partial.Members = partial.Members[:2]
+	teller.Answered(answer(partial, testStart), testStart)
+	require.Equal(t, testStart, teller.appendStatus(nil, testStart)[0].OwnBrokenAt)
+	newer := testStart.Add(time.Second)
+	teller.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer)
+	require.True(t, teller.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero(), "no news any more")
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,7 +23,12 @@
 
 // GroupingSource answers with the newest committed grouping known here of a zone.
 type GroupingSource interface {
-	FetchGrouping(ctx context.Context, zone cluster.ZoneID) (*wirepb.FetchGroupingResponse, error)
+	FetchGrouping(ctx context.Context, zone cluster.ZoneID, have int64) (*wirepb.FetchGroupingResponse, error)
+}
+
+// VMSource answers with the newest VM list known here.
+type VMSource interface {
+	FetchVMs(ctx context.Context, haveSum uint64) (*wirepb.FetchVMsResponse, error)
 }
 
 // maxRequest bounds a request's body, in bytes; requests only carry a name or a number.
@@ -31,14 +36,15 @@
 
 // NewHandler returns the path and handler of the PeerService, to be mounted on
 // the node's inner listener.
-func NewHandler(rules RulesSource, groupings GroupingSource) (string, http.Handler) {
-	s := &server{rules: rules, groupings: groupings}
+func NewHandler(rules RulesSource, groupings GroupingSource, vms VMSource) (string, http.Handler) {
+	s := &server{rules: rules, groupings: groupings, vms: vms}
 	return wirepbconnect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxRequest))
 }
 
 type server struct {
 	rules     RulesSource
 	groupings GroupingSource
+	vms       VMSource
 }
 
 // FetchRules implements wirepbconnect.PeerServiceHandler.
@@ -55,7 +61,16 @@
 	if req.Msg.Zone == "" {
 		return nil, toConnect(fennelerr.New(fennelerr.InvalidRequest, "no zone given").WithField("zone"))
 	}
-	resp, err := s.groupings.FetchGrouping(ctx, cluster.ZoneID(req.Msg.Zone))
+	resp, err := s.groupings.FetchGrouping(ctx, cluster.ZoneID(req.Msg.Zone), req.Msg.HaveRevision)
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// FetchVMs implements wirepbconnect.PeerServiceHandler.
+func (s *server) FetchVMs(ctx context.Context, req *connect.Request[wirepb.FetchVMsRequest]) (*connect.Response[wirepb.FetchVMsResponse], error) {
+	resp, err := s.vms.FetchVMs(ctx, req.Msg.HaveSum)
 	if err != nil {
 		return nil, toConnect(err)
 	}
