--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -1,7 +1,5 @@
 package capacity
 
-import "math"
-
 // Limit is the size at which one part breaks its bound, with everything else
 // left out.
 type Limit struct {
@@ -16,25 +14,23 @@
 // Limits lists what breaks, the smallest sizes first where they compare.
 func Limits() []Limit {
 	budget := ControlBudget()
-	split := 2 * budget.BytesPerSec // one poll in 2 s for each replica
+	bytes := budget.BytesPerSec
 	return []Limit{
-		{"VM list: whole list read every 5 s", budget.BytesPerSec * listEvery / listBytes.Value, "VMs in all zones", "6 KB/s", listRole.Next},
-		{"health check: every node polls every replica, 4 VMs each", budget.BytesPerSec / (pollsPerNode.Value * pollBytes4.Value), "replicas a zone", "6 KB/s", healthRole.Next},
-		{"health check: the same, 32 VMs each", budget.BytesPerSec / (pollsPerNode.Value * pollBytes32.Value), "replicas a zone", "6 KB/s", healthRole.Next},
-		{"health check: each replica polled by one node in 2 s, 32 VMs each", split / pollBytes32.Value, "replicas a node", "6 KB/s", healthRole.Next},
-		{"grouping table: whole table from three peers a second, 32 VMs each", tableLimit(budget.BytesPerSec), "replicas a zone", "6 KB/s", watcherRole.Next},
-		{"VM list: processor", budget.CoreShare * listEvery / (listCPU.Value * micro), "VMs in all zones", "1.7% of a core", listRole.Next},
-		{"VM list: memory while one list replaces another", budget.MemoryBytes / (2 * listMemory.Value), "VMs in all zones", "256 MB", listRole.Next},
+		{"VM list: the whole list read every 5 s", bytes * listEvery / listBytes.Value, "VMs in all zones", "6 KB/s of a reader", listNext},
+		{"VM list: a list from a peer, bytes as in a read", maxPeerMessage / listMessage.Value, "VMs in all zones", "2 MiB a message", listNext},
+		{"VM list: processor", budget.CoreShare * listEvery / ((listCPU.Value + listSumCPU.Value) * micro), "VMs in all zones", "1.7% of a core", listNext},
+		{"VM list: memory while one list replaces another", budget.MemoryBytes / (2 * listMemory.Value), "VMs in all zones", "256 MB", listNext},
+		{"health check: a peer's turn comes too late for polls to be split", splitUpTo(), "nodes a zone", "5.3 s", healthRole.Next},
+		{"health check: three states in a heartbeat, told to 24 peers in time", Plan().tellable(), "replicas a node", "membership's 2,800 B/s", healthRole.Next},
+		{"health check: each node polls for itself", bytes / (pollsNode.Value * pollBrief.Value), "replicas a zone", "6 KB/s", healthRole.Next},
+		{"health check: processor, asking for each duty four times a second", budget.CoreShare / (healthRounds * dutyTime.Value * micro), "replicas a zone", "1.7% of a core", healthRole.Next},
 		{"claims: 24 h in 1 GB of the store", 1e9 / claimBytes.Value / secondsPerDay, "bookings/s", "1 GB", claimsRole.Next},
 	}
 }
 
-// tableLimit is the number of replicas a zone at which fetches fill the bytes.
-func tableLimit(bytes float64) float64 {
-	slope := (tableFetch265.Value - tableFetch8.Value) / (265 - 8)
-	perFetch := bytes / (2 * tableFetchPeers / tableFetchEvery)
-	return math.Max(0, 8+(perFetch-tableFetch8.Value)/slope)
-}
+// splitUpTo is the number of nodes a zone up to which each node hears each other
+// directly before the newest confirmation that the other can tell is nearly old.
+func splitUpTo() float64 { return 1 + zoneTargets*(ownPollAfter-quietPollEvery) }
 
 func limitTable() table {
 	t := table{head: []string{"what breaks", "at", "bound", "today", "B", "A", "mechanism to come"}}
@@ -46,11 +42,16 @@
 
 // sizeFor is the size that a limit's unit is compared with.
 func sizeFor(unit string, s Size) string {
+	if unit == "replicas a node" && s == Today() {
+		return "-" // a node of today has one peer in its zone, if any
+	}
 	switch unit {
 	case "VMs in all zones":
 		return number(s.VMs())
 	case "replicas a zone":
 		return number(s.ReplicasPerZone())
+	case "nodes a zone":
+		return number(s.NodesPerZone())
 	case "replicas a node":
 		return number(float64(s.Replicas) / float64(s.Nodes))
 	default:
@@ -63,7 +64,8 @@
 	t := table{head: []string{"store", "A and B"}}
 	s := Plan()
 	zones := float64(s.Zones)
-	t.add("calls/s, idle, all zones", number(storeCalls.Value*zones))
+	t.add("calls/s, idle, all zones, as measured with 16 nodes a zone", number(storeCalls.Value*zones))
+	t.add("reads/s of the VM list, all zones", number(listReaders/listEvery*zones))
 	t.add("writes/s for regroupings, all zones", number(s.Regroupings()*zones))
 	t.add("writes/s for changes of the rules", number(s.ChangesPerDay/secondsPerDay))
 	t.add("writes/s of ledger windows, at most", number(2*zones/60))
--- a/internal/capacity/nodes_test.go
+++ b/internal/capacity/nodes_test.go
@@ -55,6 +55,7 @@
 		{zones: 1, nodes: 8, replicas: 2, vms: 2},
 		{zones: 2, nodes: 4, replicas: 2, vms: 2},
 		{zones: 1, nodes: 4, replicas: 17, vms: 4},
+		{zones: 1, nodes: 16, replicas: 17, vms: 4},
 	} {
 		b.Run(s.String(), func(b *testing.B) {
 			for b.Loop() {
@@ -122,6 +123,7 @@
 platform: {store: ["http://%[3]s"], vm_list: "http://%[3]s"}
 peers: {seeds: [%[4]s], keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]}
 tls: {off: true}
+control: {loads_per_minute: 60000}
 `
 
 // node starts one fenneld and returns its address for datagrams.
--- a/internal/capacity/planned.go
+++ b/internal/capacity/planned.go
@@ -15,25 +15,19 @@
 	plannedCache      = 500  // bytes a second
 )
 
-// digestPoll is a poll without the members' list: the line through the polls at
-// 2 and 4 VMs, followed to none.
-func digestPoll() float64 {
-	return pollBytes2.Value - 2*(pollBytes4.Value-pollBytes2.Value)/2
-}
-
 func plannedTraffic() []planned {
 	return []planned{
 		{"membership", func(Size) float64 { return 2 * plannedHeartbeats }, "1,600 B/s each way in place of 2,800"},
 		{"health check and polls", func(s Size) float64 {
-			return float64(s.Replicas) / float64(s.Nodes) / plannedPollEvery * digestPoll()
-		}, "each replica polled by one node every 5 s, quiet or not; digest in place of the members' list"},
+			return float64(s.Replicas) / float64(s.Nodes) / plannedPollEvery * pollBrief.Value
+		}, "each replica polled by one node only, every 5 s"},
 		{"VM list", func(s Size) float64 {
 			return s.VMs() / float64(s.Nodes) * listBytes.Value / plannedListEvery
 		}, "each node reads a page of its zone's VMs every 60 s; changes sooner"},
 		{"routing table", func(Size) float64 { return plannedCache }, "cache events of the node's share of replicas"},
 		{"grouping table", func(s Size) float64 {
-			return 2 * tableFetchPeers * s.Regroupings() * tableStored.Value
-		}, "changed replicas only"},
+			return 2 * s.Regroupings() * (tableNoNews.Value + tableStored.Value)
+		}, "asked after a change only, changed replicas only"},
 		{"placement lease holder", func(s Size) float64 { return placementRole.Cost(s).BytesPerSec }, "as today"},
 		{"rules holder", func(s Size) float64 { return rulesRole.Cost(s).BytesPerSec }, "as today"},
 		{"ledger", func(s Size) float64 { return ledgerRole.Cost(s).BytesPerSec }, "as today"},
--- a/internal/capacity/print.go
+++ b/internal/capacity/print.go
@@ -124,12 +124,12 @@
 	noBound := Budget{math.Inf(1), math.Inf(1), math.Inf(1)}
 	for _, r := range Roles() {
 		name, bound := r.Name, budget
-		if !r.Control {
+		if r.Serving {
 			name, bound = name+" (serving, not control)", noBound
 		}
 		row(name, bound, r.Cost(Plan()), r.Cost(ReadingB()))
 	}
-	row("all control roles on one node, as far as measured", budget, Sum(Plan()), Sum(ReadingB()))
+	row("sum of control on a node that has all duties, as far as measured", budget, Sum(Plan()), Sum(ReadingB()))
 	row("budget", noBound, budgetCost(budget), budgetCost(budget))
 	return t
 }
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -23,9 +23,9 @@
 	// Mechanism carries it today; Next is the mechanism to come at the plan's
 	// size, empty where today's does.
 	Mechanism, Next string
-	// Control tells whether it counts towards the control budget.
-	Control bool
-	Cost    func(Size) Cost
+	// Serving roles are not bound by the control budget; Control roles are summed.
+	Serving, Control bool
+	Cost             func(Size) Cost
 }
 
 const micro, milli = 1e-6, 1e-3
@@ -34,26 +34,31 @@
 
 // Intervals and bounds of the code, repeated here for the computation.
 const (
-	listEvery         = 5.0  // settings.DefaultVMListEvery, in seconds
-	heartbeatBudget   = 2800 // membership.DefaultSendBudget, headers included
-	heartbeatTargets  = 4.3  // three of the zone and 2 x 16 links among 25 nodes
-	cachePollBudget   = 1500 // routing.DefaultCacheBytes
-	prefixesAtMost    = 65_536
-	tableFetchEvery   = 1.0 // grouping.DefaultRetry, in seconds
-	tableFetchPeers   = 3
-	rulesDeltaToPeers = 101 // docs/rules.md, a change of one line
+	listEvery        = 5.0  // settings.DefaultVMListEvery, in seconds
+	heartbeatBudget  = 2800 // membership.DefaultSendBudget, headers included
+	heartbeatTargets = 4.3  // three of the zone and 2 x 16 links among 25 nodes
+	cachePollBudget  = 1500 // routing.DefaultCacheBytes
+	prefixesAtMost   = 65_536
+	tableAskEvery    = 1.0      // grouping.DefaultRetry, in seconds
+	healthRounds     = 4        // health's tick, a second: each asks for each replica's duty
+	ownPollAfter     = 16.0 / 3 // two thirds of health.DefaultMaxAge, in seconds
+	quietPollEvery   = 3.0      // health's PollQuiet, in seconds
+	zoneTargets      = 3        // membership's fanout
+	listReaders      = 2.0      // of a zone
+	directEvery      = 30.0     // vmlist.DirectEvery, in seconds
+	maxPeerMessage   = 2 << 20
 )
 
 // Roles lists all roles in the order of the page.
 func Roles() []Role {
 	return []Role{
-		gatewayRole, rulesRole, membershipRole, healthRole, watcherRole, placementRole, listRole,
+		gatewayRole, rulesRole, membershipRole, healthRole, watcherRole, placementRole, listRole, listOthersRole,
 		routingRole, admissionRole, claimsRole, suspectsRole, ledgerRole,
 	}
 }
 
 var gatewayRole = Role{
-	Name: "callers' gateway", On: "each node",
+	Name: "callers' gateway", On: "each node", Serving: true,
 	State:     "open streams, each with its connections and buffers",
 	Messages:  "requests and answers of callers and engines; no control traffic",
 	Mechanism: "HTTP by net/http on both sides, one pool of connections a VM",
@@ -74,7 +79,7 @@
 	Cost: func(s Size) Cost {
 		changes := s.ChangesPerDay / secondsPerDay
 		return Cost{
-			BytesPerSec: changes * (rulesRecord.Value + 2*rulesDeltaToPeers),
+			BytesPerSec: changes * (rulesRecord.Value + 2*rulesDelta.Value),
 			CoreShare:   changes * rulesFollow.Value * milli,
 			MemoryBytes: rulesMemory.Value,
 		}
@@ -89,8 +94,8 @@
 	Cost: func(s Size) Cost {
 		return Cost{
 			BytesPerSec: 2 * heartbeatBudget,
-			CoreShare:   heartbeatTargets * (datagramSeal.Value + datagramOpen.Value) * micro,
-			MemoryBytes: notMeasured,
+			CoreShare:   (memberTick.Value + heartbeatTargets*(datagramSeal.Value+datagramOpen.Value)) * micro,
+			MemoryBytes: float64(s.Nodes) * memberMemory.Value,
 		}
 	},
 }
@@ -98,46 +103,44 @@
 var healthRole = Role{
 	Name: "health check and polls", On: "each node", Control: true,
 	State:     "the zone's committed replicas, their newest confirmations and loads",
-	Messages:  "polls of serving VMs; each node polls each replica of its zone, since a confirmation turns nearly old (2 s) when the next poll is due (2 s), before peers have told theirs",
-	Mechanism: "HTTP polls; the serving VM's answer names all members",
-	Next:      "polls of quiet replicas only, each by one node; a digest of all members in place of their list, also on ordinary answers; older confirmations accepted",
+	Messages:  "a brief poll of each replica's serving VM every 3 s by one node of its zone, and by each other node that no peer has told for 5.3 s: beyond 8 nodes a zone that is nearly all",
+	Mechanism: "HTTP polls answered by a digest of all members; confirmations on ordinary answers and on heartbeats",
+	Next:      "heartbeats pass confirmations on, as they do heartbeats, and code them as lists of numbers; a duty looked up once a change of members",
 	Cost: func(s Size) Cost {
-		polls := s.ReplicasPerZone() * pollsPerNode.Value
+		polls := s.ReplicasPerZone() * pollsNode.Value
 		return Cost{
-			BytesPerSec: polls * pollBytes(s.VMsPerReplica),
-			CoreShare:   polls * pollCPU.Value * micro,
+			BytesPerSec: polls * pollBrief.Value,
+			CoreShare:   (polls*pollCPU.Value + healthRounds*s.ReplicasPerZone()*dutyTime.Value) * micro,
 			MemoryBytes: s.ReplicasPerZone() * healthMemory.Value,
 		}
 	},
 }
 
-// pollBytes is the line through the polls at 4 and 32 VMs.
-func pollBytes(vms int) float64 {
-	slope := (pollBytes32.Value - pollBytes4.Value) / (32 - 4)
-	return pollBytes4.Value + slope*float64(vms-4)
+// tellable is of how many replicas a node can tell all nodes of its zone before
+// they poll for themselves.
+func (s Size) tellable() float64 {
+	statuses := math.Floor(heartbeatRoom.Value / statusBytes.Value)
+	return statuses * zoneTargets * ownPollAfter / (s.NodesPerZone() - 1)
 }
 
 var watcherRole = Role{
-	Name: "grouping table", On: "each node; two nodes a zone watch the store", Control: true,
+	Name: "grouping table and its watchers", On: "each node; two nodes a zone watch the store", Control: true,
 	State:     "the zone's committed replicas",
-	Messages:  "a node that does not watch fetches the whole table from three peers each second, and serves as many fetches",
-	Mechanism: "two watches of the store a zone; connect-go for the others",
-	Next:      "the table's revision on heartbeats; a fetch only when it rises, of the replicas changed since",
+	Messages:  "a node that does not watch asks one peer each second, is asked as often, and gets the whole table after a change",
+	Mechanism: "two watches of the store a zone; connect-go for the others, by revision",
+	Next:      "the table's revision on heartbeats; a question only when it rises, answered by the replicas changed since",
 	Cost: func(s Size) Cost {
-		fetches := tableFetchPeers / tableFetchEvery
+		asks := 1 / tableAskEvery
 		return Cost{
-			BytesPerSec: 2 * fetches * tableFetchBytes(s),
-			CoreShare:   fetches * tableFetchCPU.Value * micro * s.ReplicasPerZone() * float64(s.VMsPerReplica) / (265 * 32),
+			BytesPerSec: 2 * (asks*tableNoNews.Value + s.Regroupings()*tableBytes(s)),
+			CoreShare:   asks * tableNoNewsCPU.Value * micro,
 			MemoryBytes: s.ReplicasPerZone() * tableMemory.Value,
 		}
 	},
 }
 
-// tableFetchBytes is the measured fetch next to the zone's size.
-func tableFetchBytes(s Size) float64 {
-	if s.VMsPerReplica < 32 {
-		return tableFetch17.Value
-	}
+// tableBytes is the line through the tables of 8 and 265 replicas of 32 VMs.
+func tableBytes(s Size) float64 {
 	slope := (tableFetch265.Value - tableFetch8.Value) / (265 - 8)
 	return tableFetch8.Value + slope*(s.ReplicasPerZone()-8)
 }
@@ -152,27 +155,55 @@
 		vms := float64(s.VMsPerReplica)
 		return Cost{
 			BytesPerSec: s.Regroupings() * (tableStored.Value + vms*orderBytes.Value),
-			CoreShare:   notMeasured,
+			CoreShare:   planTime.Value * milli * s.ReplicasPerZone() / 265,
 			MemoryBytes: notMeasured,
 		}
 	},
 }
 
+const listNext = "each node reads a page of its zone's part of the list and passes changes to peers; needs a list that can be asked by zone and page, or by changes"
+
 var listRole = Role{
-	Name: "VM list", On: "each node", Control: true,
+	Name: "VM list, a reader", On: "two nodes a zone", Control: true,
 	State:     "all VMs of all zones",
 	Messages:  "the whole list from the platform every 5 s",
-	Mechanism: "HTTP read of the whole list by each node",
-	Next:      "each node reads a page of its zone's part of the list and passes changes to peers by connect-go; needs a list that can be asked by zone and page",
+	Mechanism: "HTTP read of the whole list",
+	Next:      listNext,
 	Cost: func(s Size) Cost {
 		return Cost{
 			BytesPerSec: s.VMs() * listBytes.Value / listEvery,
-			CoreShare:   s.VMs() * listCPU.Value * micro / listEvery,
+			CoreShare:   s.VMs() * (listCPU.Value + listSumCPU.Value) * micro / listEvery,
 			MemoryBytes: 2 * s.VMs() * listMemory.Value,
 		}
 	},
 }
 
+// listOthersRole is not added to the sum: a node is a reader or not.
+var listOthersRole = Role{
+	Name: "VM list, another node", On: "the others",
+	State:     "the same",
+	Messages:  "a question to a peer every 5 s, by the sum of the VMs; the whole list after each change of any VM, as long as it fits a message of 2 MiB, else from the platform every 30 s",
+	Mechanism: "connect-go",
+	Next:      listNext,
+	Cost: func(s Size) Cost {
+		perSecond := 2 * (listNoNews.Value/listEvery + s.listChanges()*s.VMs()*listPeer.Value)
+		if s.VMs()*listMessage.Value > maxPeerMessage {
+			perSecond = s.VMs() * listBytes.Value / directEvery
+		}
+		return Cost{
+			BytesPerSec: perSecond,
+			CoreShare:   2 * s.VMs() * listSumCPU.Value * micro / listEvery,
+			MemoryBytes: 2 * s.VMs() * listMemory.Value,
+		}
+	},
+}
+
+// listChanges is how often a second the list's VMs change: each failure or
+// restart takes a VM off the list and brings one back.
+func (s Size) listChanges() float64 {
+	return 2 * (s.VMFailuresPerDay + s.VMRestartsPerDay) / secondsPerDay
+}
+
 var routingRole = Role{
 	Name: "routing table", On: "each node", Control: true,
 	State:     "the zone's replicas with loads and speeds; 65,536 prefixes",
@@ -202,12 +233,12 @@
 }
 
 var claimsRole = Role{
-	Name: "claims", On: "the node that dispatches the call",
+	Name: "claims", On: "the node that dispatches the call", Serving: true,
 	State:     "claims in progress; in the store about 456 B a claim for its retention",
 	Messages:  "at most two store calls a booking",
 	Mechanism: "create-if-absent in batched transactions, one lease a time bucket",
 	Next:      "beyond 20 bookings a second for a day: fingerprints appended by a fenced owner (docs/claims.md)",
-	Cost:      func(Size) Cost { return Cost{notMeasured, notMeasured, notMeasured} },
+	Cost:      func(Size) Cost { return Cost{notMeasured, notMeasured, notMeasured} }, // the letter names no bookings
 }
 
 var suspectsRole = Role{
@@ -215,7 +246,9 @@
 	State:     "fingerprints of requests in flight when a replica crashed; quarantines",
 	Messages:  "marks on heartbeats, within membership's bytes; nudges from a fifth of its budget",
 	Mechanism: "datagrams",
-	Cost:      func(Size) Cost { return Cost{0, notMeasured, notMeasured} },
+	Cost: func(s Size) Cost {
+		return Cost{CoreShare: s.RequestsPerSecond / float64(s.Nodes) * suspectTime.Value * micro, MemoryBytes: notMeasured}
+	},
 }
 
 var ledgerRole = Role{
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -16,7 +16,14 @@
 const (
 	goBench    = "go test -run xxx -bench "
 	cmdPolls   = goBench + "'HealthPoll|GroupingFetch|Order|ReplicaStatus' -benchtime 300x ./internal/capacity"
-	cmdMemory  = goBench + "'Memory|VMList' -benchtime 10x ./internal/capacity"
+	cmdMemory  = goBench + "'Memory|VMList$' -benchtime 10x ./internal/capacity"
+	cmdLists   = goBench + "'VMListFetch|VMListSum' -benchtime 10x ./internal/capacity"
+	cmdMembers = goBench + "'Tick|Receive|Duty' -benchtime 2000x ./internal/membership"
+	cmdHeart   = goBench + "Heartbeat -benchtime 400x ./internal/capacity"
+	cmdPlan    = goBench + "Plan -benchtime 20x ./internal/placement"
+	cmdStreams = goBench + "OpenStreams -benchtime 3x ./internal/gateway"
+	cmdSuspect = goBench + "Innocent -benchtime 20000x ./internal/suspect"
+	cmdDelta   = "go test -v -run Bytes ./internal/rulestore"
 	cmdNodes   = goBench + "Nodes -benchtime 1x ./internal/capacity"
 	cmdServing = goBench + "'Serving|HeldStreams' -benchtime 1x ./internal/capacity"
 	cmdGateway = goBench + "'AddedTime|Requests|Take' -benchtime 300x ./internal/gateway"
@@ -35,42 +42,60 @@
 // Slopes. All were measured on one machine of 12 cores that other work shared,
 // so times are upper ends; bytes and counts do not depend on that.
 var (
-	requestCPU    = Slope{"gateway: a node's processor time for a request, without its tokens", 632, "µs", cmdServing, measuredOn}
-	tokenCPU      = Slope{"gateway: a node's processor time for a token", 39.6, "µs", cmdServing, measuredOn}
-	streamMemory  = Slope{"gateway: a node's resident memory for an open stream", 82_600, "B", cmdServing, measuredOn}
-	addedFirst    = Slope{"gateway: added to the first token, median", 455, "µs", cmdGateway, measuredOn}
-	addedToken    = Slope{"gateway: added to a token, median", 48, "µs", cmdGateway, measuredOn}
-	allRequests   = Slope{"gateway: caller, node and engine in one process, answers of 16 tokens on 12 cores", 4217, "requests/s", cmdGateway, measuredOn}
-	takeEvent     = Slope{"gateway: checking an event, without sockets", 2.9, "µs", cmdGateway, measuredOn}
-	idleCPU       = Slope{"node: processor time of an idle node, 8 nodes and 2 replicas of 2 VMs in its zone", 5.3, "ms/s", cmdNodes, measuredOn}
-	idleMemory    = Slope{"node: resident memory of an idle node", 24.7e6, "B", cmdNodes, measuredOn}
-	datagrams8    = Slope{"membership: datagrams sent by a node of 8 in one zone, without IP and UDP headers", 900, "B/s", cmdNodes, measuredOn}
+	requestCPU   = Slope{"gateway: a node's processor time for a request, without its tokens", 632, "µs", cmdServing, measuredOn}
+	tokenCPU     = Slope{"gateway: a node's processor time for a token", 39.6, "µs", cmdServing, measuredOn}
+	streamMemory = Slope{"gateway: a node's resident memory for an open stream", 81_700, "B", cmdServing, measuredOn}
+	addedFirst   = Slope{"gateway: added to the first token, median", 455, "µs", cmdGateway, measuredOn}
+	addedToken   = Slope{"gateway: added to a token, median, 128 tokens", 48, "µs", cmdGateway, measuredOn}
+	allRequests  = Slope{"gateway: caller, node and engine in one process, answers of 16 tokens on 12 cores", 4217, "requests/s", cmdGateway, measuredOn}
+	takeEvent    = Slope{"gateway: checking an event, without sockets", 2.9, "µs", cmdGateway, measuredOn}
+	streamHeap   = Slope{"gateway: heap and stacks of an open stream, caller and engine in the same process", 42_762, "B", cmdStreams, measuredOn}
+
+	idleCPU       = Slope{"node: processor time of an idle node, 16 nodes and 17 replicas of 4 VMs in its zone", 7.4, "ms/s", cmdNodes, measuredOn}
+	idleMemory    = Slope{"node: resident memory of the same node", 28.1e6, "B", cmdNodes, measuredOn}
+	idleDatagrams = Slope{"node: datagrams that it sends, without IP and UDP headers", 1422, "B/s", cmdNodes, measuredOn}
+	idleIO        = Slope{"node: all that it reads and writes besides datagrams, without TCP and IP headers, with its log and two reads of its metrics", 3904, "B/s", cmdNodes, measuredOn}
+
 	datagramSeal  = Slope{"membership: signing a datagram", 3.2, "µs", cmdWire, measuredOn}
 	datagramOpen  = Slope{"membership: checking a datagram", 4.0, "µs", cmdWire, measuredOn}
 	statusBytes   = Slope{"membership: what a heartbeat says of one replica", 45, "B", cmdPolls, measuredOn}
-	memberMemory  = Slope{Name: "membership: memory of a member", Unit: "B"}
-	pollBytes2    = Slope{"health check: a poll, 2 VMs", 928, "B", cmdPolls, measuredOn}
-	pollBytes4    = Slope{"health check: a poll, 4 VMs", 1229, "B", cmdPolls, measuredOn}
-	pollBytes32   = Slope{"health check: a poll, 32 VMs", 5470, "B", cmdPolls, measuredOn}
-	pollCPU       = Slope{"health check: time of a poll, 32 VMs, both ends", 243, "µs", cmdPolls, measuredOn}
-	pollsPerNode  = Slope{"health check: polls of each replica by each node of its zone, the same with 2, 4 and 8 nodes", 0.425, "/s", cmdNodes, measuredOn}
-	healthMemory  = Slope{"health check: memory of a replica, 32 VMs, its members' names included", 1924, "B", cmdMemory, measuredOn}
-	tableFetch265 = Slope{"grouping table: a fetch from a peer, 265 replicas of 32 VMs, gzip by connect-go", 25_084, "B", cmdPolls, measuredOn}
-	tableFetch8   = Slope{"grouping table: a fetch from a peer, 8 replicas of 32 VMs", 1231, "B", cmdPolls, measuredOn}
-	tableFetch17  = Slope{"grouping table: a fetch from a peer, 17 replicas of 4 VMs", 905, "B", cmdPolls, measuredOn}
-	tableFetchCPU = Slope{"grouping table: time of a fetch, 265 replicas of 32 VMs, both ends", 3379, "µs", cmdPolls, measuredOn}
-	tableStored   = Slope{"grouping table: a replica of 32 VMs in the store", 823, "B", cmdMemory, measuredOn}
-	tableMemory   = Slope{"grouping table: memory of a replica of 32 VMs", 1475, "B", cmdMemory, measuredOn}
-	listBytes     = Slope{"VM list: a VM in a read", 105.3, "B", cmdMemory, measuredOn}
-	listCPU       = Slope{"VM list: processor time of a read, for a VM, at 144,000", 2.53, "µs", cmdMemory, measuredOn}
-	listMemory    = Slope{"VM list: memory of a VM", 184.4, "B", cmdMemory, measuredOn}
-	storeCalls    = Slope{"platform store: calls of an idle zone of 8 nodes (2.00 with 4, 1.47 with 2)", 2.07, "/s", cmdNodes, measuredOn}
-	orderBytes    = Slope{"placement: an order to a VM of a replica of 32", 4836, "B", cmdPolls, measuredOn}
-	planTime      = Slope{Name: "placement: a plan for 265 replicas of 32 VMs", Unit: "ms"}
-	rulesMemory   = Slope{"rules: memory of 10,000 lines", 6.1e6, "B", cmdRules, measuredOn}
-	rulesParse    = Slope{"rules: checking 10,000 lines", 18.2, "ms", cmdRules, measuredOn}
-	rulesFollow   = Slope{"rules: taking a change of one line among 10,000 into force", 15.7, "ms", cmdFollow, measuredOn}
-	rulesRecord   = Slope{"rules: a change of one line, record to a watching node", 404, "B", "go test -v -run Bytes ./internal/rulestore", measuredOn}
+	heartbeatRoom = Slope{"membership: room in a heartbeat for what others have to tell, 17 zones of 25 nodes, node without links (405 with one zone)", 138, "B", cmdHeart, measuredOn}
+	memberMemory  = Slope{"membership: memory of a member, 425 nodes", 538, "B", cmdMembers, measuredOn}
+	memberTick    = Slope{"membership: deciding on a heartbeat, 425 nodes", 641, "µs", cmdMembers, measuredOn}
+	dutyTime      = Slope{"membership: a question whether a node has a duty, 25 nodes a zone", 10.6, "µs", cmdMembers, measuredOn}
+
+	pollBytes4   = Slope{"health check: a whole poll, 4 VMs", 1229, "B", cmdPolls, measuredOn}
+	pollBytes32  = Slope{"health check: a whole poll, 32 VMs", 5470, "B", cmdPolls, measuredOn}
+	pollBrief    = Slope{"health check: a brief poll, 32 VMs (665 with 4)", 666, "B", cmdPolls, measuredOn}
+	pollCPU      = Slope{"health check: processor time of a brief poll, both ends", 83, "µs", cmdPolls, measuredOn}
+	pollsNode    = Slope{"health check: polls of a quiet replica by each node of a zone of 16, 17 replicas (0.11 with 4 nodes; 0.054 with 8 nodes and 2 replicas)", 0.146, "/s", cmdNodes, measuredOn}
+	healthMemory = Slope{"health check: memory of a replica, 32 VMs, its members' names included", 1952, "B", cmdMemory, measuredOn}
+
+	tableFetch8    = Slope{"grouping table: a table from a peer, 8 replicas of 32 VMs", 1232, "B", cmdPolls, measuredOn}
+	tableFetch265  = Slope{"grouping table: a table from a peer, 265 replicas of 32 VMs, gzip by connect-go", 25_085, "B", cmdPolls, measuredOn}
+	tableNoNews    = Slope{"grouping table: a question to a peer that knows nothing newer", 453, "B", cmdPolls, measuredOn}
+	tableNoNewsCPU = Slope{"grouping table: processor time of that question, both ends", 305, "µs", cmdPolls, measuredOn}
+	tableStored    = Slope{"grouping table: a replica of 32 VMs in the store", 823, "B", cmdMemory, measuredOn}
+	tableMemory    = Slope{"grouping table: memory of a replica of 32 VMs", 1475, "B", cmdMemory, measuredOn}
+
+	listBytes   = Slope{"VM list: a VM in a read of the platform", 105.3, "B", cmdMemory, measuredOn}
+	listCPU     = Slope{"VM list: processor time of a read, for a VM, at 144,000", 2.18, "µs", cmdMemory, measuredOn}
+	listMemory  = Slope{"VM list: memory of a VM", 184.4, "B", cmdMemory, measuredOn}
+	listPeer    = Slope{"VM list: a VM in a list from a peer, gzip by connect-go; names here compress well", 6.2, "B", cmdLists, measuredOn}
+	listNoNews  = Slope{"VM list: a question to a peer that has the same VMs", 449, "B", cmdLists, measuredOn}
+	listSumCPU  = Slope{"VM list: processor time of its sum, for a VM", 0.45, "µs", cmdLists, measuredOn}
+	listMessage = Slope{"VM list: a VM in a message between nodes before gzip, of 2 MiB at most", 107.8, "B", cmdLists, measuredOn}
+
+	storeCalls = Slope{"platform store: calls of an idle zone of 16 nodes", 2.87, "/s", cmdNodes, measuredOn}
+	orderBytes = Slope{"placement: an order to a VM of a replica of 32", 4836, "B", cmdPolls, measuredOn}
+	planTime   = Slope{"placement: a plan for 265 replicas of 32 VMs, made once a second", 4.78, "ms", cmdPlan, measuredOn}
+
+	rulesMemory = Slope{"rules: memory of 10,000 lines", 6.1e6, "B", cmdRules, measuredOn}
+	rulesParse  = Slope{"rules: checking 10,000 lines", 18.2, "ms", cmdRules, measuredOn}
+	rulesFollow = Slope{"rules: taking a change of one line among 10,000 into force", 15.7, "ms", cmdFollow, measuredOn}
+	rulesRecord = Slope{"rules: a change of one line, record to a watching node", 404, "B", cmdDelta, measuredOn}
+	rulesDelta  = Slope{"rules: a change of one line, edits to a peer", 101, "B", cmdDelta, measuredOn}
+
 	chooseTime    = Slope{"routing: choosing among 4,500 replicas", 2.9, "µs", cmdRouting, measuredOn}
 	entryMemory   = Slope{"routing: memory of a replica", 966, "B", cmdTable, measuredOn}
 	prefixMemory  = Slope{"routing: memory of a known prefix", 212, "B", cmdTable, measuredOn}
@@ -80,19 +105,22 @@
 	claimCalls    = Slope{"claims: store calls of a claim, one caller (0.026 with 128)", 1.19, "calls", cmdClaim, measuredOn}
 	claimMemory   = Slope{Name: "claims: memory of a claim in progress", Unit: "B"}
 	ledgerBytes   = Slope{"ledger: an observer's day with ten outages of ten minutes, 370 windows", 107_441, "B", cmdLedger, measuredOn}
+	suspectTime   = Slope{"suspects: a request that crashes nothing", 0.26, "µs", cmdSuspect, measuredOn}
 	suspectMemory = Slope{Name: "suspects: memory of a record", Unit: "B"}
 )
 
 // Slopes lists all of them in the order of the page.
 func Slopes() []Slope {
 	return []Slope{
-		requestCPU, tokenCPU, streamMemory, addedFirst, addedToken, allRequests, takeEvent,
-		idleCPU, idleMemory, datagrams8, datagramSeal, datagramOpen, statusBytes, memberMemory,
-		pollBytes2, pollBytes4, pollBytes32, pollCPU, pollsPerNode, healthMemory,
-		tableFetch17, tableFetch8, tableFetch265, tableFetchCPU, tableStored, tableMemory,
-		listBytes, listCPU, listMemory, storeCalls, orderBytes, planTime,
-		rulesMemory, rulesParse, rulesFollow, rulesRecord,
+		requestCPU, tokenCPU, streamMemory, addedFirst, addedToken, allRequests, takeEvent, streamHeap,
+		idleCPU, idleMemory, idleDatagrams, idleIO,
+		datagramSeal, datagramOpen, statusBytes, heartbeatRoom, memberMemory, memberTick, dutyTime,
+		pollBytes4, pollBytes32, pollBrief, pollCPU, pollsNode, healthMemory,
+		tableFetch8, tableFetch265, tableNoNews, tableNoNewsCPU, tableStored, tableMemory,
+		listBytes, listCPU, listMemory, listPeer, listNoNews, listSumCPU, listMessage,
+		storeCalls, orderBytes, planTime,
+		rulesMemory, rulesParse, rulesFollow, rulesRecord, rulesDelta,
 		chooseTime, entryMemory, prefixMemory, acquireTime, teamMemory,
-		claimBytes, claimCalls, claimMemory, ledgerBytes, suspectMemory,
+		claimBytes, claimCalls, claimMemory, ledgerBytes, suspectTime, suspectMemory,
 	}
 }
