--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -162,13 +162,13 @@
 	}
 }
 
-// heapOf is the heap that the result of make keeps, in bytes.
-func heapOf(make func() any) float64 {
+// heapOf is the heap that the result of build keeps, in bytes.
+func heapOf(build func() any) float64 {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	kept := make()
+	kept := build()
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
