--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -164,9 +164,9 @@
 func TestPeersObservations(t *testing.T) {
 	tracker := wholeTracker(t)
 	at := testStart.Add(time.Second)
-	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, Broken: true}}, at)
+	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: at}}, at)
 	require.Len(t, got, 1)
-	require.False(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBrokenAt.IsZero())
 	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at.Add(1)))
 	newer := at.Add(time.Millisecond)
 	load := &engine.Load{AsOf: newer, Running: 3}
@@ -174,21 +174,41 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
-// A node polled a replica that was still loading and told its peers. The poll
-// duty is another node's, which finds it whole a moment later. If the first one
-// went on telling of the break, every peer would take the replica out again with
-// each heartbeat, for good, and callers would be refused before a sound replica.
-func TestBreakIsNotToldAfterANewerConfirmation(t *testing.T) {
+// A node saw a replica broken while it formed, and polls it no more since that is
+// another node's duty. It goes on telling its old news: the replica must not be
+// taken out for it again and again, or callers find no capacity for minutes.
+func TestOldBreakToldAgainBreaksNothing(t *testing.T) {
+	tracker := wholeTracker(t)
+	old := testStart.Add(-time.Second)
+	for i := range 5 {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: old}}, now))
+	}
+
+	teller := NewTracker(testBounds)
+	teller.SetReplicas([]cluster.Replica{testReplica}, testStart)
+	partial := stateOf(testReplica)
+	partial.Members = partial.Members[:2]
+	teller.Answered(answer(partial, testStart), testStart)
+	require.Equal(t, testStart, teller.appendStatus(nil, testStart)[0].OwnBrokenAt)
+	newer := testStart.Add(time.Second)
+	teller.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer)
+	require.True(t, teller.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero(), "no news any more")
+}
+
+// The same break, and a confirmation that a peer made no later than it: that must
+// not keep the peers from hearing of the break.
+func TestBreakIsToldUntilANewerConfirmation(t *testing.T) {
 	tracker := wholeTracker(t)
 	broken, at := stateOf(testReplica), testStart.Add(time.Second)
 	broken.Loaded = false
 	require.Len(t, tracker.Answered(answer(broken, at), at), 1)
-	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.Equal(t, at, tracker.appendStatus(nil, at)[0].OwnBrokenAt)
 	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at))
-	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken, "the confirmation is not newer")
+	require.Equal(t, at, tracker.appendStatus(nil, at)[0].OwnBrokenAt, "the confirmation is not newer")
 	newer := at.Add(time.Second)
 	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer), 1)
-	require.False(t, tracker.appendStatus(nil, newer)[0].OwnBroken)
+	require.True(t, tracker.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero())
 }
 
 func TestDue(t *testing.T) {
