suspect: one crash under two names begins the nodes' turns once

Cause: two nodes that met one crash each give it an id. A peer's name for a crash already known, merged by replica, generation and time, stayed unheard by its id, so every heartbeat that carried it began all turns anew, for a minute. Ruled out: health (two of three replicas whole all the while), a suspect alone on the replicas (all cleared), the exclusion of the crashed replica. Change: a crash is unheard only if it matches none by id or by replica, generation and time, as where the marks are merged. Before: unit test red (rank 2 has no turn after 2 s of heartbeats). After: green, whole package green.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -80,13 +80,8 @@
 func (s *crashShard) remote(id uint64, replica cluster.ReplicaID, generation int64, at time.Time, keys []key) (*crash, []key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at0 := slices.IndexFunc(s.crashes, func(c *crash) bool {
-		return c.id == id || c.replica == replica && c.generation == generation && at.Sub(c.at).Abs() <= sameCrashGap
-	})
-	var c *crash
-	if at0 >= 0 {
-		c = s.crashes[at0]
-	} else {
+	c := s.find(id, replica, generation, at)
+	if c == nil {
 		c = s.insert(id, replica, generation, at)
 	}
 	var news []key
@@ -147,11 +142,23 @@
 	}
 }
 
-// unheard reports whether a peer's crash is not known yet under its id.
-func (s *crashShard) unheard(id uint64) bool {
+// find returns the crash that a peer names by an id, or that it dates closely
+// enough to be the same; nil if none is known.
+func (s *crashShard) find(id uint64, replica cluster.ReplicaID, generation int64, at time.Time) *crash {
+	for _, c := range s.crashes {
+		if c.id == id || c.replica == replica && c.generation == generation && at.Sub(c.at).Abs() <= sameCrashGap {
+			return c
+		}
+	}
+	return nil
+}
+
+// unheard reports whether a peer's crash is not known yet. One that two nodes met
+// has two ids: by the id alone the other's would be news with every heartbeat.
+func (s *crashShard) unheard(id uint64, replica cluster.ReplicaID, generation int64, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !slices.ContainsFunc(s.crashes, func(c *crash) bool { return c.id == id })
+	return s.find(id, replica, generation, at) == nil
 }
 
 // setAlone notes that a suspect runs on a replica until a time.
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -194,7 +194,7 @@
 		k, _ := keyFrom(b)
 		keys = append(keys, k)
 	}
-	if t.crashShard(replica).unheard(m.CrashId) {
+	if t.crashShard(replica).unheard(m.CrashId, replica, m.Generation, at) {
 		t.noteCrash(now)
 	}
 	c, news := t.crashShard(replica).remote(m.CrashId, replica, m.Generation, at, keys)
--- a/internal/suspect/tracker_test.go
+++ b/internal/suspect/tracker_test.go
@@ -316,3 +316,23 @@
 		_ = fmt.Sprint(membership.SectionSize(tr.Section(500)))
 	})
 }
+
+// Two nodes met one crash and each gave it a name. The other's name for it comes
+// with every heartbeat. If each of these began the turns anew, a node that is not
+// the first in turn would never put an innocent suspect on a replica, and its
+// caller, a few words into the answer, would be cut off.
+func TestOneCrashUnderTwoNamesBeginsTurnsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := suspect.New(suspect.Options{Node: "node-b", Log: slog.New(slog.DiscardHandler),
+			Peers: func() int { return 2 }, Rank: func(string) int { return 2 }})
+		end := tracker.Begin(fingerprint(7), "replica-1", 1, false)
+		end(suspect.Crashed)
+		for beat := range 10 {
+			time.Sleep(200 * time.Millisecond)
+			age := time.Duration(beat+1) * 200 * time.Millisecond
+			tracker.Receive(membership.Member{Node: "node-a"}, &wirepb.Datagram{Crashes: []*wirepb.CrashMark{{
+				CrashId: 99, Replica: "replica-1", Generation: 1, AgeMs: age.Milliseconds()}}})
+		}
+		require.True(t, tracker.MayRetryOn("replica-2"))
+	})
+}
