--- a/internal/e2e/link_test.go
+++ b/internal/e2e/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,7 +19,8 @@
 )
 
 // link passes bytes between nodes and a backend server. It can hold back what
-// goes one way on all connections, and shows when it does.
+// goes one way on all connections, and shows when it does; and it can lose track
+// of the connections that are open.
 type link struct {
 	ln     net.Listener
 	target string
@@ -28,13 +30,14 @@
 	free   chan struct{} // closed while nothing is held
 	caught chan struct{} // gets one for each piece held back
 	conns  []net.Conn
+	silent *atomic.Bool // of the connections opened since the last mute
 }
 
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := &link{ln: ln, target: target, free: make(chan struct{}), caught: make(chan struct{}, 1024)}
+	l := &link{ln: ln, target: target, free: make(chan struct{}), caught: make(chan struct{}, 1024), silent: &atomic.Bool{}}
 	close(l.free)
 	var wg sync.WaitGroup
 	wg.Go(func() { l.accept(&wg) })
@@ -71,6 +74,15 @@
 	l.conns = nil
 }
 
+// mute makes all connections open now pass nothing any more, while they stay open
+// and new ones work.
+func (l *link) mute() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent.Store(true)
+	l.silent = &atomic.Bool{}
+}
+
 // awaitHeld waits until a piece is held back.
 func (l *link) awaitHeld(t *testing.T) {
 	t.Helper()
@@ -91,18 +103,25 @@
 		}
 		l.mu.Lock()
 		l.conns = append(l.conns, in, out)
+		silent := l.silent
 		l.mu.Unlock()
-		wg.Go(func() { l.pump(out, in, toService) })
-		wg.Go(func() { l.pump(in, out, toCaller) })
+		wg.Go(func() { l.pump(out, in, toService, silent) })
+		wg.Go(func() { l.pump(in, out, toCaller, silent) })
 	}
 }
 
-func (l *link) pump(to, from net.Conn, way direction) {
-	defer to.Close()
+func (l *link) pump(to, from net.Conn, way direction, silent *atomic.Bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if silent.Load() {
+			if err != nil {
+				return // the other end never learns of it
+			}
+			continue
+		}
 		if err != nil {
+			to.Close()
 			return
 		}
 		l.mu.Lock()
@@ -113,6 +132,7 @@
 			<-free
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
+			from.Close()
 			return
 		}
 	}
