--- a/internal/e2e/leave_test.go
+++ b/internal/e2e/leave_test.go
@@ -219,3 +219,54 @@
 	_, whole := streamText(r.body)
 	require.False(t, whole)
 }
+
+// A machine of the front desk's service is about to go. Deposits sent to it from
+// then on would be lost with it; the one that it works on must come back whole.
+func TestLeavingServiceGetsNoNewCalls(t *testing.T) {
+	d := newDesk(t)
+	spare := start(t, "caixa-2", "fennel-standin", "service", "--listen", "127.0.0.1:0").await(listening)
+	d.vms = append(d.vms, cluster.VM{ID: "svc-caixa-2", Zone: "serra-a", Addr: spare, Service: "caixa", State: cluster.VMLive})
+	d.publish()
+	require.Equal(t, http.StatusCreated, d.deposit(d.nodes[0], "first").status)
+	require.Equal(t, 1, d.runs("first"), "the first machine of the list takes the calls")
+	d.link.hold(toCaller)
+	held := d.depositAside(d.nodes[0], "held")
+	d.link.awaitHeld(t)
+
+	d.vms[0].State = cluster.VMLeaving
+	told := time.Now()
+	d.publish()
+	for i, n := range d.nodes {
+		for k := 0; ; k++ { // calls that still go to the leaving machine stay held there
+			require.Less(t, time.Since(told), patience/4, "still sent to the leaving machine")
+			key := fmt.Sprintf("probe-%d-%d", i, k)
+			d.depositAside(n, key)
+			if d.eventuallyRan(key, spare) {
+				break
+			}
+		}
+	}
+	t.Logf("both nodes left the machine within %v (list read every 200ms)", time.Since(told))
+	for i := range 20 {
+		r := d.deposit(d.nodes[i%2], keyName(i))
+		require.Equal(t, http.StatusCreated, r.status, r.body)
+		require.Equal(t, 1, depositRuns(t, spare, keyName(i)))
+		require.Zero(t, d.runs(keyName(i)))
+	}
+	d.link.hold(nothing)
+	r := <-held
+	require.Equal(t, http.StatusCreated, r.status, r.body)
+	require.Equal(t, 1, d.runs("held"))
+}
+
+// eventuallyRan waits until the call ran at either machine, and reports whether
+// it was the other one.
+func (d *desk) eventuallyRan(key, other string) bool {
+	d.t.Helper()
+	there := false
+	require.Eventually(d.t, func() bool {
+		there = depositRuns(d.t, other, key) == 1
+		return there || d.runs(key) == 1
+	}, patience, pollEvery)
+	return there
+}
