grouping: an order lives at most a quarter of the lease

Cause: an order is sent only if the lease outlasts the order's life, 2 s. Ruled out: the fencing number (the same holder) and the engines (they answered). Change: the order's life is the least of 2 s and a quarter of the lease; with the default lease of 10 s nothing changes. A new holder waits 2 s as before.

--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -90,6 +90,10 @@
 type Controller struct {
 	opts    Options
 	weights *rate.Limiter
+	// orderLife is Options.OrderLife, or less with a short lease: an order is
+	// sent only if the lease outlasts it, and with as long a life as the lease it
+	// might never be. A new holder waits out Options.OrderLife all the same.
+	orderLife time.Duration
 }
 
 // NewController returns a Controller; Run starts it.
@@ -106,7 +110,7 @@
 	if opts.LoadsPerSecond > 0 {
 		limit = rate.Limit(opts.LoadsPerSecond)
 	}
-	return &Controller{opts: opts, weights: rate.NewLimiter(limit, max(1, opts.LoadBurst))}
+	return &Controller{opts: opts, orderLife: min(opts.OrderLife, opts.LeaseTTL/4), weights: rate.NewLimiter(limit, max(1, opts.LoadBurst))}
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
--- a/internal/grouping/orders.go
+++ b/internal/grouping/orders.go
@@ -108,10 +108,10 @@
 }
 
 func (c *Controller) sendOrder(ctx context.Context, t *tenure, o addressedOrder) orderAnswer {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.OrderLife)
+	ctx, cancel := context.WithTimeout(ctx, c.orderLife)
 	defer cancel()
 	sent := time.Now()
-	if t.lease.Left(sent) < c.opts.OrderLife {
+	if t.lease.Left(sent) < c.orderLife {
 		return orderAnswer{sent: sent, err: &CommitError{Kind: CommitLeaseLost, Err: context.DeadlineExceeded}}
 	}
 	result, err := c.opts.Engines.Order(ctx, o.addr, o.order)
