--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
@@ -148,7 +149,10 @@
 	for _, s := range statuses {
 		id := cluster.ReplicaID(s.Replica)
 		n.routing.ObservePeerOutstanding(from.Node, id, int(s.Outstanding), now)
-		o := health.Observation{Replica: id, Generation: s.Generation, Broken: s.Broken}
+		o := health.Observation{Replica: id, Generation: s.Generation}
+		if s.Broken {
+			o.BrokenAt = now.Add(-time.Duration(s.BrokenAgoMs) * time.Millisecond)
+		}
 		if s.ConfirmedAgoMs >= 0 {
 			o.ConfirmedAt = now.Add(-time.Duration(s.ConfirmedAgoMs) * time.Millisecond)
 		}
@@ -171,7 +175,9 @@
 // polls and how many of its requests run there. Breaks go first: they stop work
 // on other nodes.
 func (n *Node) replicaSource() membership.Source {
-	next := 0
+	// next is where the next datagram goes on. Heartbeats, nudges and the farewell
+	// may ask at once; then one of them repeats a part, which does no harm.
+	var next atomic.Int64
 	return func(budget int) membership.Section {
 		var section membership.Section
 		outstanding := make(map[cluster.ReplicaID]int)
@@ -183,7 +189,7 @@
 		for _, s := range n.health.Status() {
 			p := replicaStatus(s, outstanding[s.Replica.ID], now)
 			switch {
-			case s.OwnBroken:
+			case !s.OwnBrokenAt.IsZero():
 				broken = append(broken, p)
 			case p.ConfirmedAgoMs != neverConfirmed || p.Outstanding > 0:
 				rest = append(rest, p)
@@ -202,22 +208,24 @@
 				return section
 			}
 		}
-		for range rest {
-			if next >= len(rest) {
-				next = 0
-			}
-			if !fits(rest[next]) {
-				return section
-			}
-			next++
+		first := int(next.Load())
+		sent := 0
+		for sent < len(rest) && fits(rest[(first+sent)%len(rest)]) {
+			sent++
+		}
+		if len(rest) > 0 {
+			next.Store(int64((first + sent) % len(rest)))
 		}
 		return section
 	}
 }
 
 func replicaStatus(s health.ReplicaStatus, outstanding int, now time.Time) *wirepb.ReplicaStatus {
-	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation, Broken: s.OwnBroken,
+	p := &wirepb.ReplicaStatus{Replica: string(s.Replica.ID), Generation: s.Replica.Generation,
 		ConfirmedAgoMs: neverConfirmed, Outstanding: int32(outstanding)}
+	if !s.OwnBrokenAt.IsZero() {
+		p.Broken, p.BrokenAgoMs = true, now.Sub(s.OwnBrokenAt).Milliseconds()
+	}
 	if !s.OwnConfirmedAt.IsZero() {
 		p.ConfirmedAgoMs = now.Sub(s.OwnConfirmedAt).Milliseconds()
 		p.Running, p.Waiting, p.KvUsed = int32(s.Load.Running), int32(s.Load.Waiting), float32(s.Load.KVUsed)
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -164,9 +164,9 @@
 func TestPeersObservations(t *testing.T) {
 	tracker := wholeTracker(t)
 	at := testStart.Add(time.Second)
-	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, Broken: true}}, at)
+	got := tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: at}}, at)
 	require.Len(t, got, 1)
-	require.False(t, tracker.appendStatus(nil, at)[0].OwnBroken)
+	require.True(t, tracker.appendStatus(nil, at)[0].OwnBrokenAt.IsZero())
 	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at.Add(1)))
 	newer := at.Add(time.Millisecond)
 	load := &engine.Load{AsOf: newer, Running: 3}
@@ -174,20 +174,26 @@
 	require.Equal(t, 3, tracker.appendStatus(nil, newer)[0].Load.Running)
 }
 
-// A node polls a replica once while its engines still start, finds it broken, and
-// the polls are then another node's duty. If it went on telling of that break, all
-// nodes would take the replica from service again with each of its datagrams, and
-// callers would find a replica that is whole refused every other second.
-func TestOwnBreakEndsWithAPeersConfirmation(t *testing.T) {
+// A node saw a replica broken while it formed, and polls it no more since that is
+// another node's duty. It goes on telling its old news: the replica must not be
+// taken out for it again and again, or callers find no capacity for minutes.
+func TestOldBreakToldAgainBreaksNothing(t *testing.T) {
 	tracker := wholeTracker(t)
-	at := testStart.Add(time.Second)
-	lost := stateOf(testReplica)
-	lost.Members = nil
-	require.Len(t, tracker.Answered(answer(lost, at), at), 1)
-	require.True(t, tracker.appendStatus(nil, at)[0].OwnBroken)
-	newer := at.Add(time.Second)
-	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer), 1)
-	require.False(t, tracker.appendStatus(nil, newer)[0].OwnBroken)
+	old := testStart.Add(-time.Second)
+	for i := range 5 {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, BrokenAt: old}}, now))
+	}
+
+	teller := NewTracker(testBounds)
+	teller.SetReplicas([]cluster.Replica{testReplica}, testStart)
+	partial := stateOf(testReplica)
+	partial.Members = partial.Members[:2]
+	teller.Answered(answer(partial, testStart), testStart)
+	require.Equal(t, testStart, teller.appendStatus(nil, testStart)[0].OwnBrokenAt)
+	newer := testStart.Add(time.Second)
+	teller.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer)
+	require.True(t, teller.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero(), "no news any more")
 }
 
 func TestDue(t *testing.T) {
