e2e: the outage ledger, end to end

A VM lost while the store is down, one observer stopped as planned, the other killed with its memory: the outage is there once with cause, observer and evidence, and the time without observers is unobserved.

--- /dev/null
+++ b/internal/e2e/ledger_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"encoding/json"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/ledger"
+	"github.com/fennelcourse/fennelcourse/internal/standin/platform"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// ledgerExact is how near the ledger's times must be: it prints whole seconds.
+const ledgerExact = 3 * time.Second
+
+// outage is one interval as fennelctl prints it.
+type outage struct {
+	ID, Replica, Measure, Cause, Observer, Evidence string
+	From, To                                        time.Time
+}
+
+func (s *system) outages(from, to time.Time) []outage {
+	s.t.Helper()
+	out, code := s.ctl("outages", "--from", from.UTC().Format(time.RFC3339), "--to", to.UTC().Format(time.RFC3339), "--json")
+	require.Zero(s.t, code, out)
+	var list []outage
+	require.NoError(s.t, json.Unmarshal([]byte(out), &list), out)
+	return list
+}
+
+// A machine of a replica dies while the store is down, and comes back. One of the
+// two nodes that saw it is stopped as planned once the store is back, the other
+// dies with its memory. The outage must be in the ledger once, with its cause and
+// who saw it; the time before there were nodes, and after the last observer was
+// gone, must show as unobserved. A ledger that counted these as up would have the
+// company tell its shareholders something that nobody knows.
+func TestOutageLedger(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	w := s.watchCommitted(zone)
+	begin := time.Now().Add(-time.Minute)
+	for range 2 {
+		s.engine(zone, "rack-1")
+	}
+	s.service(zone, "caixa")
+	s.publish()
+	s.startNode("serra-a-1", zone, "", "")
+	s.startNode("serra-a-2", zone, "", "")
+	s.apply(fitRules)
+	for _, n := range s.nodes {
+		n.await(`msg="ledger duty" .*held=true`)
+		s.awaitServing(n)
+	}
+	s.awaitEnginesAgree(w)
+	vm := s.vms[0].ID
+	lost := w.assigned()[vm]
+	stopped, killed := s.nodes[0], s.nodes[1]
+	whole := len(stopped.matches(isWhole(lost)))
+	s.faults(platform.Faults{Store: memstore.Faults{Down: true}})
+	s.engines[vm].kill()
+	killedAt := time.Now()
+	stopped.await(notWhole(lost))
+	downAt := time.Now() // an outage counts from when it is noticed
+	s.restart(vm, "--checks-fence")
+	s.faults(platform.Faults{})
+	s.awaitNoProblem(func() string {
+		if len(stopped.matches(isWhole(lost))) == whole {
+			return "not whole again"
+		}
+		return ""
+	})
+	upAt := time.Now()
+
+	killed.kill()
+	stopped.signal(syscall.SIGTERM)
+	<-stopped.done
+	stoppedAt := time.Now()
+	s.nodes = nil
+	s.startNode(cluster.NodeID("serra-a-3"), zone, "", "")
+	list := s.outages(begin, stoppedAt.Add(2*time.Second))
+
+	var unobserved time.Duration
+	var found []outage
+	ids := map[string]bool{}
+	for _, o := range list {
+		require.False(t, ids[o.ID], "twice: %+v", o)
+		ids[o.ID] = true
+		switch {
+		case o.Measure == string(ledger.Unobserved):
+			unobserved += o.To.Sub(o.From)
+		case o.Measure == string(ledger.Downtime) && o.To.After(killedAt) && o.Replica == string(lost.replica):
+			found = append(found, o)
+		}
+	}
+	require.Len(t, found, 1, "%+v", list)
+	o := found[0]
+	require.Equal(t, "not-whole", o.Cause)
+	require.Equal(t, "serra-a-1", o.Observer)
+	require.NotEmpty(t, o.Evidence)
+	require.WithinDuration(t, downAt, o.From, ledgerExact)
+	require.WithinDuration(t, upAt, o.To, ledgerExact)
+	require.Equal(t, string(ledger.Unobserved), list[0].Measure, "%+v", list)
+	require.GreaterOrEqual(t, unobserved, 59*time.Second)
+	t.Logf("noticed after %v, down %v by the test's clock, %v in the ledger, unobserved %v",
+		downAt.Sub(killedAt).Round(time.Millisecond), upAt.Sub(downAt).Round(time.Millisecond), o.To.Sub(o.From), unobserved)
+}
