daemon: capacities are passed on when a replica turns whole, not a second later

Cause: admission learnt of a group's first whole replica with the next tick of a second. Status showed the replica whole while callers got 429 overloaded. Change: a change of a replica wakes the review.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,9 @@
 	claims     *claims.Manager
 	suspects   *suspect.Tracker
 	ledger     *ledgerDuty
-	gateway    *gateway.Gateway
+	// capacityChanged holds a token while a replica's change waits for a review.
+	capacityChanged chan struct{}
+	gateway         *gateway.Gateway
 
 	callers  listener
 	control  listener
@@ -89,7 +91,8 @@
 
 // New opens the node's sockets and puts its parts together. Nothing runs before Run.
 func New(set *settings.Settings, version string, log *slog.Logger) (*Node, error) {
-	n := &Node{set: set, log: log.With("self", set.Node), version: version, incarnation: uint64(time.Now().UnixNano())}
+	n := &Node{set: set, log: log.With("self", set.Node), version: version, incarnation: uint64(time.Now().UnixNano()),
+		capacityChanged: make(chan struct{}, 1)}
 	steps := []struct {
 		name string
 		do   func() error
--- a/internal/daemon/feeds.go
+++ b/internal/daemon/feeds.go
@@ -32,6 +32,7 @@
 		n.log.Info("replica", "replica", r.ID, "generation", r.Generation, "whole", whole, "reason", reason)
 		n.routing.SetWhole(r.ID, r.Generation, whole)
 		n.ledger.wake()
+		n.wakeReview()
 	})
 	n.health.OnLoad(func(r cluster.Replica, load engine.Load) { n.routing.ReportLoad(r.ID, load, time.Now()) })
 	n.rules.OnChange(func(*rules.Set) { n.members.Nudge() })
@@ -85,7 +86,8 @@
 	return &routing.CachePoller{Table: n.routing, Source: n.engines, Log: n.log}
 }
 
-// review passes on, once a second, what changes slowly.
+// review passes on, once a second, what changes slowly, and capacities at once
+// when a replica turned whole or not.
 func (n *Node) review(ctx context.Context) {
 	ticker := time.NewTicker(reviewEvery)
 	defer ticker.Stop()
@@ -96,10 +98,22 @@
 		case <-ticker.C:
 			n.reviewNodes()
 			n.reviewCapacity()
+		case <-n.capacityChanged:
+			n.reviewCapacity()
 		}
 	}
 }
 
+// wakeReview has capacities passed on now; it never blocks. A group whose first
+// replica turned whole would otherwise refuse callers as overloaded until the
+// next tick, while status shows it whole.
+func (n *Node) wakeReview() {
+	select {
+	case n.capacityChanged <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) reviewNodes() {
 	nodes := []admission.Node{{ID: n.set.Node, Zone: n.set.Zone}}
 	for _, m := range n.servingMembers() {
