membership: seeds are tried several at a time until a peer of the zone is heard

Cause: with 17 zones started at once, all nodes tried the same seed first, and after one answer of any zone only one seed each five seconds; a zone's own seed came last. The change: three seeds a heartbeat from a random start until a peer of the own zone lives.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -202,27 +202,37 @@
 	return targetsOf(picked)
 }
 
-// seed picks a seed at which no live member is known.
+// seed picks seeds at which no live member is known: several with each heartbeat
+// until a peer of the zone is heard, since a node does not know which seed is of
+// its zone, and then one now and then.
 func (s *State) seed() []target {
-	anyAlive := false
+	zoneAlive := false
 	heard := make(map[string]bool)
 	for _, m := range s.order {
 		if m.status == Alive {
-			anyAlive = true
+			zoneAlive = zoneAlive || s.inOwnZone(m)
 			heard[m.datagramAddr] = true
 		}
 	}
-	if anyAlive && s.tick%seedEvery != 0 {
+	n := seedsAtOnce
+	if zoneAlive {
+		n = 1
+	}
+	if zoneAlive && s.tick%seedEvery != 0 {
 		return nil
 	}
+	var picked []target
 	for range s.seeds {
 		addr := s.seeds[s.seedCursor%len(s.seeds)]
 		s.seedCursor++
-		if !heard[addr] {
-			return []target{{addr: addr}}
+		if !heard[addr] && len(picked) < n {
+			picked = append(picked, target{addr: addr})
+		}
+		if len(picked) == n {
+			break
 		}
 	}
-	return nil
+	return picked
 }
 
 // leastRecent returns the members that pass, those not sent to for longest first,
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -72,6 +72,8 @@
 		byBeat:      make(map[uint32]*member),
 		nudgeCredit: float64(sendBudget) * nudgeShare * nudgeBurst,
 		nudgedAt:    now,
+		// All nodes start at other seeds, lest one seed gets all the first datagrams.
+		seedCursor: rng.IntN(max(1, len(seeds))),
 	}
 }
 
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -50,8 +50,9 @@
 	// linkHolders is how many nodes of a zone talk to one other zone.
 	linkHolders = 2
 	// seedEvery is the number of heartbeats between two tries of a silent seed
-	// once some member is alive; before, one is tried with each heartbeat.
-	seedEvery = 5
+	// once a peer of the zone is alive; before, seedsAtOnce are tried with each.
+	seedEvery   = 5
+	seedsAtOnce = 3
 	// contactsPerZone members of a zone are never forgotten, so that a zone cut
 	// off for long is found again.
 	contactsPerZone = 3
