--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -196,6 +196,21 @@
 	require.True(t, teller.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero(), "no news any more")
 }
 
+// The same break, and a confirmation that a peer made no later than it: that must
+// not keep the peers from hearing of the break.
+func TestBreakIsToldUntilANewerConfirmation(t *testing.T) {
+	tracker := wholeTracker(t)
+	broken, at := stateOf(testReplica), testStart.Add(time.Second)
+	broken.Loaded = false
+	require.Len(t, tracker.Answered(answer(broken, at), at), 1)
+	require.Equal(t, at, tracker.appendStatus(nil, at)[0].OwnBrokenAt)
+	require.Empty(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: at}}, at))
+	require.Equal(t, at, tracker.appendStatus(nil, at)[0].OwnBrokenAt, "the confirmation is not newer")
+	newer := at.Add(time.Second)
+	require.Len(t, tracker.Observe([]Observation{{Replica: "r1", Generation: 2, ConfirmedAt: newer}}, newer), 1)
+	require.True(t, tracker.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero())
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
