--- a/internal/capacity/planned.go
+++ b/internal/capacity/planned.go
@@ -17,7 +17,7 @@
 
 func plannedTraffic() []planned {
 	return []planned{
-		{"membership", func(Size) float64 { return 2 * plannedHeartbeats }, "1,600 B/s each way in place of 2,800"},
+		{"membership", func(Size) float64 { return 2 * plannedHeartbeats }, "1,600 B/s each way in place of 2,186"},
 		{"health check and polls", func(s Size) float64 {
 			return float64(s.Replicas) / float64(s.Nodes) / plannedPollEvery * pollBrief.Value
 		}, "each replica polled by one node only, every 5 s"},
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -35,7 +35,6 @@
 // Intervals and bounds of the code, repeated here for the computation.
 const (
 	listEvery        = 5.0  // settings.DefaultVMListEvery, in seconds
-	heartbeatBudget  = 2800 // membership.DefaultSendBudget, headers included
 	heartbeatTargets = 4.3  // three of the zone and 2 x 16 links among 25 nodes
 	cachePollBudget  = 1500 // routing.DefaultCacheBytes
 	prefixesAtMost   = 65_536
@@ -93,7 +92,7 @@
 	Mechanism: "authenticated datagrams on gnet within a fixed budget of bytes; news beyond it waits for later heartbeats",
 	Cost: func(s Size) Cost {
 		return Cost{
-			BytesPerSec: 2 * heartbeatBudget,
+			BytesPerSec: 2 * heartbeatBytes.Value,
 			CoreShare:   (memberTick.Value + heartbeatTargets*(datagramSeal.Value+datagramOpen.Value)) * micro,
 			MemoryBytes: float64(s.Nodes) * memberMemory.Value,
 		}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -20,6 +20,7 @@
 	cmdLists   = goBench + "'VMListFetch|VMListSum' -benchtime 10x ./internal/capacity"
 	cmdMembers = goBench + "'Tick|Receive|Duty' -benchtime 2000x ./internal/membership"
 	cmdHeart   = goBench + "Heartbeat -benchtime 400x ./internal/capacity"
+	cmdControl = "go run ./cmd/controlbench cost --nodes 4,8,16,25,50 --seconds 10"
 	cmdPlan    = goBench + "Plan -benchtime 20x ./internal/placement"
 	cmdStreams = goBench + "OpenStreams -benchtime 3x ./internal/gateway"
 	cmdSuspect = goBench + "Innocent -benchtime 20000x ./internal/suspect"
@@ -56,13 +57,14 @@
 	idleDatagrams = Slope{"node: datagrams that it sends, without IP and UDP headers", 1422, "B/s", cmdNodes, measuredOn}
 	idleIO        = Slope{"node: all that it reads and writes besides datagrams, without TCP and IP headers, with its log and two reads of its metrics", 3904, "B/s", cmdNodes, measuredOn}
 
-	datagramSeal  = Slope{"membership: signing a datagram", 3.2, "µs", cmdWire, measuredOn}
-	datagramOpen  = Slope{"membership: checking a datagram", 4.0, "µs", cmdWire, measuredOn}
-	statusBytes   = Slope{"membership: what a heartbeat says of one replica", 45, "B", cmdPolls, measuredOn}
-	heartbeatRoom = Slope{"membership: room in a heartbeat for what others have to tell, 17 zones of 25 nodes, node without links (405 with one zone)", 138, "B", cmdHeart, measuredOn}
-	memberMemory  = Slope{"membership: memory of a member, 425 nodes", 538, "B", cmdMembers, measuredOn}
-	memberTick    = Slope{"membership: deciding on a heartbeat, 425 nodes", 641, "µs", cmdMembers, measuredOn}
-	dutyTime      = Slope{"membership: a question whether a node has a duty, 25 nodes a zone", 10.6, "µs", cmdMembers, measuredOn}
+	heartbeatBytes = Slope{"membership: sent by a node in 4 zones of 25, IP and UDP headers included, one run, from docs/membership.md", 2186, "B/s", cmdControl, measuredOn}
+	datagramSeal   = Slope{"membership: signing a datagram", 3.2, "µs", cmdWire, measuredOn}
+	datagramOpen   = Slope{"membership: checking a datagram", 4.0, "µs", cmdWire, measuredOn}
+	statusBytes    = Slope{"membership: what a heartbeat says of one replica", 45, "B", cmdPolls, measuredOn}
+	heartbeatRoom  = Slope{"membership: room in a heartbeat for what others have to tell, 17 zones of 25 nodes, node without links (405 with one zone)", 138, "B", cmdHeart, measuredOn}
+	memberMemory   = Slope{"membership: memory of a member, 425 nodes", 538, "B", cmdMembers, measuredOn}
+	memberTick     = Slope{"membership: deciding on a heartbeat, 425 nodes", 641, "µs", cmdMembers, measuredOn}
+	dutyTime       = Slope{"membership: a question whether a node has a duty, 25 nodes a zone (5.1 in another run, docs/membership.md)", 10.6, "µs", cmdMembers, measuredOn}
 
 	pollBytes4   = Slope{"health check: a whole poll, 4 VMs", 1229, "B", cmdPolls, measuredOn}
 	pollBytes32  = Slope{"health check: a whole poll, 32 VMs", 5470, "B", cmdPolls, measuredOn}
@@ -114,7 +116,7 @@
 	return []Slope{
 		requestCPU, tokenCPU, streamMemory, addedFirst, addedToken, allRequests, takeEvent, streamHeap,
 		idleCPU, idleMemory, idleDatagrams, idleIO,
-		datagramSeal, datagramOpen, statusBytes, heartbeatRoom, memberMemory, memberTick, dutyTime,
+		heartbeatBytes, datagramSeal, datagramOpen, statusBytes, heartbeatRoom, memberMemory, memberTick, dutyTime,
 		pollBytes4, pollBytes32, pollBrief, pollCPU, pollsNode, healthMemory,
 		tableFetch8, tableFetch265, tableNoNews, tableNoNewsCPU, tableStored, tableMemory,
 		listBytes, listCPU, listMemory, listPeer, listNoNews, listSumCPU, listMessage,
