--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -190,6 +190,8 @@
 	switch {
 	case n.leaving.Load():
 		return "stopping"
+	case n.members.Superseded():
+		return "a newer process runs under this node's name"
 	case n.rules.Current() == nil:
 		return "no rules known yet"
 	case n.vms.List().AsOf.IsZero():
