--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -56,8 +56,9 @@
 	return operator.ExplainRule(s.holder.Current(), req), nil
 }
 
-func (s *system) Outages(_ context.Context, from, to time.Time, zone cluster.ZoneID) ([]*wirepb.OutageInterval, error) {
-	return []*wirepb.OutageInterval{{Id: "1", Zone: string(zone), Group: "fit", Replica: "fit-1", Measure: "downtime", FromUnixMs: from.UnixMilli(), ToUnixMs: to.UnixMilli(), Cause: "vm-3 failed", Observer: "n1", Accelerators: 4}}, nil
+func (s *system) Outages(_ context.Context, from, to time.Time, zone cluster.ZoneID) (*wirepb.OutagesResponse, error) {
+	totals := []*wirepb.OutageTotal{{Zone: string(zone), Group: "fit", Measure: "downtime", LowSeconds: 60, HighSeconds: 5400}}
+	return &wirepb.OutagesResponse{Totals: totals, Intervals: []*wirepb.OutageInterval{{Id: "1", Zone: string(zone), Group: "fit", Replica: "fit-1", Measure: "downtime", FromUnixMs: from.UnixMilli(), ToUnixMs: to.UnixMilli(), Cause: "vm-3 failed", Observer: "n1", Accelerators: 4}}}, nil
 }
 
 func newSystem(t *testing.T) *system {
@@ -248,10 +249,12 @@
 	require.Contains(t, out, "no rule: no route covers")
 	out, _ = run(t, ExitOK, "outages", "--from", "2026-11-01", "--to", "2026-11-01T01:30:00Z", "--zone", "serra-a")
 	require.Contains(t, out, "1h30m0s")
+	require.Regexp(t, `fit +downtime +all +1m0s to 1h30m0s`, out)
 	out, _ = run(t, ExitOK, "outages", "--from", "2026-11-01", "--to", "2026-11-02", "--json", "--server", s.url)
-	var list []outageJSON
-	require.NoError(t, json.Unmarshal([]byte(out), &list))
-	require.Equal(t, int64(86400), list[0].Seconds)
+	var doc outagesJSON
+	require.NoError(t, json.Unmarshal([]byte(out), &doc))
+	require.Equal(t, int64(86400), doc.Intervals[0].Seconds)
+	require.Equal(t, 60.0, doc.Totals[0].LowSeconds)
 }
 
 func TestWrongServerSaysTheMend(t *testing.T) {
--- a/internal/ctl/outages.go
+++ b/internal/ctl/outages.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -13,6 +14,8 @@
 
 const outagesHelp = `Times are dates (2026-11-01, from midnight UTC) or RFC 3339 (2026-11-01T08:00:00Z).
 Time that nobody observed is shown as "unobserved", never as up or down.
+Two observers of one outage give two lines; the totals below count it once, and
+show two figures where observers disagree.
 
 EXAMPLES
   fennelctl outages --from 2026-11-01 --to 2026-12-01
@@ -42,7 +45,7 @@
 			if err != nil {
 				return err
 			}
-			return a.printOutages(res.GetIntervals())
+			return a.printOutages(res)
 		},
 	}
 }
@@ -89,7 +92,25 @@
 	Corrects     string `json:"corrects,omitempty"`
 }
 
-func (a *app) printOutages(intervals []*wirepb.OutageInterval) error {
+// outagesJSON is what --json prints. Two observers of one outage give two
+// intervals; only the totals count it once.
+type outagesJSON struct {
+	Totals    []totalJSON  `json:"totals"`
+	Intervals []outageJSON `json:"intervals"`
+}
+
+type totalJSON struct {
+	Zone    string `json:"zone"`
+	Group   string `json:"group"`
+	Measure string `json:"measure"`
+	// Cause is empty for the sum over all causes.
+	Cause       string  `json:"cause"`
+	LowSeconds  float64 `json:"low_seconds"`
+	HighSeconds float64 `json:"high_seconds"`
+}
+
+func (a *app) printOutages(res *wirepb.OutagesResponse) error {
+	intervals := res.GetIntervals()
 	list := make([]outageJSON, 0, len(intervals))
 	rows := [][]string{{"FROM", "TO", "LENGTH", "MEASURE", "ZONE", "GROUP", "REPLICA", "ACCELERATORS", "CAUSE", "OBSERVER", "CORRECTS"}}
 	for _, i := range intervals {
@@ -103,8 +124,37 @@
 		rows = append(rows, []string{o.From, o.To, length.Round(time.Second).String(), o.Measure, o.Zone, o.Group, o.Replica, fmt.Sprint(o.Accelerators), o.Cause, o.Observer, o.Corrects})
 	}
 	if a.json {
-		return a.printJSON(list)
+		return a.printJSON(outagesJSON{Totals: totalsOf(res), Intervals: list})
 	}
 	a.table(rows)
+	a.printTotals(totalsOf(res))
 	return nil
 }
+
+func totalsOf(res *wirepb.OutagesResponse) []totalJSON {
+	out := make([]totalJSON, 0, len(res.GetTotals()))
+	for _, t := range res.GetTotals() {
+		out = append(out, totalJSON{Zone: t.GetZone(), Group: t.GetGroup(), Measure: t.GetMeasure(), Cause: t.GetCause(),
+			LowSeconds: t.GetLowSeconds(), HighSeconds: t.GetHighSeconds()})
+	}
+	return out
+}
+
+// printTotals prints one figure where the observers agree, and both bounds where not.
+func (a *app) printTotals(totals []totalJSON) {
+	rows := [][]string{{"ZONE", "GROUP", "MEASURE", "CAUSE", "TOTAL (replica, accelerator or clock time)"}}
+	for _, t := range totals {
+		low, high := seconds(t.LowSeconds), seconds(t.HighSeconds)
+		length := low.String()
+		if low != high {
+			length = low.String() + " to " + high.String()
+		}
+		rows = append(rows, []string{t.Zone, cmp.Or(t.Group, "-"), t.Measure, cmp.Or(t.Cause, "all"), length})
+	}
+	printf(a.out, "\n")
+	a.table(rows)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second)).Round(time.Second)
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -92,8 +92,8 @@
 
 // Outages implements operator.OutageSource. Time that nobody vouches for comes as
 // intervals of their own, so that it cannot be read as up.
-func (o operators) Outages(ctx context.Context, from, to time.Time, zone cluster.ZoneID) ([]*wirepb.OutageInterval, error) {
-	var out []*wirepb.OutageInterval
+func (o operators) Outages(ctx context.Context, from, to time.Time, zone cluster.ZoneID) (*wirepb.OutagesResponse, error) {
+	out := &wirepb.OutagesResponse{}
 	for _, z := range o.zones(zone) {
 		windows, corrections, err := ledger.Load(ctx, o.n.store, z, from, to)
 		if err != nil {
@@ -101,16 +101,31 @@
 		}
 		report := ledger.Account(z, from, to, windows, corrections)
 		for i, s := range report.Unobserved {
-			out = append(out, &wirepb.OutageInterval{Id: fmt.Sprintf("unobserved/%s/%d", z, i), Zone: string(z), Measure: string(ledger.Unobserved),
+			out.Intervals = append(out.Intervals, &wirepb.OutageInterval{Id: fmt.Sprintf("unobserved/%s/%d", z, i), Zone: string(z), Measure: string(ledger.Unobserved),
 				FromUnixMs: s.From.UnixMilli(), ToUnixMs: s.To.UnixMilli(), Cause: "no-observer"})
 		}
 		for i := range report.Intervals {
-			out = append(out, outageInterval(z, &report.Intervals[i]))
+			out.Intervals = append(out.Intervals, outageInterval(z, &report.Intervals[i]))
 		}
+		out.Totals = append(out.Totals, outageTotals(z, &report)...)
 	}
 	return out, nil
 }
 
+// outageTotals are the report's sums, and the time that nobody vouches for.
+func outageTotals(zone cluster.ZoneID, report *ledger.Report) []*wirepb.OutageTotal {
+	unobserved := 0.0
+	for _, s := range report.Unobserved {
+		unobserved += s.To.Sub(s.From).Seconds()
+	}
+	out := []*wirepb.OutageTotal{{Zone: string(zone), Measure: string(ledger.Unobserved), LowSeconds: unobserved, HighSeconds: unobserved}}
+	for _, r := range report.Rows {
+		out = append(out, &wirepb.OutageTotal{Zone: string(zone), Group: string(r.Group), Measure: string(r.Measure), Cause: string(r.Cause),
+			LowSeconds: r.Low, HighSeconds: r.High})
+	}
+	return out
+}
+
 // zones are the zones to report on: the one asked for, or all that are known.
 func (o operators) zones(asked cluster.ZoneID) []cluster.ZoneID {
 	if asked != "" {
--- a/internal/e2e/ledger_test.go
+++ b/internal/e2e/ledger_test.go
@@ -27,9 +27,9 @@
 	s.t.Helper()
 	out, code := s.ctl("outages", "--from", from.UTC().Format(time.RFC3339), "--to", to.UTC().Format(time.RFC3339), "--json")
 	require.Zero(s.t, code, out)
-	var list []outage
-	require.NoError(s.t, json.Unmarshal([]byte(out), &list), out)
-	return list
+	var doc struct{ Intervals []outage }
+	require.NoError(s.t, json.Unmarshal([]byte(out), &doc), out)
+	return doc.Intervals
 }
 
 // A machine of a replica dies while the store is down, and comes back. One of the
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,7 +53,7 @@
 
 // OutageSource reads the outage ledger; an empty zone is all zones.
 type OutageSource interface {
-	Outages(ctx context.Context, from, to time.Time, zone cluster.ZoneID) ([]*wirepb.OutageInterval, error)
+	Outages(ctx context.Context, from, to time.Time, zone cluster.ZoneID) (*wirepb.OutagesResponse, error)
 }
 
 // Parts are what the service is put together from. A nil part answers its calls
@@ -205,11 +205,11 @@
 		return nil, missing("the outage ledger")
 	}
 	from, to := time.UnixMilli(req.Msg.GetFromUnixMs()), time.UnixMilli(req.Msg.GetToUnixMs())
-	intervals, err := s.parts.Outages.Outages(ctx, from, to, cluster.ZoneID(req.Msg.GetZone()))
+	resp, err := s.parts.Outages.Outages(ctx, from, to, cluster.ZoneID(req.Msg.GetZone()))
 	if err != nil {
 		return nil, toConnect(err)
 	}
-	return connect.NewResponse(&wirepb.OutagesResponse{Intervals: intervals}), nil
+	return connect.NewResponse(resp), nil
 }
 
 // toConnect gives a failure the code that tells fennelctl what it may do next:
