Gateway: a request lost on a dead connection is sent again to the same replica

Cause: a request sent on a silent idle connection never reached the engine; the resume was answered 'no such request', and the sound replica was left aside. With one replica the caller got no_whole_replica. Seen red: TestRequestLostOnADeadConnectionIsSentAgain (503), green with the change.

--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -38,7 +38,9 @@
 		return fennelerr.Wrap(err, fennelerr.Overloaded, "the team's retry budget is spent").
 			WithRun(s.run).WithRetryAfter(retryBudgetWait)
 	}
-	s.exclude = append(s.exclude, t.Replica.ID)
+	if !now.lostByReplica {
+		s.exclude = append(s.exclude, t.Replica.ID)
+	}
 	s.moveOn(st)
 	return nil
 }
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -196,6 +196,22 @@
 	require.Equal(t, 4, b.runs())
 }
 
+// A request goes out on an idle connection that has gone silent and never reaches
+// the engine, which then knows nothing to resume. The replica is sound, and here
+// the only one: leaving it aside would refuse the fitter for no reason.
+func TestRequestLostOnADeadConnectionIsSentAgain(t *testing.T) {
+	var rel *relay
+	b := newBench(t, 1, standinengine.Options{}, func(b *bench) {
+		rel = newRelay(b.t, b.addrs[0])
+		b.router.choices[0].Addr = rel.addr()
+		b.opts.Streamer = engine.NewStreamer(b.opts.Pools, 200*time.Millisecond)
+	})
+	requireWhole(t, b.chat(chatStrm), chatStrm) // leaves an idle connection behind
+	rel.mute()
+	requireWhole(t, b.chat(chatStrm), chatStrm)
+	require.Equal(t, 2, b.runs())
+}
+
 func TestBadInputIsRefusedAndNothingDispatched(t *testing.T) {
 	b := newBench(t, 1, standinengine.Options{}, func(b *bench) { b.opts.MaxBody = 1 << 10 })
 	cases := []struct {
