--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -5,17 +5,29 @@
 
 import "time"
 
-// Identifiers. They are opaque; only equality and ordering for stable output matter.
-type (
-	VMID      string
-	ZoneID    string
-	DomainID  string // fabric domain
-	ReplicaID string
-	GroupName string // the name= of a group rule
-	Service   string // a plain service beside the model engines
-	TeamID    string
-	NodeID    string // one fenneld
-)
+// VMID names a VM.
+type VMID string
+
+// ZoneID names an availability zone.
+type ZoneID string
+
+// DomainID names a fabric domain.
+type DomainID string
+
+// ReplicaID names a replica.
+type ReplicaID string
+
+// GroupName is the name= of a group rule.
+type GroupName string
+
+// Service names a plain service beside the model engines.
+type Service string
+
+// TeamID names a team.
+type TeamID string
+
+// NodeID names one fenneld.
+type NodeID string
 
 // Fence is a fencing number: the store's create revision of the lease key under
 // which an order or write was made. Higher wins; zero means none.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,13 +154,25 @@
 	n.gateway.Wait()
 	n.stopDuty()
 	n.duties.Wait()
-	n.claims.Close(now)
+	n.closeClaims(now)
 	err = errors.Join(err, n.control.server.Close())
 	n.closeSockets()
 	n.log.Info("stopped")
 	return err
 }
 
+// claimsCloseTimeout bounds the wait of a planned stop for the store.
+const claimsCloseTimeout = 10 * time.Second
+
+// closeClaims brings the last outcomes to the store. While the store is down that
+// could last for ever and the VM could not be replaced; calls whose outcome is not
+// recorded by then read as unknown, which is true and never runs them again.
+func (n *Node) closeClaims(now context.Context) {
+	ctx, cancel := context.WithTimeout(now, claimsCloseTimeout)
+	defer cancel()
+	n.claims.Close(ctx)
+}
+
 func (n *Node) closeSockets() {
 	if n.transport != nil {
 		_ = n.transport.Close() // the process ends
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -111,9 +110,7 @@
 func (p *Pools) newTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: p.opts.DialTimeout}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, addr)
-		},
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     p.opts.IdleTimeout,
 		DisableCompression:  true,
