grouping: a test registers its listener before the table runs

TestTableFromPeersNeverGoesBack failed once in a run of all tests: the table could take its first grouping before the listener was there.

--- a/internal/grouping/table_test.go
+++ b/internal/grouping/table_test.go
@@ -28,9 +28,13 @@
 }
 
 // startTable runs a table until the test's end.
-func startTable(t *testing.T, opts TableOptions) *Table {
+// startTable runs a table; listeners are registered first, so that they miss nothing.
+func startTable(t *testing.T, opts TableOptions, listeners ...func(cluster.Grouping)) *Table {
 	opts.Zone, opts.Log = testZone, slog.New(slog.DiscardHandler)
 	table := NewTable(opts)
+	for _, listener := range listeners {
+		table.OnChange(listener)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { table.Run(ctx); close(done) }()
@@ -100,9 +104,8 @@
 		s := memstore.New(memstore.Options{})
 		s.SetFaults(downFaults)
 		peers := &fakePeers{grouping: cluster.Grouping{Zone: testZone, Revision: 9, Replicas: []cluster.Replica{{ID: "r1", Generation: 2}}}}
-		table := startTable(t, TableOptions{Store: s, Peers: peers})
 		var seen []int64
-		table.OnChange(func(g cluster.Grouping) { seen = append(seen, g.Revision) })
+		table := startTable(t, TableOptions{Store: s, Peers: peers}, func(g cluster.Grouping) { seen = append(seen, g.Revision) })
 		<-table.Ready()
 		synctest.Wait()
 		require.False(t, table.Offer(cluster.Grouping{Zone: testZone, Revision: 8}))
