--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -80,7 +80,7 @@
 
 func (m *queueModel) finish(t *rapid.T) {
 	if len(m.running) == 0 {
-		t.Skip()
+		return
 	}
 	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "which")
 	tk := m.running[i]
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -318,7 +318,7 @@
 			},
 			"end": func(rt *rapid.T) {
 				if len(open) == 0 {
-					rt.Skip()
+					return
 				}
 				i := rapid.IntRange(0, len(open)-1).Draw(rt, "which")
 				table.EndAt(now, open[i], Result{OK: rapid.Bool().Draw(rt, "ok"), FirstToken: time.Millisecond, Tokens: 5, Duration: time.Second})
