--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -27,7 +27,9 @@
 		return nil
 	}
 	s.noteReplicaFailure(now, err)
-	if now.fate != fateCrashed {
+	// A replica that does not know the request may get it again at once: a cancel
+	// on its way there would end the new attempt, which has the same request id.
+	if now.fate != fateCrashed && !now.lostByReplica {
 		s.cancelAtReplica()
 	}
 	s.leave(routing.Result{}, now.fate == fateCrashed)
