--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -211,6 +211,22 @@
 	require.True(t, tracker.appendStatus(nil, newer)[0].OwnBrokenAt.IsZero())
 }
 
+// The holder regroups a replica while a poll of it is on its way. The answer speaks
+// of the old generation; taken for the new one, it would tell all nodes of a break
+// that nobody saw.
+func TestAnswerOfAnOldGenerationSaysNothing(t *testing.T) {
+	tracker := wholeTracker(t)
+	regrouped := testReplica
+	regrouped.Generation = 3
+	tracker.SetReplicas([]cluster.Replica{regrouped}, testStart)
+	late := answer(stateOf(testReplica), testStart.Add(time.Second))
+	require.Empty(t, tracker.Answered(late, testStart.Add(2*time.Second)))
+	status := tracker.appendStatus(nil, testStart.Add(2*time.Second))[0]
+	require.False(t, status.Whole)
+	require.True(t, status.OwnBrokenAt.IsZero())
+	require.Equal(t, reasonUnconfirmed, status.Reason)
+}
+
 func TestDue(t *testing.T) {
 	yes := func(cluster.ReplicaID) bool { return true }
 	no := func(cluster.ReplicaID) bool { return false }
