--- a/internal/fennelerr/fennelerr.go
+++ b/internal/fennelerr/fennelerr.go
@@ -81,6 +81,12 @@
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
+// Invalid returns an InvalidRequest error about one field of a caller's request,
+// which was refused and did not run.
+func Invalid(field, format string, args ...any) *Error {
+	return New(InvalidRequest, format, args...).WithField(field).WithRun(NotRun)
+}
+
 // Wrap returns an Error whose cause is err.
 func Wrap(err error, code Code, format string, args ...any) *Error {
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Cause: err}
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -112,11 +112,7 @@
 // BenchmarkTake is the gateway's own work for one event of a stream: checking it
 // and handing it on, without any socket.
 func BenchmarkTake(b *testing.B) {
-	g := New(Options{})
-	set := testSet(b)
-	req, err := parseModelRequest(engine.ChatPath, []byte(chatStrm))
-	require.NoError(b, err)
-	s := &session{g: g, c: caller{id: "r", set: set, team: &set.Teams[0]}, req: req, prog: newProgress(), target: &target{}, sink: discardSink{}, slot: openSlot{&openAdmitter{}}}
+	s := testSession(b, discard{http.Header{}})
 	data := []byte(`{"id":"chatcmpl-r","object":"chat.completion.chunk","created":1700000000,"model":"assistente-fit","choices":[{"index":0,"delta":{"content":" shell"},"finish_reason":null}]}`)
 	b.ReportAllocs()
 	for i := int64(1); b.Loop(); i++ {
@@ -126,10 +122,14 @@
 	}
 }
 
-// discardSink takes events and does nothing.
-type discardSink struct{ sink }
+// discard is a caller that takes everything.
+type discard struct{ header http.Header }
 
-func (discardSink) event([]byte, *chunk) error { return nil }
+func (d discard) Header() http.Header            { return d.header }
+func (discard) WriteHeader(int)                  {}
+func (discard) Write(p []byte) (int, error)      { return len(p), nil }
+func (discard) FlushError() error                { return nil }
+func (discard) SetWriteDeadline(time.Time) error { return nil }
 
 // BenchmarkOpenStreams reports the memory of one open stream in the gateway's
 // process, which here also holds the caller and the engine stand-in.
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -37,7 +37,7 @@
 			WithField(HeaderIdempotencyKey).WithRun(fennelerr.NotRun)
 	}
 	if len(key) > claims.MaxKeyLen {
-		return nil, nil, invalid(HeaderIdempotencyKey, "the key has %d bytes; at most %d are taken", len(key), claims.MaxKeyLen)
+		return nil, nil, fennelerr.Invalid(HeaderIdempotencyKey, "the key has %d bytes; at most %d are taken", len(key), claims.MaxKeyLen)
 	}
 	return g.opts.Claimer.Claim(r.Context(), claims.Call{Team: c.team.Name, Key: key, BodySHA256: bodyHash(r, body)})
 }
@@ -94,7 +94,7 @@
 	if a.BodyOmitted {
 		e := fennelerr.New(fennelerr.AlreadyRun, "the call ran with status %d; its answer was too large to keep", a.Status).
 			WithRun(fennelerr.Ran)
-		status, contentType, body = e.Code.HTTPStatus(), "application/json", errorDocument(e, c.id)
+		status, contentType, body = e.Code.HTTPStatus(), "application/json", g.opts.Front.Error(e, c.id)
 	}
 	if contentType != "" {
 		h.Set("Content-Type", contentType)
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/claims"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
@@ -20,6 +22,19 @@
 	Current() *rules.Set
 }
 
+// Front translates the callers' protocol.
+type Front interface {
+	// Parse checks a request to a model; its error names the field.
+	Parse(path string, body []byte) (*call.ModelCall, error)
+	// Models is the document that lists models.
+	Models(names []string) []byte
+	// Error is the document of a refusal.
+	Error(e *fennelerr.Error, requestID string) []byte
+	// Rejection reads an engine's rejection of a request; both results are empty where
+	// it gives no reason.
+	Rejection(body []byte) (message, field string)
+}
+
 // Router chooses replicas and counts what runs on them.
 type Router interface {
 	// Choose picks a replica and counts the request as outstanding on it until
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,9 @@
 // Options are the parts a Gateway is made of. All but the sizes and times are
 // required; those take the defaults above when zero.
 type Options struct {
-	Node       cluster.NodeID
+	Node cluster.NodeID
+	// Front speaks the callers' protocol.
+	Front      Front
 	Rules      RuleSource
 	Router     Router
 	Services   Services
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,10 +20,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/claims"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/openai"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
@@ -192,7 +194,7 @@
 	prober := engine.NewProber(time.Second)
 	var ids atomic.Int64
 	b.opts = Options{
-		Rules: fixedRules{testSet(t)}, Router: b.router, Admitter: b.admitter, Claimer: b.claims, Quarantine: b.quarantine,
+		Front: openai.Front{}, Rules: fixedRules{testSet(t)}, Router: b.router, Admitter: b.admitter, Claimer: b.claims, Quarantine: b.quarantine,
 		Pools: pools, Streamer: engine.NewStreamer(pools, time.Second), Prober: prober,
 		NewID: func() string { return fmt.Sprintf("req-%d", ids.Add(1)) },
 	}
@@ -316,7 +318,13 @@
 		if data == engine.DoneMarker {
 			return out.String(), true
 		}
-		var c chunk
+		var c struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
 		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
 			out.WriteString(c.Choices[0].Delta.Content)
 		}
@@ -431,3 +439,15 @@
 		}
 	}
 }
+
+// testSession is a session of a streamed chat request that goes to out.
+func testSession(t testing.TB, out http.ResponseWriter) *session {
+	t.Helper()
+	set := testSet(t)
+	asked, err := openai.Front{}.Parse(engine.ChatPath, []byte(chatStrm))
+	require.NoError(t, err)
+	exchange := asked.Begin(call.Caller{W: out, RequestID: "r", WriteTimeout: time.Minute, KeepAlive: time.Minute})
+	t.Cleanup(exchange.Close)
+	return &session{g: New(Options{Front: openai.Front{}}), c: caller{id: "r", set: set, team: &set.Teams[0]}, asked: asked, exchange: exchange,
+		target: &target{}, slot: openSlot{&openAdmitter{}}}
+}
--- a/internal/gateway/honest_test.go
+++ b/internal/gateway/honest_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -180,58 +179,17 @@
 	require.Equal(t, 1, svc.Runs().ByKey["k2"])
 }
 
-func TestNextStepNeverStitchesOrRepeats(t *testing.T) {
-	for _, failure := range []failure{failedNotStarted, failedRejected, failedInterrupted} {
-		for _, fate := range []fate{0, fateAlive, fateCrashed} {
-			for flags := range 32 {
-				s := situation{failure: failure, fate: fate, maxFruitless: 3, committed: flags&1 > 0, canContinue: flags&2 > 0,
-					repeatable: flags&4 > 0, lostByReplica: flags&8 > 0}
-				if flags&16 > 0 {
-					s.mayHaveRun = true
-				}
-				got := nextStep(s)
-				name := fmt.Sprintf("%+v -> %+v", s, got)
-				if got.kind == stepRestart {
-					require.False(t, s.committed && s.mayHaveRun, name)
-				}
-				if got.kind == stepContinue {
-					require.True(t, s.canContinue && s.repeatable, name)
-				}
-				if !s.repeatable && (s.mayHaveRun || s.failure == failedInterrupted) {
-					require.NotContains(t, []stepKind{stepRestart, stepContinue}, got.kind, name)
-				}
-				if got.kind == stepGiveUp {
-					require.NotEmpty(t, got.code, name)
-				}
-			}
-		}
-	}
-}
-
 // The first token comes just as the caller's time is up, and the request is being
 // cancelled. A caller shown that token would then see its answer cut off; it must
 // get the refusal alone, with the time to come back.
 func TestTokenAtTheDeadlineIsNotShown(t *testing.T) {
-	set := testSet(t)
-	req, err := parseModelRequest(engine.ChatPath, []byte(chatStrm))
-	require.NoError(t, err)
-	s := &session{g: New(Options{}), c: caller{id: "r", set: set, team: &set.Teams[0]}, req: req, prog: newProgress(), target: &target{},
-		sink: failSink{t: t}, slot: openSlot{&openAdmitter{}}}
+	seen := httptest.NewRecorder()
+	s := testSession(t, seen)
 	s.first.Store(firstLate)
 	took := s.take(engine.Event{ID: 1, Data: []byte(`{"id":"chatcmpl-r","choices":[{"index":0,"delta":{"content":"a"}}]}`)})
 	refused := typed(s.gone(t.Context(), took))
 	require.Equal(t, fennelerr.Timeout, refused.Code)
 	require.Equal(t, fennelerr.Ran, refused.Run)
 	require.NotZero(t, refused.RetryAfter)
-}
-
-// failSink fails the test when anything reaches the caller.
-type failSink struct {
-	sink
-	t *testing.T
-}
-
-func (f failSink) event([]byte, *chunk) error {
-	f.t.Error("an event reached the caller")
-	return nil
+	require.Empty(t, seen.Body.String(), "nothing reached the caller")
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/admission"
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/claims"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
@@ -19,7 +20,7 @@
 		g.refuse(w, r, c, err)
 		return
 	}
-	right, recorded, err := g.claimFor(r, c, s.route, s.req.body)
+	right, recorded, err := g.claimFor(r, c, s.route, s.body)
 	if err != nil {
 		g.refuse(w, r, c, err)
 		return
@@ -28,8 +29,8 @@
 		g.replay(w, c, recorded)
 		return
 	}
-	s.sink = g.newSink(w, c, s.req)
-	defer s.sink.close()
+	s.exchange = s.asked.Begin(call.Caller{W: w, RequestID: c.id, WriteTimeout: g.opts.WriteTimeout, KeepAlive: g.opts.KeepAlive})
+	defer s.exchange.Close()
 	s.right = right
 	err = g.runSession(r, s, deadline)
 	g.settle(right, s.outcome(err))
@@ -38,7 +39,7 @@
 
 func (g *Gateway) newSession(w http.ResponseWriter, r *http.Request, c caller) (*session, time.Time, error) {
 	if r.Method != http.MethodPost {
-		return nil, time.Time{}, invalid("", "%s takes POST", r.URL.Path)
+		return nil, time.Time{}, fennelerr.Invalid("", "%s takes POST", r.URL.Path)
 	}
 	now := time.Now()
 	deadline, err := deadlineOf(r, now, g.opts.Deadline)
@@ -49,11 +50,11 @@
 	if err != nil {
 		return nil, deadline, err
 	}
-	req, err := parseModelRequest(r.URL.Path, body)
+	asked, err := g.opts.Front.Parse(r.URL.Path, body)
 	if err != nil {
 		return nil, deadline, err
 	}
-	rt, err := g.route(c, r.URL.Path, req.model)
+	rt, err := g.route(c, r.URL.Path, asked.Model)
 	if err != nil {
 		return nil, deadline, err
 	}
@@ -61,21 +62,14 @@
 		return nil, deadline, fennelerr.New(fennelerr.ModelNotFound, "path %s leads to a plain service here", r.URL.Path).
 			WithField("path").WithRun(fennelerr.NotRun)
 	}
-	return &session{g: g, c: c, req: req, route: rt, prog: newProgress(), run: fennelerr.NotRun, started: now,
+	return &session{g: g, c: c, asked: asked, path: r.URL.Path, body: body, route: rt, run: fennelerr.NotRun, started: now,
 		fp: fingerprintOf(c.team.Name, r.URL.Path, body)}, deadline, nil
 }
 
-func (g *Gateway) newSink(w http.ResponseWriter, c caller, req *modelRequest) sink {
-	if req.stream {
-		return newStreamSink(w, c.id, g.opts.WriteTimeout, g.opts.KeepAlive)
-	}
-	return newWholeSink(w, req.path)
-}
-
 // runSession holds a slot while the session runs.
 func (g *Gateway) runSession(r *http.Request, s *session, deadline time.Time) error {
 	slot, err := g.opts.Admitter.Acquire(r.Context(), admission.Request{
-		Team: s.c.team.Name, Group: s.route.Group, Deadline: deadline, Cost: s.req.cost(),
+		Team: s.c.team.Name, Group: s.route.Group, Deadline: deadline, Cost: s.asked.Cost,
 	})
 	if err != nil {
 		if r.Context().Err() != nil {
@@ -93,7 +87,7 @@
 
 // endModel tells the caller how the session ended.
 func (g *Gateway) endModel(w http.ResponseWriter, r *http.Request, s *session, err error) {
-	log := g.opts.Log.With("request", s.c.id, "team", s.c.team.Name, "model", s.req.model, "tokens", s.tokens,
+	log := g.opts.Log.With("request", s.c.id, "team", s.c.team.Name, "model", s.asked.Model, "tokens", s.tokens,
 		"duration", time.Since(s.started))
 	if err == nil {
 		answersWhole.Inc()
@@ -105,7 +99,7 @@
 		log.Info("caller gone", "run", s.run, "err", err.Error())
 		return
 	}
-	if !s.sink.committed() {
+	if !s.exchange.Begun() {
 		g.refuse(w, r, s.c, err)
 		return
 	}
@@ -115,7 +109,7 @@
 	e := typed(err)
 	countRefusal(e)
 	log.Error("answer aborted", "code", e.Code, "run", e.Run, "err", err.Error())
-	s.sink.abort(e)
+	s.exchange.Abort(g.opts.Front.Error(e, s.c.id))
 	panic(http.ErrAbortHandler)
 }
 
@@ -128,11 +122,8 @@
 		return claimOutcome{kind: claimUnknown}
 	}
 	answer := claims.Answer{Status: http.StatusOK, ContentType: "application/json"}
-	if sink, ok := s.sink.(*wholeSink); ok {
-		answer.Body = sink.document
-	} else {
-		answer.BodyOmitted = true
-	}
+	answer.Body = s.exchange.Document()
+	answer.BodyOmitted = answer.Body == nil
 	return claimOutcome{kind: claimRan, answer: answer}
 }
 
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"net/http"
 	"sort"
 
@@ -12,29 +11,14 @@
 
 const modelsPath = "/v1/models"
 
-type modelList struct {
-	Object string      `json:"object"`
-	Data   []modelCard `json:"data"`
-}
-
-type modelCard struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	OwnedBy string `json:"owned_by"`
-}
-
 // serveModels lists the models that a rule serves to the caller's team.
 func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request, c caller) {
 	if r.Method != http.MethodGet {
 		g.refuse(w, r, c, fennelerr.New(fennelerr.InvalidRequest, "%s takes GET", modelsPath).WithRun(fennelerr.NotRun))
 		return
 	}
-	list := modelList{Object: "list", Data: []modelCard{}}
-	for _, name := range modelsOf(c.set, c.team) {
-		list.Data = append(list.Data, modelCard{ID: name, Object: "model", OwnedBy: "fennelcourse"})
-	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list) // the caller may be gone: nothing left to tell
+	_, _ = w.Write(g.opts.Front.Models(modelsOf(c.set, c.team))) // the caller may be gone: nothing left to tell
 }
 
 func modelsOf(set *rules.Set, team *rules.Team) []string {
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -12,10 +12,12 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
-// plainCall is one call to a plain service over as many attempts as are safe.
+// plainCall is one call to a plain service over as many attempts as are safe. It is a
+// recovery.Call.
 type plainCall struct {
 	g     *Gateway
 	c     caller
@@ -26,6 +28,11 @@
 	run   fennelerr.RunState
 	// repeatable allows a second attempt after bytes went out.
 	repeatable bool
+	// addrs are the service's backend servers, tried in turn; tried counts those that
+	// were.
+	addrs  []string
+	tried  int
+	answer *plainAnswer
 }
 
 // plainAnswer is a backend server's answer: the head is read, the rest still comes.
@@ -38,34 +45,59 @@
 	body  io.ReadCloser
 }
 
-// do tries the service's addresses in turn for as long as that is safe.
+// do tries the service's backend servers in turn for as long as that is safe.
 func (p *plainCall) do(ctx context.Context) (*plainAnswer, error) {
-	addrs := p.g.opts.Services.ServiceAddrs(p.route.Service)
-	if len(addrs) == 0 {
+	p.addrs = p.g.opts.Services.ServiceAddrs(p.route.Service)
+	if len(p.addrs) == 0 {
 		return nil, fennelerr.New(fennelerr.NoReplica, "no backend server of %s is live", p.route.Service).
 			WithRun(fennelerr.NotRun).WithRetryAfter(retryBudgetWait)
 	}
-	var last error
-	for i, addr := range addrs {
-		if i > 0 && !p.g.opts.Admitter.AllowRetry(p.c.team.Name) {
-			break
-		}
-		p.g.opts.Log.Info("route", "request", p.c.id, "team", p.c.team.Name, "service", p.route.Service,
-			"rule_line", p.route.Line, "addr", addr, "attempt", i+1, "claimed", p.right != nil)
-		if err := mayDispatch(p.right); err != nil {
-			return nil, err
-		}
-		answer, err := p.attempt(ctx, addr)
-		if err == nil {
-			return answer, nil
-		}
-		last = err
-		p.g.opts.Log.Warn("attempt failed", "request", p.c.id, "addr", addr, "run", p.run, "err", err.Error())
-		if _, notStarted := errors.Into[*engine.NotStartedError](err); !notStarted && !p.repeatable {
-			break
-		}
+	if err := recovery.Run(ctx, p); err != nil {
+		return nil, err
+	}
+	return p.answer, nil
+}
+
+func (p *plainCall) addr() string { return p.addrs[p.tried-1] }
+
+// Choose implements recovery.Call.
+func (p *plainCall) Choose(context.Context) error {
+	p.tried++
+	p.g.opts.Log.Info("route", "request", p.c.id, "team", p.c.team.Name, "service", p.route.Service,
+		"rule_line", p.route.Line, "addr", p.addr(), "attempt", p.tried, "claimed", p.right != nil)
+	return mayDispatch(p.right)
+}
+
+// Attempt implements recovery.Call.
+func (p *plainCall) Attempt(ctx context.Context) (err error) {
+	p.answer, err = p.attempt(ctx, p.addr())
+	return err
+}
+
+// Gone implements recovery.Call: a call without time is judged like any failed one.
+func (p *plainCall) Gone(context.Context, error) error { return nil }
+
+// Judge implements recovery.Call.
+func (p *plainCall) Judge(ctx context.Context, err error) recovery.Failure {
+	f := recovery.Failure{
+		MayHaveRun: p.run != fennelerr.NotRun, Repeatable: p.repeatable,
+		Attempts: p.tried, MaxAttempts: len(p.addrs), OutOfTime: ctx.Err() != nil,
+		Budget: func() bool { return p.g.opts.Admitter.AllowRetry(p.c.team.Name) },
+	}
+	if _, notStarted := errors.Into[*engine.NotStartedError](err); notStarted {
+		f.Proof = recovery.NotRun
+	}
+	return f
+}
+
+// After implements recovery.Call.
+func (p *plainCall) After(ctx context.Context, d recovery.Decision, err error) error {
+	p.g.opts.Log.Warn("attempt failed", "request", p.c.id, "addr", p.addr(), "run", p.run, "next", d.Step, "reason", d.Reason,
+		"err", err.Error())
+	if d.Step == recovery.GiveUp {
+		return p.giveUp(ctx, err)
 	}
-	return nil, p.giveUp(ctx, last)
+	return nil
 }
 
 func (p *plainCall) giveUp(ctx context.Context, err error) error {
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -2,88 +2,94 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
-// recover decides what follows a failed attempt and prepares it. It returns an
-// error when the request is given up.
-func (s *session) recover(ctx context.Context, err error) error {
-	now := s.classify(ctx, err)
-	st := nextStep(now)
+// verdict is what a failed attempt tells of its replica.
+type verdict struct {
+	// crashed: the replica does not answer, or no longer is what it was.
+	crashed bool
+	// unreachable: the request did not get there.
+	unreachable bool
+	// forgot: the replica does not know the request that was to be resumed.
+	forgot bool
+}
+
+// Judge implements recovery.Call. It asks the replica over a new connection where that
+// matters.
+func (s *session) Judge(ctx context.Context, err error) recovery.Failure {
+	f := recovery.Failure{
+		Proof: recovery.Interrupted, MayHaveRun: s.run != fennelerr.NotRun, Repeatable: s.route.Once != rules.OnceRequired,
+		Begun: s.exchange.Begun(), CanContinue: s.info.CanContinue && s.exchange.CanGoOn(),
+		Attempts: s.fruitless, MaxAttempts: s.g.opts.MaxAttempts,
+		Budget: func() bool { return s.g.opts.Admitter.AllowRetry(s.c.team.Name) },
+	}
+	s.verdict = verdict{}
+	_, notStarted := errors.Into[*engine.NotStartedError](err)
+	_, rejected := errors.Into[*engine.RejectedError](err)
+	switch {
+	case notStarted:
+		f.Proof = recovery.NotRun
+		s.verdict.unreachable = true
+		s.verdict.crashed = s.resume // it had the request and cannot be reached any more
+	case rejected && (s.resume || s.carryOn):
+		s.verdict.forgot = true
+	case rejected:
+		f.Proof = recovery.Rejected
+	default:
+		countInterruption(err)
+		f.Alive = s.probe(ctx)
+		s.verdict.crashed = !f.Alive
+	}
+	return f
+}
+
+// After implements recovery.Call.
+func (s *session) After(_ context.Context, d recovery.Decision, err error) error {
 	t := s.target.choice
 	s.g.opts.Log.Warn("attempt failed", "request", s.c.id, "replica", t.Replica.ID, "addr", t.Addr,
-		"after_event", s.prog.lastID, "next", st.reason, "err", err.Error())
-	if st.kind == stepResume {
+		"after_event", s.exchange.LastID(), "next", d.Step, "reason", d.Reason, "err", err.Error())
+	if d.Step == recovery.Resume {
 		resumesSame.Inc()
 		s.resume = true
 		return nil
 	}
-	s.noteReplicaFailure(now, err)
+	s.noteReplicaFailure(err)
 	// A replica that does not know the request may get it again at once: a cancel
 	// on its way there would end the new attempt, which has the same request id.
-	if now.fate != fateCrashed && !now.lostByReplica {
+	if !s.verdict.crashed && !s.verdict.forgot {
 		s.cancelAtReplica()
 	}
-	s.leave(routing.Result{}, now.fate == fateCrashed)
-	if st.kind == stepGiveUp {
-		return s.giveUp(st, err)
+	s.leave(routing.Result{}, s.verdict.crashed)
+	if d.Step == recovery.GiveUp {
+		return s.giveUp(d.Reason, err)
 	}
-	if !s.g.opts.Admitter.AllowRetry(s.c.team.Name) {
-		return fennelerr.Wrap(err, fennelerr.Overloaded, "the team's retry budget is spent").
-			WithRun(s.run).WithRetryAfter(retryBudgetWait)
-	}
-	if !now.lostByReplica {
+	if !s.verdict.forgot {
 		s.exclude = append(s.exclude, t.Replica.ID)
 	}
-	s.moveOn(st)
+	s.moveOn(d.Step)
 	return nil
 }
 
 // retryBudgetWait is when a caller without retry budget may come back.
 const retryBudgetWait = 2 * time.Second
 
-func (s *session) moveOn(st step) {
-	s.carryOn = st.kind == stepContinue
+func (s *session) moveOn(step recovery.Step) {
+	s.carryOn = step == recovery.Continue
 	if s.carryOn {
 		resumesOther.Inc()
 		return
 	}
 	restarts.Inc()
-	s.sink.restart()
-	s.prog = newProgress()
-}
-
-// classify turns an attempt's error, and a probe where it matters, into a situation.
-func (s *session) classify(ctx context.Context, err error) situation {
-	now := situation{
-		mayHaveRun: s.run != fennelerr.NotRun, committed: s.sink.committed(), repeatable: s.route.Once != rules.OnceRequired,
-		canContinue: s.info.CanContinue && s.req.choices == 1 && s.prog.plain,
-		fruitless:   s.fruitless, maxFruitless: s.g.opts.MaxAttempts,
-	}
-	if _, ok := errors.Into[*engine.NotStartedError](err); ok {
-		now.failure = failedNotStarted
-		if s.resume {
-			now.fate = fateCrashed // it had the request and cannot be reached any more
-		}
-		return now
-	}
-	if _, ok := errors.Into[*engine.RejectedError](err); ok {
-		now.failure = failedRejected
-		now.lostByReplica = s.resume || s.carryOn
-		return now
-	}
-	now.failure = failedInterrupted
-	countInterruption(err)
-	now.fate = s.probe(ctx)
-	return now
+	s.exchange.Restart()
 }
 
 func countInterruption(err error) {
@@ -96,41 +102,49 @@
 }
 
 // probe asks the target over a new connection whether it is still what it was.
-func (s *session) probe(ctx context.Context) fate {
+func (s *session) probe(ctx context.Context) (alive bool) {
 	ctx, cancel := context.WithTimeout(ctx, s.g.opts.ProbeTimeout)
 	defer cancel()
 	state, err := s.g.opts.Prober.State(ctx, s.target.choice.Addr)
 	replica := s.target.choice.Replica
-	if err != nil || state.Assignment.Replica != replica.ID || state.Assignment.Generation != replica.Generation {
-		return fateCrashed
-	}
-	return fateAlive
+	return err == nil && state.Assignment.Replica == replica.ID && state.Assignment.Generation == replica.Generation
 }
 
-func (s *session) noteReplicaFailure(now situation, err error) {
-	t := s.target.choice
-	if now.fate == fateCrashed {
+func (s *session) noteReplicaFailure(err error) {
+	if s.verdict.crashed {
 		replicaCrashes.Inc()
 	}
-	if now.fate == fateCrashed || now.failure == failedNotStarted {
-		s.g.opts.OnReplicaFailed(t.Replica, err.Error())
+	if s.verdict.crashed || s.verdict.unreachable {
+		s.g.opts.OnReplicaFailed(s.target.choice.Replica, err.Error())
 	}
 }
 
+// giveUpCodes are the codes of a request that is given up, by reason.
+var giveUpCodes = map[recovery.Reason]fennelerr.Code{
+	recovery.RejectedByServer: fennelerr.InvalidRequest,
+	recovery.AttemptsUsed:     fennelerr.BackendFailed,
+	recovery.MayHaveRun:       fennelerr.OutcomeUnknown,
+	recovery.NotContinuable:   fennelerr.StreamTruncated,
+	recovery.BudgetUsed:       fennelerr.Overloaded,
+}
+
 // giveUp turns the last failure into the caller's final answer.
-func (s *session) giveUp(st step, err error) error {
-	if r, ok := errors.Into[*engine.RejectedError](err); ok && !s.resume && !s.carryOn {
+func (s *session) giveUp(reason recovery.Reason, err error) error {
+	if r, ok := errors.Into[*engine.RejectedError](err); ok && reason == recovery.RejectedByServer {
 		return s.rejected(r)
 	}
-	return fennelerr.Wrap(err, st.code, "%s", st.reason).WithRun(s.run).WithRetryAfter(time.Second)
+	wait := time.Second
+	if reason == recovery.BudgetUsed {
+		wait = retryBudgetWait
+	}
+	return fennelerr.Wrap(err, giveUpCodes[reason], "%s", reason).WithRun(s.run).WithRetryAfter(wait)
 }
 
 // rejected passes on an engine's word about the request itself.
 func (s *session) rejected(r *engine.RejectedError) error {
-	var doc errorBody
-	message := "the model engine rejected the request"
-	if json.Unmarshal(r.Body, &doc) == nil && doc.Error.Message != "" {
-		message = doc.Error.Message
+	message, field := s.g.opts.Front.Rejection(r.Body)
+	if message == "" {
+		message = "the model engine rejected the request"
 	}
-	return fennelerr.New(fennelerr.InvalidRequest, "%s", message).WithField(doc.Error.Param).WithRun(s.run)
+	return fennelerr.New(fennelerr.InvalidRequest, "%s", message).WithField(field).WithRun(s.run)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -9,13 +8,14 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 )
 
 // Headers of answers to callers.
 const (
-	// HeaderRun says whether a backend server executed the request: not-run, ran or unknown.
-	HeaderRun = "Fennel-Run"
+	// HeaderRun is call.HeaderRun.
+	HeaderRun = call.HeaderRun
 	// HeaderReplayed is "true" on the recorded answer of an earlier run.
 	HeaderReplayed = "Fennel-Replayed"
 	// HeaderTimeoutMs is set by a caller: how long it waits for the first token, in milliseconds.
@@ -24,20 +24,6 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
-// errorBody is the OpenAI-shaped error document.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message   string             `json:"message"`
-	Type      string             `json:"type"`
-	Code      fennelerr.Code     `json:"code"`
-	Param     string             `json:"param,omitempty"`
-	Run       fennelerr.RunState `json:"fennel_run,omitempty"`
-	RequestID string             `json:"request_id,omitempty"`
-}
-
 // defaultRetryAfter is told where a refusal for lack of capacity names no time.
 const defaultRetryAfter = time.Second
 
@@ -61,20 +47,6 @@
 	return &e
 }
 
-func errorDocument(e *fennelerr.Error, requestID string) []byte {
-	message := e.Message
-	if message == "" {
-		message = string(e.Code)
-	}
-	doc, err := json.Marshal(errorBody{Error: errorDetail{
-		Message: message, Type: string(e.Code), Code: e.Code, Param: e.Field, Run: e.Run, RequestID: requestID,
-	}})
-	if err != nil {
-		panic(err) // strings only: cannot fail
-	}
-	return doc
-}
-
 // refuse answers with err as a whole HTTP response. Nothing may have been written before.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c caller, err error) {
 	e := typed(err)
@@ -85,7 +57,7 @@
 		h.Set("Retry-After", retryAfterSeconds(e))
 	}
 	w.WriteHeader(e.Code.HTTPStatus())
-	_, _ = w.Write(errorDocument(e, c.id)) // the caller may be gone: nothing left to tell
+	_, _ = w.Write(g.opts.Front.Error(e, c.id)) // the caller may be gone: nothing left to tell
 	countRefusal(e)
 	g.noteRefused(c)
 	g.opts.Log.Info("refuse", "request", c.id, "team", c.teamName(), "path", r.URL.Path,
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
@@ -28,23 +29,27 @@
 // Unwrap returns the cause.
 func (e *callerGoneError) Unwrap() error { return e.err }
 
-// session sees one completion request through to its end, over as many
-// attempts as it takes.
+// session sees one request to a model through to its end, over as many attempts as
+// it takes. It is a recovery.Call.
 type session struct {
-	g      *Gateway
-	c      caller
-	req    *modelRequest
-	route  *rules.Route
-	sink   sink
-	fp     suspect.Fingerprint
-	prog   *progress
-	run    fennelerr.RunState
-	info   engine.StreamInfo
-	target *target
+	g     *Gateway
+	c     caller
+	asked *call.ModelCall
+	path  string
+	body  []byte // as the caller sent it
+	route *rules.Route
+	fp    suspect.Fingerprint
+	run   fennelerr.RunState
+	// exchange makes the caller's answer of the engines' events.
+	exchange call.Exchange
+	info     engine.StreamInfo
+	target   *target
 	// resume is set when the next attempt goes to the same replica again.
 	resume bool
 	// carryOn is set when the next attempt goes on at another replica.
-	carryOn   bool
+	carryOn bool
+	// verdict is what the last failed attempt told of its replica.
+	verdict   verdict
 	exclude   []cluster.ReplicaID
 	fruitless int
 	tokens    int
@@ -85,30 +90,15 @@
 	})
 	defer clock.Stop()
 
-	for {
-		if s.target == nil {
-			if err := s.choose(ctx); err != nil {
-				return err
-			}
-		}
-		err := s.attempt(ctx)
-		if err == nil {
-			s.leave(routing.Result{OK: true}, false)
-			return s.sink.finish()
-		}
-		if gone := s.gone(ctx, err); gone != nil {
-			s.cancelAtReplica()
-			s.leave(routing.Result{Canceled: true}, false)
-			return gone
-		}
-		if err := s.recover(ctx, err); err != nil {
-			return err
-		}
+	if err := recovery.Run(ctx, s); err != nil {
+		return err
 	}
+	s.leave(routing.Result{OK: true}, false)
+	return s.exchange.Finish()
 }
 
-// choose takes the next replica.
-func (s *session) choose(ctx context.Context) error {
+// Choose implements recovery.Call: it takes the next replica.
+func (s *session) Choose(ctx context.Context) error {
 	alone, err := s.g.opts.Quarantine.Admit(ctx, s.fp)
 	if err != nil {
 		if gone := s.gone(ctx, err); gone != nil {
@@ -128,7 +118,7 @@
 	s.resume = false
 	s.g.opts.Log.Info("route", "request", s.c.id, "team", s.c.team.Name, "group", s.route.Group, "rule_line", s.route.Line,
 		"replica", choice.Replica.ID, "generation", choice.Replica.Generation, "addr", choice.Addr, "reason", choice.Reason,
-		"considered", choice.Considered, "alone", alone, "after_event", s.prog.lastID)
+		"considered", choice.Considered, "alone", alone, "after_event", s.exchange.LastID())
 	return nil
 }
 
@@ -143,7 +133,7 @@
 // suspect runs on and that is this node's to take.
 func (s *session) chooseReplica(ctx context.Context, alone bool) (routing.Choice, error) {
 	req := routing.Request{
-		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.req.prefixHashes, Exclude: s.exclude,
+		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.asked.PrefixHashes, Exclude: s.exclude,
 		Alone: alone, MayRetryOn: s.g.opts.Quarantine.MayRetryOn,
 	}
 	giveUp := time.Now().Add(maxRetryTurnWait)
@@ -160,22 +150,23 @@
 	}
 }
 
-// attempt runs one exchange with the target.
-func (s *session) attempt(ctx context.Context) error {
-	body, err := s.req.engineBody(s.prefix())
+// Attempt implements recovery.Call: it runs one exchange with the target.
+func (s *session) Attempt(ctx context.Context) error {
+	goOn := s.carryOn && !s.resume // a replica that is asked again has the beginning already
+	body, err := s.exchange.Body(goOn)
 	if err != nil {
 		return err
 	}
 	replica := s.target.choice.Replica
-	before := s.prog.lastID
+	before := s.exchange.LastID()
 	err = s.g.opts.Streamer.Stream(ctx, engine.StreamRequest{
-		Addr: s.target.choice.Addr, Path: s.req.path, RequestID: s.c.id, Replica: replica.ID, Generation: replica.Generation,
-		Priority: s.c.team.Priority, Body: body, ResumeAfter: s.prog.lastID, Resume: s.resume, Continue: s.carryOn && !s.resume,
+		Addr: s.target.choice.Addr, Path: s.path, RequestID: s.c.id, Replica: replica.ID, Generation: replica.Generation,
+		Priority: s.c.team.Priority, Body: body, ResumeAfter: before, Resume: s.resume, Continue: goOn,
 	}, func(info engine.StreamInfo) { s.info = info }, s.take)
 	if s.run == fennelerr.NotRun && !provesNotStarted(err) {
 		s.run = fennelerr.Unknown
 	}
-	if s.prog.lastID > before {
+	if s.exchange.LastID() > before {
 		s.fruitless = 0
 	} else {
 		s.fruitless++
@@ -193,40 +184,19 @@
 	return ok
 }
 
-// prefix is the text to continue from at another replica; empty otherwise. The
-// replica that a continued answer is resumed at has it already.
-func (s *session) prefix() string {
-	if !s.carryOn || s.resume {
-		return ""
-	}
-	return s.prog.text.String()
-}
-
 // take checks one event and passes it on.
 func (s *session) take(ev engine.Event) error {
-	addr := s.target.choice.Addr
-	if ev.Done {
-		if !s.prog.whole(s.req.choices) {
-			return &engine.BrokenError{Addr: addr, Err: errors.New("end marker before the end of the answer")}
-		}
-		return nil
-	}
-	c := &chunk{}
-	if err := json.Unmarshal(ev.Data, c); err != nil {
-		return &engine.BrokenError{Addr: addr, Err: err}
-	}
-	if want := chunkID(s.req.path, s.c.id); c.ID != want {
-		return &engine.MismatchError{Addr: addr, Want: want, Got: c.ID}
+	if err := s.exchange.Check(s.target.choice.Addr, ev); err != nil || ev.Done {
+		return err
 	}
 	s.run = fennelerr.Ran
 	if s.first.Load() != firstCame && !s.first.CompareAndSwap(firstAwaited, firstCame) {
 		return errFirstTokenLate
 	}
 	s.noteToken()
-	if err := s.sink.event(ev.Data, c); err != nil {
+	if err := s.exchange.Pass(ev); err != nil {
 		return &callerGoneError{err}
 	}
-	s.prog.add(ev.ID, c)
 	return nil
 }
 
@@ -243,6 +213,16 @@
 	}
 }
 
+// Gone implements recovery.Call.
+func (s *session) Gone(ctx context.Context, err error) error {
+	gone := s.gone(ctx, err)
+	if gone != nil {
+		s.cancelAtReplica()
+		s.leave(routing.Result{Canceled: true}, false)
+	}
+	return gone
+}
+
 // gone returns an error when the caller left or the first token is too late.
 func (s *session) gone(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -22,7 +22,15 @@
 
 	r := b.chat(chatBody)
 	require.Equal(t, http.StatusOK, r.status, r.body)
-	var doc answer
+	var doc struct {
+		Object  string          `json:"object"`
+		Usage   json.RawMessage `json:"usage"`
+		Choices []struct {
+			Message struct {
+				Content *string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
 	require.NoError(t, json.Unmarshal([]byte(r.body), &doc))
 	require.Equal(t, standinengine.Text([]byte(chatBody)), *doc.Choices[0].Message.Content)
 	require.Equal(t, "chat.completion", doc.Object)
@@ -232,6 +240,7 @@
 		{"no tokens", "POST", engine.ChatPath, strings.Replace(chatBody, `12`, `0`, 1), nil, 400, fennelerr.InvalidRequest, "max_tokens"},
 		{"too large", "POST", engine.ChatPath, strings.Repeat("x", 2<<10), nil, 413, fennelerr.TooLarge, ""},
 		{"wrong method", "GET", engine.ChatPath, "", nil, 400, fennelerr.InvalidRequest, ""},
+		{"options no object", "POST", engine.ChatPath, strings.Replace(chatBody, `{`, `{"stream_options":7,`, 1), nil, 400, fennelerr.InvalidRequest, "stream_options"},
 		{"bad token", "POST", engine.ChatPath, chatBody, []string{"Authorization", "Bearer no"}, 401, fennelerr.Unauthenticated, "Authorization"},
 		{"no token", "POST", engine.ChatPath, chatBody, []string{"Authorization", ""}, 401, fennelerr.Unauthenticated, "Authorization"},
 		{"unknown path", "POST", "/nowhere", "{}", nil, 404, fennelerr.NotFound, "path"},
@@ -242,7 +251,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := b.send(c.method, c.path, c.body, c.header...)
 			require.Equal(t, c.status, r.status, r.body)
-			var doc errorBody
+			var doc struct {
+				Error struct {
+					Message string         `json:"message"`
+					Code    fennelerr.Code `json:"code"`
+					Param   string         `json:"param"`
+				} `json:"error"`
+			}
 			require.NoError(t, json.Unmarshal([]byte(r.body), &doc))
 			require.Equal(t, c.code, doc.Error.Code)
 			require.Equal(t, c.param, doc.Error.Param)
@@ -252,25 +267,3 @@
 	}
 	require.Zero(t, b.runs())
 }
-
-func FuzzParseModelRequest(f *testing.F) {
-	f.Add([]byte(chatBody))
-	f.Add([]byte(`{"model":"a","prompt":["x"],"n":2}`))
-	f.Add([]byte(`[]`))
-	f.Add([]byte(`null`))
-	f.Fuzz(func(t *testing.T, body []byte) {
-		for _, path := range []string{engine.ChatPath, engine.CompletionsPath} {
-			req, err := parseModelRequest(path, body)
-			if err != nil {
-				require.Equal(t, fennelerr.NotRun, typed(err).Run)
-				continue
-			}
-			sent, err := req.engineBody("")
-			require.NoError(t, err)
-			again, err := parseModelRequest(path, sent)
-			require.NoError(t, err)
-			require.True(t, again.stream)
-			require.Equal(t, req.model, again.model)
-		}
-	})
-}
--- a/internal/gateway/assemble.go
+++ b/internal/openai/assemble.go
@@ -1,4 +1,4 @@
-package gateway
+package openai
 
 import (
 	"encoding/json"
--- a/internal/gateway/sink.go
+++ b/internal/openai/sink.go
@@ -1,10 +1,11 @@
-package gateway
+package openai
 
 import (
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 )
@@ -19,17 +20,16 @@
 	restart()
 	// finish ends a whole answer.
 	finish() error
-	// abort ends a committed answer so that it cannot be taken for whole.
-	abort(e *fennelerr.Error)
+	// abort ends a committed answer with an error's document.
+	abort(document []byte)
 	close()
 }
 
 // streamSink passes events on as they come.
 type streamSink struct {
-	w         http.ResponseWriter
-	rc        *http.ResponseController
-	requestID string
-	timeout   time.Duration
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	timeout time.Duration
 
 	mu      sync.Mutex
 	started bool
@@ -38,9 +38,9 @@
 	stopped sync.WaitGroup
 }
 
-func newStreamSink(w http.ResponseWriter, requestID string, writeTimeout, keepAlive time.Duration) *streamSink {
-	s := &streamSink{w: w, rc: http.NewResponseController(w), requestID: requestID, timeout: writeTimeout, stop: make(chan struct{})}
-	s.stopped.Go(func() { s.keepAlive(keepAlive) })
+func newStreamSink(to call.Caller) *streamSink {
+	s := &streamSink{w: to.W, rc: http.NewResponseController(to.W), timeout: to.WriteTimeout, stop: make(chan struct{})}
+	s.stopped.Go(func() { s.keepAlive(to.KeepAlive) })
 	return s
 }
 
@@ -71,7 +71,7 @@
 		h := s.w.Header()
 		h.Set("Content-Type", "text/event-stream")
 		h.Set("Cache-Control", "no-cache")
-		h.Set(HeaderRun, string(fennelerr.Ran))
+		h.Set(call.HeaderRun, string(fennelerr.Ran))
 		s.w.WriteHeader(http.StatusOK)
 	}
 	return s.write(sseEvent(data))
@@ -107,10 +107,10 @@
 	return s.event([]byte(engine.DoneMarker), nil)
 }
 
-func (s *streamSink) abort(e *fennelerr.Error) {
+func (s *streamSink) abort(document []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = s.write(sseEvent(errorDocument(e, s.requestID))) // the caller may be gone
+	_ = s.write(sseEvent(document)) // the caller may be gone
 }
 
 func (s *streamSink) close() {
@@ -124,9 +124,8 @@
 	w    http.ResponseWriter
 	path string
 	asm  *assembly
-	// document is kept after finish, for the claim's record.
-	document []byte
-	sent     bool
+	// sent is the document after finish, else nil.
+	sent []byte
 }
 
 func newWholeSink(w http.ResponseWriter, path string) *wholeSink {
@@ -138,7 +137,7 @@
 	return nil
 }
 
-func (s *wholeSink) committed() bool { return s.sent }
+func (s *wholeSink) committed() bool { return s.sent != nil }
 
 func (s *wholeSink) restart() { s.asm = newAssembly() }
 
@@ -147,15 +146,14 @@
 	if err != nil {
 		return err
 	}
-	s.document = doc
-	s.sent = true
+	s.sent = doc
 	h := s.w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderRun, string(fennelerr.Ran))
+	h.Set(call.HeaderRun, string(fennelerr.Ran))
 	_, err = s.w.Write(doc)
 	return err
 }
 
-func (s *wholeSink) abort(*fennelerr.Error) {}
+func (s *wholeSink) abort([]byte) {}
 
 func (s *wholeSink) close() {}
--- /dev/null
+++ b/internal/recovery/decide.go
@@ -0,0 +1,116 @@
+package recovery
+
+// Proof is what a failed attempt shows of the call's run.
+type Proof int
+
+const (
+	// Interrupted: the attempt broke off, went silent or brought another call's
+	// answer. The call may have run.
+	Interrupted Proof = iota
+	// NotRun: the attempt certainly did not run the call and never will.
+	NotRun
+	// Rejected: the backend server's final word on the call itself.
+	Rejected
+)
+
+// Failure is all that the next step after a failed attempt depends on.
+type Failure struct {
+	Proof Proof
+	// MayHaveRun is true when this attempt or an earlier one may have run the call. A
+	// resume whose dial fails did not run it, but the attempt that it resumes may have.
+	MayHaveRun bool
+	// Repeatable is true for a call that may run more than once.
+	Repeatable bool
+	// Begun is true once the caller has a part of the answer.
+	Begun bool
+	// CanContinue is true when another backend server can go on after that part.
+	CanContinue bool
+	// Alive is true when the backend server still has the call, so that a new
+	// connection can resume it.
+	Alive bool
+	// Attempts counts the attempts that used up the call's allowance.
+	Attempts, MaxAttempts int
+	// OutOfTime is true when another attempt could bring nothing in time.
+	OutOfTime bool
+	// Budget spends one repeat, or reports false. It is asked only when all else
+	// allows another attempt.
+	Budget func() bool
+}
+
+// Step is how a call goes on.
+type Step int
+
+const (
+	// GiveUp ends the call.
+	GiveUp Step = iota
+	// Resume goes to the same backend server again, after the part that came.
+	Resume
+	// Continue goes to another one, after the part that the caller has.
+	Continue
+	// Restart goes to another one, from the start.
+	Restart
+)
+
+// Reason tells why a step was chosen.
+type Reason string
+
+// Reasons of Decide. The first ones are those of giving up.
+const (
+	RejectedByServer Reason = "rejected"
+	AttemptsUsed     Reason = "attempts used"
+	NoTimeLeft       Reason = "no time left"
+	MayHaveRun       Reason = "may have run"
+	NotContinuable   Reason = "the answer cannot be continued elsewhere"
+	BudgetUsed       Reason = "retry budget used"
+
+	ServerAlive  Reason = "the connection failed, the server still has the call"
+	AnswerBegun  Reason = "another server can go on"
+	NothingBegun Reason = "nothing has reached the caller"
+)
+
+// Decision is a step with its reason.
+type Decision struct {
+	Step   Step
+	Reason Reason
+}
+
+// Decide says how a call goes on after a failed attempt. A call that must not run
+// twice goes on elsewhere only when no attempt can have run it. Once the caller has
+// a part of the answer, only a resume or a continuation may follow: parts of two
+// runs that differ would make up an answer that nobody gave.
+func Decide(f Failure) Decision {
+	switch {
+	case f.Proof == Rejected:
+		return Decision{GiveUp, RejectedByServer}
+	case f.Attempts >= f.MaxAttempts:
+		return Decision{GiveUp, AttemptsUsed}
+	case f.OutOfTime:
+		return Decision{GiveUp, NoTimeLeft}
+	case f.Proof == Interrupted && f.Alive:
+		return Decision{Resume, ServerAlive}
+	case !f.Repeatable && (f.MayHaveRun || f.Proof == Interrupted):
+		return Decision{GiveUp, MayHaveRun}
+	case f.Begun && !f.CanContinue:
+		return Decision{GiveUp, NotContinuable}
+	case !f.Budget():
+		return Decision{GiveUp, BudgetUsed}
+	case f.Begun:
+		return Decision{Continue, AnswerBegun}
+	default:
+		return Decision{Restart, NothingBegun}
+	}
+}
+
+// String names the step for logs.
+func (s Step) String() string {
+	switch s {
+	case Resume:
+		return "resume"
+	case Continue:
+		return "continue"
+	case Restart:
+		return "restart"
+	default:
+		return "give-up"
+	}
+}
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,272 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+// session is one call on its way, a recovery.Call. Whatever ends it is told to the
+// caller through the sink at once.
+type session struct {
+	r       *Relay
+	call    *call.Call
+	sink    call.Sink
+	service cluster.Service
+	group   cluster.GroupName
+	end     time.Time
+
+	// sent counts the backend servers that got the call.
+	sent int
+	// mayHaveRun is true once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	// started is true once a part of the answer went to the caller.
+	started bool
+	// left is the time to the call's end, as of the last look.
+	left time.Duration
+	// choice and peer are where the attempt under way goes.
+	choice  routing.Choice
+	peer    conns.Peer
+	exclude []cluster.ReplicaID
+	lastID  string
+	// kept is a server's own failure that is passed on if no attempt does better.
+	kept     *keptAnswer
+	attempts int
+}
+
+// keptAnswer is a whole answer that says the server failed.
+type keptAnswer struct {
+	head call.Head
+	body []byte
+}
+
+// Serve takes the call to its end. ctx ends when the caller has gone.
+func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
+	s := &session{r: r, call: c, sink: sink, end: c.End(), lastID: c.ResumeAfter}
+	s.service = c.Route.Terms.Pick(xxhash.Sum64String(c.ID))
+	s.group = GroupOf(s.service, c.Model)
+	r.opts.Budget.Call(s.service, c.ReceivedAt)
+	if !s.end.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, s.end)
+		defer cancel()
+	}
+	_ = recovery.Run(ctx, s) // the caller was told, and the log, where the error arose
+}
+
+// GroupOf names the replicas that a call may go to: those of a model, or the
+// servers of a plain service.
+func GroupOf(service cluster.Service, model string) cluster.GroupName {
+	if model != "" {
+		return cluster.GroupName(model)
+	}
+	return cluster.GroupName("service:" + string(service))
+}
+
+// Choose implements recovery.Call.
+func (s *session) Choose(context.Context) error {
+	s.attempts++
+	s.left = time.Until(s.end)
+	for {
+		choice, err := s.pick()
+		if err != nil {
+			s.noReplica(err)
+			return err
+		}
+		peer, known := s.r.opts.Peer(choice)
+		if known {
+			s.choice, s.peer = choice, peer
+			return nil
+		}
+		s.r.opts.Router.End(choice, routing.Result{Canceled: true})
+		s.exclude = append(s.exclude, choice.Replica.ID)
+	}
+}
+
+// Attempt implements recovery.Call.
+func (s *session) Attempt(ctx context.Context) error {
+	id := s.choice.Replica.ID
+	a := newAttempt(ctx, s, s.choice, s.peer)
+	s.r.room.begin(id)
+	result, err := a.run()
+	s.r.room.end(id, s.group, result.OK, time.Now())
+	s.r.opts.Router.End(s.choice, result)
+	s.log(s.choice, result, err)
+	return err
+}
+
+// pick takes a replica that has room and does not stand still. Where all seem to
+// stand still it is more likely this node that hears nothing, and any will do.
+func (s *session) pick() (routing.Choice, error) {
+	now := time.Now()
+	full := s.r.room.full(s.call.Model != "", s.extra(), now)
+	avoid := append(full, s.exclude...)
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Exclude: append(s.r.vitals.stalled(now), avoid...)}
+	choice, err := s.r.opts.Router.Choose(req)
+	if err == nil {
+		return choice, nil
+	}
+	req.Exclude = avoid
+	if choice, err = s.r.opts.Router.Choose(req); err == nil || len(full) == 0 {
+		return choice, err
+	}
+	return choice, errFull
+}
+
+// errFull says that all replicas of a group are full.
+var errFull = errors.New("every replica is full")
+
+// extra is how many requests beyond the usual a replica may hold for this call.
+func (s *session) extra() int {
+	switch {
+	case s.attempts > 1:
+		return secondExtra
+	case s.returning():
+		return returnExtra
+	}
+	return 0
+}
+
+// returnShare is the part of its time that a caller must have used up elsewhere
+// before it sent this attempt, to count as one that was turned away before.
+const returnShare = 0.04
+
+// returning reports whether the caller has been turned away before: it has less
+// time left than callers of the route start with.
+func (s *session) returning() bool {
+	limit := s.call.Route.Terms.Timeout
+	if limit <= 0 || s.call.Deadline.IsZero() {
+		return false
+	}
+	return float64(s.call.Deadline.Sub(s.call.ReceivedAt)) < (1-returnShare)*float64(limit)
+}
+
+// Gone implements recovery.Call.
+func (s *session) Gone(ctx context.Context, _ error) error {
+	if !gone(ctx) {
+		return nil
+	}
+	left := fennelerr.Wrap(context.Cause(ctx), fennelerr.Canceled, "the caller has gone")
+	s.sink.Abort(left)
+	return left
+}
+
+// Judge implements recovery.Call.
+func (s *session) Judge(_ context.Context, err error) recovery.Failure {
+	notRun, proved := errors.Into[*NotRunError](err)
+	charged := !proved || notRun.Arrived
+	if charged && !errors.Is(err, errReplicaLost) {
+		s.sent++ // a replica that ended meanwhile does not count
+	}
+	s.mayHaveRun = s.mayHaveRun || !proved
+	s.exclude = append(s.exclude, s.choice.Replica.ID)
+	s.left = time.Until(s.end)
+	f := recovery.Failure{
+		MayHaveRun: s.mayHaveRun, Repeatable: s.call.Route.Terms.Idempotent(),
+		// A stream goes on after the id of its last piece on any replica.
+		Begun: s.started, CanContinue: true,
+		Attempts: s.sent, MaxAttempts: s.call.Route.Terms.MaxAttempts, OutOfTime: s.left < minAttempt,
+		Budget: func() bool { return !charged || s.r.opts.Budget.Repeat(s.service, time.Now()) },
+	}
+	if proved {
+		f.Proof = recovery.NotRun
+	}
+	return f
+}
+
+// minAttempt is the least time in which another attempt can be of use: a round
+// trip and a short answer.
+const minAttempt = 40 * time.Millisecond
+
+// After implements recovery.Call.
+func (s *session) After(_ context.Context, d recovery.Decision, err error) error {
+	s.r.opts.Log.Info("after attempt", "request", s.call.ID, "next", d.Step, "reason", d.Reason, "sent", s.sent, "left", s.left)
+	if d.Step != recovery.GiveUp {
+		return nil
+	}
+	s.finish(d.Reason, err)
+	return err
+}
+
+// finish gives the call its final answer after a failure.
+func (s *session) finish(reason recovery.Reason, cause error) {
+	switch {
+	case s.started:
+		s.sink.Abort(s.failure(cause))
+	case s.kept != nil:
+		_ = s.sink.Whole(s.kept.head, s.kept.body) // the caller may be gone
+	case s.mayHaveRun:
+		s.sink.Refuse(s.failure(cause))
+	default:
+		s.sink.Refuse(fennelerr.Wrap(cause, fennelerr.Overloaded, "%s", reason).WithRun(fennelerr.NotRun).WithRetryAfter(s.r.room.turnAway(s.group, time.Now())))
+	}
+}
+
+// failure is the final answer of a call that may have run.
+func (s *session) failure(cause error) *fennelerr.Error {
+	if s.left <= 0 {
+		return fennelerr.Wrap(cause, fennelerr.Timeout, "no answer within the route's timeout").WithRun(fennelerr.Unknown)
+	}
+	return fennelerr.Wrap(cause, fennelerr.BackendFailed, "the backend server gave no whole answer").WithRun(fennelerr.Unknown)
+}
+
+// noReplica ends a call for which no replica is left.
+func (s *session) noReplica(err error) {
+	s.r.opts.Log.Info("no replica", "request", s.call.ID, "group", s.group, "excluded", len(s.exclude), "err", err.Error())
+	switch {
+	case s.started:
+		s.sink.Abort(s.failure(err))
+	case s.kept != nil:
+		_ = s.sink.Whole(s.kept.head, s.kept.body) // the caller may be gone
+	case s.mayHaveRun:
+		s.sink.Refuse(s.failure(err))
+	case errors.Is(err, errFull):
+		s.sink.Refuse(fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").
+			WithRun(fennelerr.NotRun).WithRetryAfter(s.r.room.turnAway(s.group, time.Now())))
+	default:
+		s.sink.Refuse(fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.group).
+			WithRun(fennelerr.NotRun).WithRetryAfter(retryAfterNoReplica))
+	}
+}
+
+// retryAfterNoReplica is when a caller may find a replica again that was formed
+// anew: joining takes 0.2 to 1.6 s and opening 0.3 s.
+const retryAfterNoReplica = time.Second
+
+// gone reports whether the caller itself has left, and not merely run out of time.
+func gone(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
+var (
+	callSeconds  = metrics.NewHistogram("fennel_relay_attempt_seconds")
+	firstSeconds = metrics.NewHistogram("fennel_relay_first_piece_seconds")
+)
+
+func (s *session) log(choice routing.Choice, result routing.Result, err error) {
+	callSeconds.Update(result.Duration.Seconds())
+	if result.FirstToken > 0 {
+		firstSeconds.Update(result.FirstToken.Seconds())
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = err.Error()
+	}
+	s.r.opts.Log.Info("attempt", "request", s.call.ID, "route", s.call.Route.Terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
+		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
+		"reason", choice.Reason, "considered", choice.Considered, "first", result.FirstToken, "took", result.Duration, "outcome", outcome)
+}
+
+// Kinds with pieces.
+func (s *session) streams() bool { return s.call.Route.Terms.Kind == rules.CallStream }
