relay: a server's own failure in the middle of a stream does not end it

A stream broke off with pieces at the caller; the server that it went on at answered 500 by itself, and that answer was written as a whole one into the stream that the first server had begun, which ended it in order.

Ruled out: the translation (the front writes what the relay says), the first server (its break was noticed). A 4xx in the same place did the same.

Change: once a stream has begun, an answer without pieces is a failed attempt: the stream goes on elsewhere if the route allows another attempt, else it is broken off. TestFailureInTheMiddleOfAStreamDoesNotEndIt was red before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -64,12 +64,23 @@
 	}
 	defer reply.Body.Close()
 	a.report(reply.Load)
-	if a.s.streams() && reply.Head.Status < http.StatusBadRequest {
+	switch {
+	case a.s.streams() && reply.Head.Status < http.StatusBadRequest:
 		return a.stream(reply)
+	case a.s.started:
+		// A stream that was to go on here met a failure of this server. The caller has the
+		// first server's head and pieces: the failure's text after them would end the
+		// answer as if it were complete.
+		return a.result(false, 0, 0), failedItself(reply)
 	}
 	return a.whole(reply)
 }
 
+// failedItself is an attempt whose server answered that it failed.
+func failedItself(reply *Reply) *BrokenError {
+	return &BrokenError{Reason: "the server failed", Err: errors.Errorf("status %d", reply.Head.Status)}
+}
+
 func (a *attempt) maxIdle() time.Duration {
 	if a.s.call.Route.Terms.Idempotent() {
 		return safeIdle
@@ -96,7 +107,7 @@
 	first := time.Since(a.started)
 	if reply.Head.Status >= http.StatusInternalServerError && a.s.call.Route.Terms.Kind == rules.CallSafe {
 		a.s.kept = &keptAnswer{reply.Head, body}
-		return a.result(false, first, 0), &BrokenError{Reason: "the server failed", Err: errors.Errorf("status %d", reply.Head.Status)}
+		return a.result(false, first, 0), failedItself(reply)
 	}
 	if err := a.s.sink.Whole(reply.Head, body); err != nil {
 		a.s.r.opts.Log.Info("caller gone", "request", a.s.call.ID, "err", err.Error())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -90,6 +90,19 @@
 	require.Equal(t, "2", w.backend.sent()[1].ResumeAfter)
 }
 
+// A stream breaks off midway, and the server that it goes on at fails by itself. The
+// first server's head and pieces are with the caller: written after them, the failure
+// would end the answer as if it were complete, and a fitter would read half an advice.
+func TestFailureInTheMiddleOfAStreamDoesNotEndIt(t *testing.T) {
+	for _, status := range []int{400, 500} {
+		w := newWorld(t, 10, ab, replicas{"a": pieces(2, broken), "b": answers(status)})
+		got := w.serve(t.Context(), resumable)
+		require.Equal(t, "1;2;", got.text, status)
+		require.False(t, got.ended, status)
+		require.NotNil(t, got.aborted, status)
+	}
+}
+
 // A stream that may not be resumed breaks off midway. What the caller has can't be
 // taken back: its answer is broken off too, and never ended in order.
 func TestStreamThatCannotGoOnIsBrokenOff(t *testing.T) {
