--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -26,6 +26,7 @@
 	nodes := flags.IntLong("nodes", 3, "daemons")
 	callers := flags.IntLong("callers", 12, "callers at a time")
 	faults := flags.DurationLong("faults", 10*time.Second, "how long things are broken, for each seed")
+	ailing := flags.BoolLongDefault("ailing", true, "let backend servers fail by themselves, break answers off and mix them up, too")
 	verbose := flags.BoolLong("verbose", "print each fault as it begins")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
 		ShortHelp: "break things around real daemons and check what callers and backend servers see",
@@ -41,7 +42,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, Faults: *faults, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, Faults: *faults, Ailing: *ailing, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+	"github.com/fennelcourse/fennelcourse/platform/standin"
 )
 
 // Result of one run.
@@ -68,6 +69,15 @@
 	{"the configuration changes", func(w *World, _ *rand.Rand) func() { _ = w.configure(""); return nothing }},
 }
 
+// ailingOneIn is how many calls there are to one that an ailing server treats badly. Every
+// second attempt after a broken one then meets another failure now and then, and the
+// repeats' budget still lasts.
+const ailingOneIn = 4
+
+// ailment is what the servers suffer from while the faults come and go. It is no fault
+// of the list: recorded seeds draw from that.
+var ailment = standin.Ailment{Shows: []standin.Misbehaviour{standin.FailItself, standin.BreakOff, standin.MixUp, standin.LoseEvent}, OneIn: ailingOneIn}
+
 func storeMode(mode Mode) func(*World, *rand.Rand) func() {
 	return func(w *World, rnd *rand.Rand) func() {
 		p := w.anyNode(rnd).store
@@ -179,6 +189,10 @@
 		}
 		pending = kept
 	}
+	if w.opts.Ailing {
+		w.fleet.SetAilment(ailment)
+		defer w.fleet.SetAilment(standin.Ailment{})
+	}
 	end := time.Now().Add(w.opts.Faults)
 	for time.Now().Before(end) {
 		f := faults[rnd.IntN(len(faults))]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,3 +46,12 @@
 		require.Empty(t, result.Findings, "seed %d", seed)
 	}
 }
+
+// Backend servers misbehave meanwhile: they fail by themselves, break answers off and
+// answer for another call. Callers must see none of it in an answer that looks whole.
+func TestShortSoakBeforeAilingServers(t *testing.T) {
+	path := binary(t)
+	result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: 3, Nodes: 3, Callers: 8, Faults: 5 * time.Second, Ailing: true, Log: t.Logf})
+	require.NoError(t, err)
+	require.Empty(t, result.Findings)
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -27,6 +27,8 @@
 	Callers     int
 	// Faults is how long things are broken.
 	Faults time.Duration
+	// Ailing lets backend servers misbehave, too.
+	Ailing bool
 	Log    func(format string, args ...any)
 }
 
