--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -195,12 +195,15 @@
 	if d.Step != recovery.GiveUp {
 		return nil
 	}
-	s.finish(d.Reason, err)
+	s.finish(err, func() *fennelerr.Error {
+		return fennelerr.Wrap(err, fennelerr.Overloaded, "%s", d.Reason).WithRetryAfter(s.r.room.turnAway(s.group, time.Now()))
+	})
 	return err
 }
 
-// finish gives the call its final answer after a failure.
-func (s *session) finish(reason recovery.Reason, cause error) {
+// finish gives the call the final answer that its progress allows. Only a call that
+// certainly did not run gets the refusal, which says so and when to come back.
+func (s *session) finish(cause error, refusal func() *fennelerr.Error) {
 	switch {
 	case s.started:
 		s.sink.Abort(s.failure(cause))
@@ -209,7 +212,7 @@
 	case s.mayHaveRun:
 		s.sink.Refuse(s.failure(cause))
 	default:
-		s.sink.Refuse(fennelerr.Wrap(cause, fennelerr.Overloaded, "%s", reason).WithRun(fennelerr.NotRun).WithRetryAfter(s.r.room.turnAway(s.group, time.Now())))
+		s.sink.Refuse(refusal().WithRun(fennelerr.NotRun))
 	}
 }
 
@@ -224,20 +227,12 @@
 // noReplica ends a call for which no replica is left.
 func (s *session) noReplica(err error) {
 	s.r.opts.Log.Info("no replica", "request", s.call.ID, "group", s.group, "excluded", len(s.exclude), "err", err.Error())
-	switch {
-	case s.started:
-		s.sink.Abort(s.failure(err))
-	case s.kept != nil:
-		_ = s.sink.Whole(s.kept.head, s.kept.body) // the caller may be gone
-	case s.mayHaveRun:
-		s.sink.Refuse(s.failure(err))
-	case errors.Is(err, errFull):
-		s.sink.Refuse(fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").
-			WithRun(fennelerr.NotRun).WithRetryAfter(s.r.room.turnAway(s.group, time.Now())))
-	default:
-		s.sink.Refuse(fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.group).
-			WithRun(fennelerr.NotRun).WithRetryAfter(retryAfterNoReplica))
-	}
+	s.finish(err, func() *fennelerr.Error {
+		if errors.Is(err, errFull) {
+			return fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").WithRetryAfter(s.r.room.turnAway(s.group, time.Now()))
+		}
+		return fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.group).WithRetryAfter(retryAfterNoReplica)
+	})
 }
 
 // retryAfterNoReplica is when a caller may find a replica again that was formed
