--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -82,7 +82,6 @@
 	}
 	req.GetBody = nil // sent once: the library must not send it again
 	req.Host = "a.example"
-	req.Header.Set("Authorization", "Token k1")
 	stampRequest(req.Header, call.ID, model)
 	resp, err := client.Do(req)
 	if err != nil {
