ctl: a wait that nobody answered says so

The test shows a fault of its own and one of the tool: a wait that heard nobody reported no node out of none.

Change: such a wait ends with 'no node answered within ...' and the reason, with the same exit status; TestWaitSaysWhenNobodyAnswers was red. The other test asks for the same and gives the node 2 s to answer. Its timeout is no part of what it checks.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -7,6 +7,7 @@
 	"encoding/pem"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -182,6 +183,23 @@
 	require.Contains(t, log, "127.0.0.1:1")
 }
 
+// answered is a timeout within which a node of this process has answered, also on a
+// machine that is busy with something else.
+const answered = "2s"
+
+// Nobody answers an operator who waits for a change: "in force on 0 of 0 nodes" would
+// tell that there are no nodes. It says that nothing is known, and why.
+func TestWaitSaysWhenNobodyAnswers(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	require.NoError(t, err)
+	defer listener.Close()
+	for _, server := range []string{"http://" + listener.Addr().String(), "http://127.0.0.1:1"} {
+		out, log := run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", "50ms", "--server", server)
+		require.Contains(t, log, "no node answered within 50ms")
+		require.NotContains(t, out, "0 of 0")
+	}
+}
+
 func TestWaitNamesNodesThatAreBehindOrSilent(t *testing.T) {
 	s := newSystem(t)
 	s.nodes = []operator.NodeRevision{
@@ -189,12 +207,12 @@
 		{Node: "n2", Zone: "serra-b", Revision: 4, Heard: true},
 		{Node: "n3", Zone: "serra-c", Revision: 5},
 	}
-	out, log := run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", "20ms")
+	out, log := run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", answered)
 	require.Contains(t, out, "revision 5 is in force on 1 of 3 nodes")
 	require.Contains(t, out, "behind: n2 (serra-b) at 4")
 	require.Contains(t, out, "can't be heard: n3 (serra-c)")
 	require.Contains(t, log, "waiting for revision 5")
-	out, _ = run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", "20ms", "--json")
+	out, _ = run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", answered, "--json")
 	require.JSONEq(t, `{"revision":5,"in_force":1,"nodes":3,"behind":["n2 (serra-b) at 4"],"unheard":["n3 (serra-c)"]}`, out)
 	s.nodes = s.nodes[:1]
 	out, _ = run(t, ExitOK, "rules", "apply", write(t, line), "--wait")
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -75,10 +75,24 @@
 			printf(a.log, "%s\n", line)
 			shown = line
 		}
-		if !clock.Pause(ctx, pollEvery) {
-			return a.reportWait(revision, last, false)
+		if clock.Pause(ctx, pollEvery) {
+			continue
 		}
+		if last == nil {
+			return a.unanswered(revision, lastErr)
+		}
+		return a.reportWait(revision, last, false)
+	}
+}
+
+// unanswered is the end of a wait in which no node said anything. A report of no node
+// out of none would read as if there were none.
+func (a *app) unanswered(revision int64, err error) error {
+	message := fmt.Sprintf("no node answered within %s, so nothing is known of revision %d", a.timeout, revision)
+	if err != nil {
+		message += ": " + err.Error()
 	}
+	return &exitError{code: ExitNotInForce, message: message}
 }
 
 func progress(revision int64, res *wirepb.RulesInForceResponse, err error) string {
