peer: a deadline that ends at the peer is a timeout

The deadline travels with the call and can end the work at the peer before it ends the call at the caller; the peer told it as an internal error, which the caller takes for a peer that is not ready. Change: it is told as a deadline. TestDeadlineThatEndsAtThePeerIsATimeout was red. With -race, 20 runs of the package: ok.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -31,6 +31,9 @@
 }
 
 func (f fakeSource) FetchVMs(_ context.Context, haveSum uint64) (*wirepb.FetchVMsResponse, error) {
+	if f.hang {
+		return nil, context.DeadlineExceeded // as when the caller's time ends here first
+	}
 	return &wirepb.FetchVMsResponse{AsOfUnixNs: 1, Sum: haveSum}, nil
 }
 
@@ -70,6 +73,16 @@
 	require.True(t, fennelerr.Is(err, fennelerr.Timeout), err)
 }
 
+// A call's time ends at the peer a moment before it ends at the caller. The caller must
+// take that for a timeout all the same, and not for a peer that is not ready.
+func TestDeadlineThatEndsAtThePeerIsATimeout(t *testing.T) {
+	client, err := peer.NewClient(peer.ClientOptions{Plain: true})
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	_, err = client.FetchVMs(t.Context(), serve(t, fakeSource{hang: true}), 0)
+	require.True(t, fennelerr.Is(err, fennelerr.Timeout), err)
+}
+
 func TestClientNeedsTLSUnlessPlainIsAllowed(t *testing.T) {
 	_, err := peer.NewClient(peer.ClientOptions{})
 	require.True(t, fennelerr.Is(err, fennelerr.InvalidRequest))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
@@ -86,7 +87,13 @@
 	fennelerr.Canceled:       connect.CodeCanceled,
 }
 
+// toConnect gives an error the code that the caller acts on. The caller's own deadline
+// ends the work here, too, sometimes before it ends the call there: told as an internal
+// error, it would look as if the peer were not ready.
 func toConnect(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
 	code, known := connectCodes[fennelerr.CodeOf(err)]
 	if !known {
 		code = connect.CodeInternal
