Two systems with one key, two nodes with one name: kept apart, told, and mended by itself

Systems that internal/e2e starts side by side had one datagram key and the same node names, and ports are given out anew; nodes of two systems met, and each pair of namesakes took itself for one node, of which one fell silent for good. TestTwoSystemsThatLearnOfEachOther shows it without names (at least one node silent) and not with them. Ruled out: slow spread of the revision (all eight had it within a second), a lost watch. Change: peers.system, hashed into each datagram; others' are dropped as other-system. A node that fell silent asks its peers every 5 s whether they hear its namesake and speaks again when they don't (TestSilentNodeSpeaksAgainWhenItsNamesakeIsGone, TestCopiedSettingsFile); a metric tells it; rules wait names who lags and who can't be heard with each line of progress. Each e2e system has a name and key of its own.

--- a/internal/capacity/nodes_test.go
+++ b/internal/capacity/nodes_test.go
@@ -121,7 +121,7 @@
 zone: zone-%[2]d
 listen: {callers: "127.0.0.1:0", control: "127.0.0.1:0", datagrams: "127.0.0.1:0"}
 platform: {store: ["http://%[3]s"], vm_list: "http://%[3]s"}
-peers: {seeds: [%[4]s], keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]}
+peers: {system: capacity, seeds: [%[4]s], keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]}
 tls: {off: true}
 control: {loads_per_minute: 60000}
 `
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -211,7 +211,7 @@
 	require.Contains(t, out, "revision 5 is in force on 1 of 3 nodes")
 	require.Contains(t, out, "behind: n2 (serra-b) at 4")
 	require.Contains(t, out, "can't be heard: n3 (serra-c)")
-	require.Contains(t, log, "waiting for revision 5")
+	require.Contains(t, log, "waiting for revision 5: in force on 1 of 3 nodes; behind: n2 (serra-b) at 4; can't be heard: n3 (serra-c)")
 	out, _ = run(t, ExitNotInForce, "rules", "wait", "5", "--timeout", answered, "--json")
 	require.JSONEq(t, `{"revision":5,"in_force":1,"nodes":3,"behind":["n2 (serra-b) at 4"],"unheard":["n3 (serra-c)"]}`, out)
 	s.nodes = s.nodes[:1]
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -99,19 +99,33 @@
 	if res == nil {
 		return fmt.Sprintf("waiting for revision %d: %v", revision, err)
 	}
-	return fmt.Sprintf("waiting for revision %d: in force on %d of %d nodes", revision, res.GetInForce(), res.GetNodes())
+	line := fmt.Sprintf("waiting for revision %d: in force on %d of %d nodes", revision, res.GetInForce(), res.GetNodes())
+	behind, unheard := lagging(revision, res)
+	if len(behind) > 0 {
+		line += "; behind: " + strings.Join(behind, ", ")
+	}
+	if len(unheard) > 0 {
+		line += "; can't be heard: " + strings.Join(unheard, ", ")
+	}
+	return line
 }
 
-func (a *app) reportWait(revision int64, res *wirepb.RulesInForceResponse, done bool) error {
-	report := inForceJSON{Revision: revision, InForce: res.GetInForce(), Nodes: res.GetNodes()}
+// lagging names the nodes that hold an older revision and those that can't be heard.
+func lagging(revision int64, res *wirepb.RulesInForceResponse) (behind, unheard []string) {
 	for _, n := range res.GetDetail() {
 		name := fmt.Sprintf("%s (%s)", n.GetNode(), n.GetZone())
 		if !n.GetHeard() {
-			report.Unheard = append(report.Unheard, name)
+			unheard = append(unheard, name)
 		} else if n.GetRevision() < revision {
-			report.Behind = append(report.Behind, fmt.Sprintf("%s at %d", name, n.GetRevision()))
+			behind = append(behind, fmt.Sprintf("%s at %d", name, n.GetRevision()))
 		}
 	}
+	return behind, unheard
+}
+
+func (a *app) reportWait(revision int64, res *wirepb.RulesInForceResponse, done bool) error {
+	report := inForceJSON{Revision: revision, InForce: res.GetInForce(), Nodes: res.GetNodes()}
+	report.Behind, report.Unheard = lagging(revision, res)
 	if a.json {
 		if err := a.printJSON(report); err != nil {
 			return err
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -13,6 +13,7 @@
 func (n *Node) writeGauges(w io.Writer) {
 	set := metrics.NewSet()
 	n.ledger.gauges(set)
+	set.GetOrCreateGauge(`fennel_membership_superseded`, nil).Set(asGauge(n.members.Superseded()))
 	for _, t := range n.admission.Statuses() {
 		set.GetOrCreateGauge(fmt.Sprintf(`fennel_admission_running_requests{team=%q}`, t.Team), nil).Set(float64(t.Running))
 		set.GetOrCreateGauge(fmt.Sprintf(`fennel_admission_waiting_requests{team=%q}`, t.Team), nil).Set(float64(t.Waiting))
@@ -20,6 +21,13 @@
 	set.WritePrometheus(w)
 }
 
+func asGauge(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // gauges adds the brief's two measures, as last told to the ledger.
 func (l *ledgerDuty) gauges(set *metrics.Set) {
 	l.mu.Lock()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -53,6 +53,23 @@
 	return members[f.n.peerTurn.Add(1)%uint64(len(members))].PeerAddr
 }
 
+// findNamesake asks nodes whether they hear a process under this node's name.
+func (n *Node) findNamesake(ctx context.Context, addrs []string) membership.Sighting {
+	sighting := membership.Unanswered
+	for _, addr := range addrs {
+		heard, err := n.peers.Hears(ctx, addr, n.set.Node)
+		switch {
+		case err != nil:
+			n.log.Warn("not told who has this node's name", "peer", addr, "err", err.Error())
+		case heard:
+			return membership.Heard
+		default:
+			sighting = membership.NotHeard
+		}
+	}
+	return sighting
+}
+
 // peerSource answers other nodes' questions.
 type peerSource struct{ n *Node }
 
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -161,16 +163,26 @@
 	// them the control addresses are plain.
 	tls    string
 	ctlTLS []string
+	// name and secret are the system's own: the nodes of systems that run side by
+	// side have the same names, and ports are given out anew.
+	name, secret string
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), tls: "{off: true}", engines: map[cluster.VMID]*proc{}}
+	s := &system{t: t, dir: t.TempDir(), tls: "{off: true}", engines: map[cluster.VMID]*proc{},
+		name: "system-" + rand.Text(), secret: newSecret()}
 	s.platProc = start(t, "platform", "fennel-standin", "platform", "--listen", "127.0.0.1:0")
 	s.platform = "http://" + s.platProc.await(listening)
 	return s
 }
 
+func newSecret() string {
+	var secret [16]byte
+	_, _ = rand.Read(secret[:]) // never fails
+	return hex.EncodeToString(secret[:])
+}
+
 // listening matches the address in the log of a stand-in.
 const listening = `addr=(\S+)`
 
@@ -229,7 +241,8 @@
 peers:
   heartbeat: 200ms
   seeds: [%s]
-  keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
+  system: %s
+  keys: [{id: 1, secret: "%s"}]
 control: {placement_lease: 3s, loads_per_minute: 6000%s}
 tls: %s
 %s
@@ -253,7 +266,7 @@
 		extra += shortNotice
 	}
 	path := filepath.Join(s.dir, string(name)+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.neighbors, s.tls, extra)
+	text := fmt.Sprintf(settingsText, name, zone, platform, platform, strings.Join(seeds, ", "), s.name, s.secret, s.neighbors, s.tls, extra)
 	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &node{proc: start(s.t, string(name), "fenneld", "--settings", path)}
 	n.callers = n.await(`msg=serving.* callers=(\S+)`)
--- a/internal/e2e/logs_test.go
+++ b/internal/e2e/logs_test.go
@@ -61,7 +61,7 @@
 		<-n.done
 		require.Zero(t, n.cmd.ProcessState.ExitCode())
 		for line := range strings.Lines(n.tail(1 << 20)) {
-			checkLine(t, strings.TrimSpace(line))
+			checkLine(t, strings.TrimSpace(line), mark, token, s.secret)
 		}
 	}
 }
@@ -72,9 +72,9 @@
 )
 
 // checkLine wants one line of key=value pairs, each key once, without secrets.
-func checkLine(t *testing.T, line string) {
+func checkLine(t *testing.T, line string, secrets ...string) {
 	t.Helper()
-	for _, secret := range []string{mark, token, "00112233445566778899aabbccddeeff"} {
+	for _, secret := range secrets {
 		require.NotContains(t, line, secret)
 	}
 	require.Regexp(t, logLine, line)
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -90,10 +90,9 @@
 	s := newSystem(t)
 	s.startNode("serra-a-1", "serra-a", "", "")
 	s.startNode("serra-a-2", "serra-a", "", "")
-	const (
-		oldKey = `{id: 1, secret: "00112233445566778899aabbccddeeff"}`
-		newKey = `{id: 2, secret: "ffeeddccbbaa99887766554433221100"}`
-	)
+	next := newSecret()
+	oldKey := fmt.Sprintf(`{id: 1, secret: "%s"}`, s.secret)
+	newKey := fmt.Sprintf(`{id: 2, secret: "%s"}`, next)
 	s.awaitAllHeard()
 	last := oldKey
 	for _, step := range []struct{ keys, logged string }{
@@ -116,7 +115,7 @@
 	for _, n := range s.nodes {
 		require.NotContains(t, s.metrics(n), "fennel_wire_dropped_datagrams_total")
 		require.NotContains(t, n.tail(1000), "status=dead")
-		require.NotContains(t, n.tail(1000), "ffeeddcc")
+		require.NotContains(t, n.tail(1000), next)
 	}
 }
 
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -27,6 +27,8 @@
 	keys  *wire.Keyring
 	seeds []string
 	all   []*node
+	// system names the system; empty for none.
+	system string
 }
 
 type node struct {
@@ -38,14 +40,22 @@
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 	revision  int64
+	dead      bool
 }
 
 // start brings up perZone nodes in each zone. Each zone's first node is a seed.
 func start(t *testing.T, seed uint64, zones, perZone int) *nodes {
+	t.Helper()
+	return startSystem(t, wiretest.New(seed), "", zones, perZone, addrOf)
+}
+
+// startSystem brings up a named system's nodes on a network that other systems may
+// share, at the addresses given.
+func startSystem(t *testing.T, net *wiretest.Net, system string, zones, perZone int, addrOf func(zone, i int) string) *nodes {
 	t.Helper()
 	keys, err := wire.NewKeyring(wire.Key{ID: 1, Secret: []byte("0123456789abcdef")})
 	require.NoError(t, err)
-	ns := &nodes{t: t, net: wiretest.New(seed), keys: keys}
+	ns := &nodes{t: t, net: net, keys: keys, system: system}
 	for z := range zones {
 		ns.seeds = append(ns.seeds, addrOf(z, 0))
 	}
@@ -66,14 +76,16 @@
 
 func (ns *nodes) run(zone, i int, addr string) *node { return ns.runAs(zone, i, addr, 0) }
 
-func (ns *nodes) runAs(zone, i int, addr string, incarnation uint64) *node {
+// runAs starts a node with an incarnation, 0 for the time of the start, and with seeds
+// beside the system's own.
+func (ns *nodes) runAs(zone, i int, addr string, incarnation uint64, seeds ...string) *node {
 	n := &node{name: fmt.Sprintf("node-%c%d", 'a'+zone, i), zone: cluster.ZoneID(fmt.Sprintf("zone-%c", 'a'+zone)), addr: addr}
 	var err error
-	n.transport, err = wire.NewTransport(ns.net.Attach(addr), wire.Options{Keys: ns.keys, Log: slog.New(slog.DiscardHandler)})
+	n.transport, err = wire.NewTransport(ns.net.Attach(addr), wire.Options{Keys: ns.keys, System: ns.system, Log: slog.New(slog.DiscardHandler)})
 	require.NoError(ns.t, err)
 	n.Service = membership.New(membership.Options{
-		Node: cluster.NodeID(n.name), Zone: n.zone, Incarnation: incarnation, Seeds: ns.seeds, PeerAddr: addr,
-		Transport: n.transport, Rand: rand.New(rand.NewPCG(uint64(zone), uint64(i))), Log: slog.New(slog.DiscardHandler),
+		Node: cluster.NodeID(n.name), Zone: n.zone, Incarnation: incarnation, Seeds: append(seeds, ns.seeds...), PeerAddr: addr,
+		Transport: n.transport, Rand: rand.New(rand.NewPCG(uint64(zone), uint64(i))), Log: slog.New(slog.DiscardHandler), FindNamesake: ns.finder(n.name),
 	})
 	n.SetRulesRevision(func() int64 { return n.revision })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -82,8 +94,39 @@
 	return n
 }
 
+// finder asks the nodes at the addresses whether they hear a process of the name.
+func (ns *nodes) finder(name string) membership.FindNamesake {
+	return func(_ context.Context, addrs []string) membership.Sighting {
+		sighting := membership.Unanswered
+		for _, n := range ns.all {
+			if !slices.Contains(addrs, n.addr) || n.dead {
+				continue
+			}
+			if n.hears(name) {
+				return membership.Heard
+			}
+			sighting = membership.NotHeard
+		}
+		return sighting
+	}
+}
+
+// hears reports whether a node of the name lives as far as this one knows.
+func (n *node) hears(name string) bool {
+	if n.name == name {
+		return !n.Superseded()
+	}
+	for _, m := range n.Members() {
+		if m.Node == cluster.NodeID(name) {
+			return m.HeardAgo >= 0 && m.Status != membership.Dead
+		}
+	}
+	return false
+}
+
 // kill ends a node as SIGKILL does: no farewell.
 func (n *node) kill() {
+	n.dead = true
 	n.stop()
 	_ = n.transport.Close()
 	n.done.Wait()
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -25,7 +25,7 @@
 func (s *State) Tick(now time.Time, revision int64) Send {
 	s.tick++
 	s.age(now)
-	if s.superseded {
+	if s.namesake.superseded {
 		return Send{}
 	}
 	allowed := s.budget * (1 - nudgeShare) * s.timing.Interval.Seconds()
@@ -65,7 +65,7 @@
 	s.nudgeCredit = min(s.nudgeCredit+now.Sub(s.nudgedAt).Seconds()*rate, rate*nudgeBurst)
 	s.nudgedAt = now
 	affordable := int(s.nudgeCredit / (nudgeBody + packetOverhead))
-	if affordable == 0 || s.superseded {
+	if affordable == 0 || s.namesake.superseded {
 		return Send{}
 	}
 	targets := s.zonePeers(fanout)
@@ -81,7 +81,7 @@
 // Farewell is the datagram that tells all live peers of the zone, at once, that
 // this node is leaving. It is sent once in a node's life, outside of the budget.
 func (s *State) Farewell(revision int64) Send {
-	if s.superseded {
+	if s.namesake.superseded {
 		return Send{}
 	}
 	return Send{Addrs: s.pick(s.zonePeers(len(s.order)), maxMembers), Datagram: s.base(revision), Limit: wire.MaxBody}
@@ -99,6 +99,7 @@
 		// Stamped by the transport; set here so that the size is counted.
 		Sequence:   s.tick<<sequenceBits | 1,
 		SentUnixMs: maxUnixMs,
+		System:     maxSystem,
 	}
 }
 
@@ -106,6 +107,7 @@
 const (
 	sequenceBits = 4
 	maxUnixMs    = 1<<42 - 1
+	maxSystem    = 1<<32 - 1
 )
 
 // target is an address to send to, with the member behind it if it is known.
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -50,7 +50,7 @@
 // dutyNodes are the nodes of the own zone that may hold duties.
 func (s *State) dutyNodes() []cluster.NodeID {
 	var nodes []cluster.NodeID
-	if !s.self.Leaving && !s.superseded {
+	if !s.self.Leaving && !s.namesake.superseded {
 		nodes = append(nodes, s.self.Node)
 	}
 	for _, m := range s.order {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -54,7 +54,10 @@
 	Timing   Timing
 	// SendBudget is bytes per second; zero means DefaultSendBudget.
 	SendBudget int
-	Log        *slog.Logger
+	// FindNamesake looks for the process that has this node's name; without it a node
+	// that fell silent stays so until it is restarted.
+	FindNamesake FindNamesake
+	Log          *slog.Logger
 }
 
 // Service is the running membership of one node. All methods are safe for
@@ -66,6 +69,9 @@
 	interval  time.Duration
 	nudged    chan struct{}
 
+	findNamesake FindNamesake
+	looks        sync.WaitGroup
+
 	// mu guards state and is never held while sending or calling out.
 	mu    sync.Mutex
 	state *State
@@ -108,8 +114,11 @@
 		log:       opts.Log,
 		interval:  opts.Timing.withDefaults().Interval,
 		nudged:    make(chan struct{}, 1),
-		state:     NewState(self, opts.Seeds, opts.Timing, opts.SendBudget, opts.Rand, now),
-		revision:  func() int64 { return 0 },
+
+		findNamesake: opts.FindNamesake,
+
+		state:    NewState(self, opts.Seeds, opts.Timing, opts.SendBudget, opts.Rand, now),
+		revision: func() int64 { return 0 },
 	}
 	s.transport.Handle(s.receive)
 	s.transport.HandleStale(s.receiveStale)
@@ -123,6 +132,7 @@
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
+	defer s.looks.Wait()
 	var lastNudge time.Time
 	s.heartbeat()
 	for {
@@ -131,6 +141,7 @@
 			return
 		case <-ticker.C:
 			s.heartbeat()
+			s.lookForNamesake(ctx)
 		case <-s.nudged:
 			if !wait(ctx, nudgeGap-s.now().Sub(lastNudge)) {
 				return
@@ -272,7 +283,8 @@
 }
 
 // Superseded reports whether a newer process runs under this node's name; this
-// one has then fallen silent and should stop serving.
+// one has then fallen silent and gets no new callers. It speaks again when the
+// other is gone.
 func (s *Service) Superseded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -49,8 +49,7 @@
 	seedCursor  int
 	nudgeCredit float64
 	nudgedAt    time.Time
-	// superseded is set once another process is seen under this node's name.
-	superseded bool
+	namesake    namesake
 	// staleAddr is where a process spoke from whose incarnation is over.
 	staleAddr string
 	changes   []Change
@@ -80,7 +79,7 @@
 // Receive takes in one authentic datagram.
 func (s *State) Receive(d *wirepb.Datagram, now time.Time) {
 	if cluster.NodeID(d.Node) == s.self.Node {
-		s.meetOwnName(d.Incarnation, d.DatagramAddr)
+		s.meetOwnName(&wirepb.Member{Incarnation: d.Incarnation, DatagramAddr: d.DatagramAddr, PeerAddr: d.PeerAddr}, now)
 		return
 	}
 	m := s.meet(&wirepb.Member{
@@ -101,7 +100,7 @@
 
 func (s *State) receiveEntry(e *wirepb.Member, now time.Time) {
 	if cluster.NodeID(e.Node) == s.self.Node {
-		s.meetOwnName(e.Incarnation, e.DatagramAddr)
+		s.meetOwnName(e, now)
 		return
 	}
 	_, known := s.members[cluster.NodeID(e.Node)]
@@ -198,15 +197,19 @@
 // set back; peers drop what this one says, so it takes a higher incarnation.
 // From another address it is the process that replaced this one, which was
 // frozen meanwhile; this one falls silent, lest the two overrule each other for ever.
-func (s *State) meetOwnName(incarnation uint64, addr string) {
-	if incarnation <= s.self.Incarnation {
+func (s *State) meetOwnName(e *wirepb.Member, now time.Time) {
+	if e.Incarnation <= s.self.Incarnation {
 		return
 	}
-	if addr != s.self.DatagramAddr {
-		s.superseded = true
+	if e.DatagramAddr != s.self.DatagramAddr {
+		if !s.namesake.superseded {
+			s.namesake = namesake{superseded: true, seen: now, looked: now}
+		}
+		s.namesake.incarnation = max(s.namesake.incarnation, e.Incarnation)
+		s.namesake.peerAddr = e.PeerAddr
 		return
 	}
-	s.self.Incarnation = incarnation + 1
+	s.self.Incarnation = e.Incarnation + 1
 }
 
 // age moves silent members towards Dead and forgets those silent for long.
@@ -283,8 +286,8 @@
 // Leave marks this node as leaving: peers give it no further duties.
 func (s *State) Leave() { s.self.Leaving = true }
 
-// Superseded reports whether another process has taken this node's name.
-func (s *State) Superseded() bool { return s.superseded }
+// Superseded reports whether another process has this node's name.
+func (s *State) Superseded() bool { return s.namesake.superseded }
 
 // Self returns what this node says of itself now.
 func (s *State) Self() Self { return s.self }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -98,6 +99,19 @@
 	return resp.Msg, nil
 }
 
+// Hears asks the peer at addr, an ip:port, whether it hears the node.
+func (c *Client) Hears(ctx context.Context, addr string, node cluster.NodeID) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	operators := wirepbconnect.NewOperatorServiceClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxResponse))
+	resp, err := operators.RulesInForce(ctx, connect.NewRequest(&wirepb.RulesInForceRequest{}))
+	if err != nil {
+		return false, fromConnect(err, "peer.hears", addr)
+	}
+	hears := func(n *wirepb.NodeRules) bool { return n.GetNode() == string(node) && n.GetHeard() }
+	return slices.ContainsFunc(resp.Msg.GetDetail(), hears), nil
+}
+
 func (c *Client) service(addr string) wirepbconnect.PeerServiceClient {
 	return wirepbconnect.NewPeerServiceClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxResponse))
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -54,6 +54,9 @@
 			c.bad(field, string(zone), "a zone other than the node's own")
 		}
 	}
+	if s.Peers.System != "" {
+		c.name("peers.system", s.Peers.System)
+	}
 	c.keys(s.Peers.Keys)
 	c.tls(s.TLS)
 	c.ranges(s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,10 @@
 
 // Peers says how nodes find and trust each other.
 type Peers struct {
+	// System names the whole system, the same on all its nodes: what nodes of another
+	// system say is dropped, also where both have the same keys. Without it a node hears
+	// all that have its keys.
+	System string `yaml:"system"`
 	// Seeds are datagram addresses of a few other nodes, of any zone.
 	Seeds []string `yaml:"seeds"`
 	// Heartbeat is the interval between datagrams to a peer; default 1s.
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -21,11 +21,13 @@
 	OldIncarnation Reason = "old-incarnation"
 	// TooManySenders means that the replay table is full of senders heard lately.
 	TooManySenders Reason = "too-many-senders"
+	// OtherSystem means that a node of a system with another name has the same key.
+	OtherSystem Reason = "other-system"
 )
 
 var allReasons = []Reason{
 	Oversized, Truncated, UnknownVersion, UnknownKey, Forged, Malformed,
-	TooOld, FromFuture, Replayed, OldIncarnation, TooManySenders,
+	TooOld, FromFuture, Replayed, OldIncarnation, TooManySenders, OtherSystem,
 }
 
 // DropError says that a received packet was not accepted.
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
@@ -29,6 +30,8 @@
 	// Addr is the ip:port to listen on; port 0 lets the kernel choose.
 	Addr string
 	Keys *Keyring
+	// System names the system that the node is part of; empty hears nodes of any.
+	System string
 	// Handler may also be set later by Transport.Handle.
 	Handler Handler
 	Log     *slog.Logger
@@ -52,6 +55,7 @@
 type Transport struct {
 	conn     PacketConn
 	keys     *Keyring
+	system   uint32
 	now      func() time.Time
 	log      *slog.Logger
 	drop     func(addr string, packet []byte) bool
@@ -103,6 +107,7 @@
 	t := &Transport{
 		conn:    conn,
 		keys:    opts.Keys,
+		system:  systemHash(opts.System),
 		now:     opts.Now,
 		log:     opts.Log,
 		drop:    opts.Drop,
@@ -148,6 +153,7 @@
 func (t *Transport) SendAll(addrs []string, d *wirepb.Datagram) error {
 	d.Sequence = t.sequence.Add(1)
 	d.SentUnixMs = t.now().UnixMilli()
+	d.System = t.system
 	packet, err := t.keys.Seal(d)
 	if err != nil {
 		return err
@@ -194,7 +200,24 @@
 	}
 }
 
+// systemHash is a system's name on the wire; 0 for no name.
+func systemHash(name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	return max(uint32(xxhash.Sum64String(name)), 1)
+}
+
+// accept refuses what another system's node says, and repetitions.
+//
+// Two systems with one key and the same names for their nodes are easily made, by
+// copied settings. Once a node of one learns an address of the other, each pair of
+// namesakes takes itself for one node, and one of the two falls silent. A system
+// without a name hears all, so that names can be given while the system runs.
 func (t *Transport) accept(d *wirepb.Datagram) error {
+	if d.System != 0 && t.system != 0 && d.System != t.system {
+		return &DropError{Reason: OtherSystem, Node: d.Node}
+	}
 	t.windowMu.Lock()
 	defer t.windowMu.Unlock()
 	return t.window.Accept(d, t.now())
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -36,6 +36,7 @@
 listen: {callers: "127.0.0.1:0", control: "127.0.0.1:0", datagrams: "127.0.0.1:0"}
 platform: {store: ["$PLATFORM"], vm_list: "$PLATFORM", vm_list_every: 1s}
 peers:
+  system: quickstart
   seeds: [$SEEDS]
   keys: [{id: 1, secret: "00112233445566778899aabbccddeeff"}]
 tls: {off: true}
