entry: a Core without sockets, and a Node that puts listeners around it

Core is what a node knows, decides and does; a player of load can run it without a network. No change of behaviour: tests of entry and platform pass.

--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/feed"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/formation"
+	"github.com/fennelcourse/fennelcourse/internal/placement"
+	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+)
+
+// Platform is what a node needs of the platform it runs on.
+type Platform struct {
+	Store store.Store
+	// PaceWatch has the store's watch answer at least as often as wait says, also
+	// while nothing changes; may be nil.
+	PaceWatch func(wait func() time.Duration)
+	Orders    formation.Orders
+	Backend   func(pool *conns.Pool) relay.Backend
+	// Front returns the callers' handler.
+	Front func(f Front) http.Handler
+	// ServersPrefix and Servers say where backend servers are listed and how a
+	// listing is read.
+	ServersPrefix string
+	Servers       func(entries map[string]store.KV, revision int64) fleet.List
+	// ConfigKey and Config are the same for the operator's configuration.
+	ConfigKey string
+	Config    func(store.KV) (*rules.Set, error)
+	// ReadyPath is where the balancer asks.
+	ReadyPath string
+}
+
+// Front is what the callers' handler is made of.
+type Front struct {
+	Rules   func() (set *rules.Set, fresh bool)
+	Serve   func(ctx context.Context, c *call.Call, sink call.Sink)
+	Leaving func() bool
+	Log     *slog.Logger
+}
+
+// Core is a node without its sockets: all that it knows, decides and does for callers
+// who reach it by Serve. A Node puts listeners around it.
+type Core struct {
+	set      *settings.Settings
+	platform Platform
+	log      *slog.Logger
+
+	mirror *fleet.Mirror
+	feed   *feed.Follower
+	rules  atomic.Pointer[rules.Set]
+	list   atomic.Pointer[fleet.List]
+	held   atomic.Bool
+	asked  atomic.Bool
+	// onRules is told of each set of rules that comes into force.
+	onRules func(*rules.Set)
+
+	// deriving serialises what follows from changes of the list and the rules.
+	deriving sync.Mutex
+	serving  map[cluster.ReplicaID]bool
+
+	table   *routing.Table
+	pool    *conns.Pool
+	relay   *relay.Relay
+	control *formation.Controller
+	outages *outages
+}
+
+// balance compares all replicas of a model that a deployment of a few dozen VMs
+// has. Zones are a millisecond apart, so a replica of another zone is taken when it
+// is emptier by a tenth of its slots.
+var balance = routing.Weighted{SampleLocal: 8, SampleOther: 8, ZonePenalty: 0.1}
+
+// NewCore puts a node's parts together. Nothing runs before Run; onRules may be nil.
+func NewCore(set *settings.Settings, p Platform, onRules func(*rules.Set), log *slog.Logger) *Core {
+	n := &Core{onRules: onRules, set: set, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
+	n.outages = newOutages(set.Node, cluster.ZoneID(set.Region), time.Now())
+	n.table = routing.NewTable(routing.Options{Zone: set.Zone, Seed: uint64(time.Now().UnixNano()), Policy: balance})
+	n.relay = relay.New(relay.Options{
+		Router: n.table, Backend: p.Backend(n.pool), Peer: n.peer, Log: log,
+		OnStall: func(id cluster.ReplicaID) { n.control.Suspect(id) },
+		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: set.Retries.Ratio, Slack: set.Retries.Slack, Window: set.Retries.Window, Nodes: set.Retries.Nodes}),
+	})
+	scope := cluster.ZoneID(set.Region)
+	leaseKey := store.PlacementLeaseKey(scope)
+	n.mirror = fleet.NewMirror(p.Store, n.follower(p.ConfigKey, p.ServersPrefix, leaseKey), log,
+		fleet.View{Prefix: p.ConfigKey, OnChange: n.configChanged},
+		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged},
+		fleet.View{Prefix: leaseKey, OnChange: func(entries map[string]store.KV, _ int64) { n.held.Store(len(entries) > 0) }},
+	)
+	if n.feed == nil {
+		n.outages.keep(p.Store, set.Node, log)
+	}
+	if p.PaceWatch != nil {
+		p.PaceWatch(n.watchWait)
+	}
+	n.control = formation.NewController(formation.Options{
+		Scope: scope, Node: set.Node, Store: p.Store, List: n.currentList, Rules: n.rules.Load,
+		Refresh:   n.mirror.Refresh,
+		LeaseHeld: func() bool { return n.held.Load() || !n.mirror.Loaded() },
+		FreeLoads: func() bool { return set.Process.FirstStart && !n.asked.Load() },
+		Orders:    p.Orders, Policy: placement.Mix{}, Log: log,
+	})
+	return n
+}
+
+// Run does the node's duties until ctx ends.
+func (n *Core) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for _, run := range []func(context.Context){n.mirror.Run, n.control.Run, n.relay.Run, n.sweep, n.watchIdle, n.outages.run} {
+		duties.Go(func() { run(ctx) })
+	}
+	duties.Wait()
+}
+
+// Close closes what Run and Serve have left open.
+func (n *Core) Close() {
+	if n.feed != nil {
+		n.feed.Close()
+	}
+	n.pool.Close()
+}
+
+// quietWait is how long the store holds the watch of a node that feeds nobody.
+const quietWait = 2 * time.Second
+
+func (n *Core) watchWait() time.Duration {
+	if n.mirror.Wanted() {
+		return feed.WatchWait
+	}
+	return quietWait
+}
+
+// follower is the feed that this node follows in place of the store; nil for a node
+// that feeds others, or knows nobody who does.
+func (n *Core) follower(prefixes ...string) fleet.Feed {
+	if len(n.set.Feeds.Seeds) == 0 || slices.Contains(n.set.Feeds.Seeds, n.set.Feeds.Listen) {
+		return nil
+	}
+	n.feed = feed.NewFollower(n.set.Feeds.Seeds, prefixes, n.log)
+	return n.feed
+}
+
+// Serve takes a call to its end; it is the relay, and also notices the first request of all.
+func (n *Core) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
+	n.asked.Store(true)
+	n.relay.Serve(ctx, c, sink)
+}
+
+// freshFor is how long the configuration counts as the newest after the store
+// last answered: a watch answers every 2 s when nothing changes.
+const freshFor = 3500 * time.Millisecond
+
+func (n *Core) currentRules() (*rules.Set, bool) {
+	return n.rules.Load(), time.Since(n.mirror.HeardAt()) < freshFor
+}
+
+func (n *Core) currentList() (fleet.List, bool) {
+	list := n.list.Load()
+	if list == nil {
+		return fleet.List{}, false
+	}
+	current := *list
+	current.Revision = max(current.Revision, n.mirror.Revision())
+	return current, true
+}
+
+// peer finds the process that serves the chosen replica.
+func (n *Core) peer(choice routing.Choice) (conns.Peer, bool) {
+	list, _ := n.currentList()
+	s := list.Find(choice.Replica.Serving)
+	if s == nil {
+		return conns.Peer{}, false
+	}
+	return conns.Peer{Server: s.ID, Addr: s.Addr, Born: s.Born.UnixMilli()}, true
+}
+
+// configChanged takes a newer configuration over. It never goes back: a read that
+// was overtaken may bring an older one.
+func (n *Core) configChanged(entries map[string]store.KV, revision int64) {
+	kv, there := entries[n.platform.ConfigKey]
+	if !there {
+		return
+	}
+	set, err := n.platform.Config(kv)
+	if err != nil {
+		n.log.Error("configuration refused", "revision", revision, "err", err.Error())
+		return
+	}
+	if old := n.rules.Load(); old != nil && set.Revision <= old.Revision {
+		return
+	}
+	n.rules.Store(set)
+	n.log.Info("configuration in force", "version", set.Revision, "revision", revision, "routes", len(set.Routes), "teams", len(set.Teams))
+	if n.onRules != nil {
+		n.onRules(set)
+	}
+	n.refresh()
+}
+
+func (n *Core) serversChanged(entries map[string]store.KV, revision int64) {
+	list := n.platform.Servers(entries, revision)
+	n.list.Store(&list)
+	n.refresh()
+}
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = time.Second
+
+// sweep closes connections that nobody may use any more.
+func (n *Core) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			list, _ := n.currentList()
+			n.pool.Sweep(func(p conns.Peer) bool {
+				s := list.Find(p.Server)
+				return s != nil && s.Addr == p.Addr && s.Born.UnixMilli() == p.Born
+			}, time.Now())
+		}
+	}
+}
--- a/internal/entry/outages.go
+++ b/internal/entry/outages.go
@@ -151,7 +151,7 @@
 
 // idle counts the model engines that serve in no replica: those with weights by
 // the group these belong to, the others together.
-func (n *Node) idle() map[strandedKey]int {
+func (n *Core) idle() map[strandedKey]int {
 	list, set := n.list.Load(), n.rules.Load()
 	if list == nil || set == nil {
 		return nil
@@ -180,7 +180,7 @@
 }
 
 // watchIdle counts idle accelerators until ctx ends.
-func (n *Node) watchIdle(ctx context.Context) {
+func (n *Core) watchIdle(ctx context.Context) {
 	ticker := time.NewTicker(strandedEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -79,8 +79,8 @@
 }
 
 // applyLimits takes over how long callers' connections may idle.
-func (n *Node) applyLimits(b rules.CallerBounds) {
-	n.callers.idle.Store(int64(b.IdleTimeout))
+func (n *Node) applyLimits(set *rules.Set) {
+	n.callers.idle.Store(int64(set.Bounds.IdleTimeout))
 }
 
 // notReady says why this node should get no callers; empty when it should.
