The engines' published figures, a model of their passes, and the log lines that losses are told from

An attempt's line tells how long the caller had waited, the targets, the longest pause, what the replica said of its load, and the call's work: the part of a full replica's time that it takes by the published figures. No decision uses it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -34,6 +34,9 @@
 	// PromptTokens and AnswerTokens are the prompt's size and the answer's bound;
 	// HintTokens is the caller's guess at the answer's size. Zero where not told.
 	PromptTokens, AnswerTokens, HintTokens int
+	// Work is the part of a replica's time that the call takes, as estimated on a full
+	// replica; zero where it is not known.
+	Work time.Duration
 	// ResumeAfter is the id of the last piece that the caller has of an earlier
 	// attempt; empty when it starts anew.
 	ResumeAfter string
@@ -76,3 +79,15 @@
 	// Refuse gives a final answer of this node's own.
 	Refuse(err *fennelerr.Error)
 }
+
+// ExpectedAnswer is how many tokens the answer probably has: the caller's guess, within
+// the bound that it set.
+func (c *Call) ExpectedAnswer() int {
+	switch {
+	case c.HintTokens <= 0:
+		return c.AnswerTokens
+	case c.AnswerTokens <= 0:
+		return c.HintTokens
+	}
+	return min(c.HintTokens, c.AnswerTokens)
+}
--- /dev/null
+++ b/internal/enginemodel/figures.go
@@ -0,0 +1,61 @@
+// Package enginemodel is a model of one engine that serves a language model in passes.
+// Its figures are those that the operator publishes; with them it says how much of a
+// replica's time a call takes and when its first piece may come, and it plays the passes
+// of one replica in time that is passed in.
+package enginemodel
+
+import "time"
+
+// Figures are an engine's published figures. The zero value says that none are known.
+type Figures struct {
+	// Slots is how many requests a replica runs at once; the others wait.
+	Slots int
+	// Stride is how many token steps a pass has in which requests write.
+	Stride int
+	// Chunk is the most prompt tokens that are read in one step.
+	Chunk int
+	// Step is how long a token step takes without requests, PerSequence what each
+	// request that writes adds to it, and PerContext what 1,000 tokens before its last
+	// one add.
+	Step, PerSequence, PerContext time.Duration
+	// ReadPerSecond is how many prompt tokens are read in a second; PerPairs is what a
+	// million pairs of a prompt token and an earlier one add.
+	ReadPerSecond float64
+	PerPairs      time.Duration
+	// Pace is the model's factor on all times; 1 where it is 0.
+	Pace float64
+	// UsualPrompt and UsualAnswer are the mean tokens of a call.
+	UsualPrompt, UsualAnswer int
+}
+
+// Known reports whether there are figures to reckon with.
+func (f Figures) Known() bool { return f.Slots > 0 && f.Step > 0 && f.ReadPerSecond > 0 }
+
+// StepTime is how long a token step takes in which so many requests write, with so
+// many tokens of context in all.
+func (f Figures) StepTime(writers, context int) time.Duration {
+	perContext := float64(f.PerContext) * float64(context) / 1000
+	return f.paced(f.Step + time.Duration(writers)*f.PerSequence + time.Duration(perContext))
+}
+
+// ReadTime is how long so many prompt tokens take to be read after so many before them.
+func (f Figures) ReadTime(tokens, before int) time.Duration {
+	pairs := float64(tokens) * (float64(before) + float64(tokens)/2) / 1e6
+	reading := time.Duration(float64(tokens) / f.ReadPerSecond * float64(time.Second))
+	return f.paced(reading + time.Duration(pairs*float64(f.PerPairs)))
+}
+
+// Work is the part of a replica's time that a call takes when the replica is full: the
+// reading of its prompt, and its part of the steps that it shares with the others.
+func (f Figures) Work(prompt, answer int) time.Duration {
+	context := f.Slots * (prompt + answer/2)
+	step := f.StepTime(f.Slots, context)
+	return f.ReadTime(prompt, 0) + time.Duration(float64(answer)*float64(step)/float64(f.Slots))
+}
+
+func (f Figures) paced(d time.Duration) time.Duration {
+	if f.Pace <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * f.Pace)
+}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -157,9 +157,24 @@
 // Serve takes a call to its end; it is the relay, and also notices the first request of all.
 func (n *Core) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	n.asked.Store(true)
+	c.Work = n.workOf(c)
 	n.relay.Serve(ctx, c, sink)
 }
 
+// workOf is the part of a replica's time that the call takes, by the published figures
+// of its model's engines; zero for a plain service.
+func (n *Core) workOf(c *call.Call) time.Duration {
+	set := n.rules.Load()
+	if set == nil || c.Model == "" {
+		return 0
+	}
+	g := placement.FindGroup(set.Groups, cluster.GroupName(c.Model))
+	if g == nil || !g.Engine.Known() {
+		return 0
+	}
+	return g.Engine.Work(c.PromptTokens, c.ExpectedAnswer())
+}
+
 // freshFor is how long the configuration counts as the newest after the store
 // last answered: a watch answers every 2 s when nothing changes.
 const freshFor = 3500 * time.Millisecond
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,8 @@
 	// last one allowed also when it is silent.
 	movable, notLast bool
 	silence          *time.Timer
+	// load is what the server said of itself; nil where it said nothing.
+	load *Load
 	// lastSign is when the attempt last brought anything, in Unix nanoseconds.
 	lastSign atomic.Int64
 }
@@ -93,6 +95,7 @@
 	if load == nil {
 		return
 	}
+	a.load = load
 	now := time.Now()
 	a.s.r.room.report(a.choice.Replica.ID, *load, now)
 	a.s.r.opts.Router.ReportLoad(a.choice.Replica.ID, engine.Load{AsOf: now, Running: load.Running, Waiting: load.Waiting, MaxRunning: load.Slots}, now)
@@ -149,6 +152,7 @@
 			return err
 		}
 	}
+	a.s.notePiece(time.Now())
 	return a.s.sink.Piece(data)
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -43,6 +43,10 @@
 	// kept is a server's own failure that is passed on if no attempt does better.
 	kept     *keptAnswer
 	attempts int
+	// pieceAt is when the caller last got a piece, pause the longest time that it was
+	// without one since the first.
+	pieceAt time.Time
+	pause   time.Duration
 }
 
 // keptAnswer is a whole answer that says the server failed.
@@ -102,10 +106,18 @@
 	result, err := a.run()
 	s.r.room.end(id, s.group, result.OK, time.Now())
 	s.r.opts.Router.End(s.choice, result)
-	s.log(s.choice, result, err)
+	s.log(a, result, err)
 	return err
 }
 
+// notePiece notes that the caller gets a piece now.
+func (s *session) notePiece(now time.Time) {
+	if !s.pieceAt.IsZero() {
+		s.pause = max(s.pause, now.Sub(s.pieceAt))
+	}
+	s.pieceAt = now
+}
+
 // pick takes a replica that has room and does not stand still. Where all seem to
 // stand still it is more likely this node that hears nothing, and any will do.
 func (s *session) pick() (routing.Choice, error) {
@@ -191,7 +203,7 @@
 
 // After implements recovery.Call.
 func (s *session) After(_ context.Context, d recovery.Decision, err error) error {
-	s.r.opts.Log.Info("after attempt", "request", s.call.ID, "next", d.Step, "reason", d.Reason, "sent", s.sent, "left", s.left)
+	s.r.opts.Log.Info("after attempt", "request", s.call.ID, "next", d.Step, "reason", d.Reason, "sent", s.sent, "held", time.Since(s.call.ReceivedAt), "left", s.left)
 	if d.Step != recovery.GiveUp {
 		return nil
 	}
@@ -226,7 +238,8 @@
 
 // noReplica ends a call for which no replica is left.
 func (s *session) noReplica(err error) {
-	s.r.opts.Log.Info("no replica", "request", s.call.ID, "group", s.group, "excluded", len(s.exclude), "err", err.Error())
+	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Terms.Name, "group", s.group, "excluded", len(s.exclude),
+		"held", time.Since(s.call.ReceivedAt), "err", err.Error())
 	s.finish(err, func() *fennelerr.Error {
 		if errors.Is(err, errFull) {
 			return fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").WithRetryAfter(s.r.room.turnAway(s.group, time.Now()))
@@ -249,7 +262,9 @@
 	firstSeconds = metrics.NewHistogram("fennel_relay_first_piece_seconds")
 )
 
-func (s *session) log(choice routing.Choice, result routing.Result, err error) {
+// log writes the line of an attempt that has ended: what was chosen and why, what the
+// server said of its load, and how the caller fares against the route's targets.
+func (s *session) log(a *attempt, result routing.Result, err error) {
 	callSeconds.Update(result.Duration.Seconds())
 	if result.FirstToken > 0 {
 		firstSeconds.Update(result.FirstToken.Seconds())
@@ -258,9 +273,18 @@
 	if err != nil {
 		outcome = err.Error()
 	}
-	s.r.opts.Log.Info("attempt", "request", s.call.ID, "route", s.call.Route.Terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
+	terms, choice := s.call.Route.Terms, a.choice
+	fields := []any{"request", s.call.ID, "route", terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
-		"reason", choice.Reason, "considered", choice.Considered, "first", result.FirstToken, "took", result.Duration, "outcome", outcome)
+		"reason", choice.Reason, "considered", choice.Considered, "waited", a.started.Sub(s.call.ReceivedAt),
+		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
+	if s.streams() {
+		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedAnswer(), "work", s.call.Work, "pieces", result.Tokens, "pause", s.pause, "pause_target", terms.TargetGap)
+	}
+	if a.load != nil {
+		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
+	}
+	s.r.opts.Log.Info("attempt", append(fields, "outcome", outcome)...)
 }
 
 // Kinds with pieces.
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 )
 
 // Origin ties a rule to its line in the file and to whoever asked for it.
@@ -89,6 +90,9 @@
 	// WarmLoad how long from its own host; 0 where they are not known.
 	ColdLoad time.Duration
 	WarmLoad time.Duration
+	// Engine has the published figures of the group's engines; the zero value where
+	// none are known.
+	Engine enginemodel.Figures
 }
 
 // Once says whether calls on a route need an idempotency key.
