--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -84,11 +84,32 @@
 // is emptier by a tenth of its slots.
 var balance = routing.Weighted{SampleLocal: 8, SampleOther: 8, ZonePenalty: 0.1}
 
-// NewCore puts a node's parts together. Nothing runs before Run; onRules may be nil.
-func NewCore(set *settings.Settings, p Platform, onRules func(*rules.Set), log *slog.Logger) *Core {
-	n := &Core{onRules: onRules, set: set, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
+// Decisions are policies in place of those that a node runs; a nil one replaces none.
+type Decisions struct {
+	Route routing.Policy
+	Place placement.Policy
+}
+
+// CoreOptions are what a Core is given beside its settings and its platform.
+type CoreOptions struct {
+	// OnRules is told of each set of rules that comes into force; may be nil.
+	OnRules   func(*rules.Set)
+	Decisions Decisions
+	Log       *slog.Logger
+}
+
+// NewCore puts a node's parts together. Nothing runs before Run.
+func NewCore(set *settings.Settings, p Platform, opts CoreOptions) *Core {
+	log := opts.Log
+	if opts.Decisions.Route == nil {
+		opts.Decisions.Route = balance
+	}
+	if opts.Decisions.Place == nil {
+		opts.Decisions.Place = placement.Mix{}
+	}
+	n := &Core{onRules: opts.OnRules, set: set, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
 	n.outages = newOutages(set.Node, cluster.ZoneID(set.Region), time.Now())
-	n.table = routing.NewTable(routing.Options{Zone: set.Zone, Seed: uint64(time.Now().UnixNano()), Policy: balance})
+	n.table = routing.NewTable(routing.Options{Zone: set.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Decisions.Route})
 	n.relay = relay.New(relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.peer, Log: log,
 		OnStall: func(id cluster.ReplicaID) { n.control.Suspect(id) },
@@ -112,7 +133,7 @@
 		Refresh:   n.mirror.Refresh,
 		LeaseHeld: func() bool { return n.held.Load() || !n.mirror.Loaded() },
 		FreeLoads: func() bool { return set.Process.FirstStart && !n.asked.Load() },
-		Orders:    p.Orders, Policy: placement.Mix{}, Log: log,
+		Orders:    p.Orders, Policy: opts.Decisions.Place, Log: log,
 	})
 	return n
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,7 +27,7 @@
 // New opens the node's sockets and puts its parts together. Nothing runs before Run.
 func New(set *settings.Settings, p Platform, log *slog.Logger) (*Node, error) {
 	n := &Node{}
-	n.Core = NewCore(set, p, n.applyLimits, log)
+	n.Core = NewCore(set, p, CoreOptions{OnRules: n.applyLimits, Log: log})
 	return n, n.listen()
 }
 
--- /dev/null
+++ b/internal/player/backend.go
@@ -0,0 +1,168 @@
+package player
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/relay"
+)
+
+// backend sends a node's attempts to the played VMs; it implements relay.Backend.
+type backend struct {
+	w    *world
+	zone cluster.ZoneID
+	// truth says how many tokens an answer really has, by the call's id.
+	truth func(id string) int
+}
+
+// dialPatience is how long a connection to a VM that is silent is waited for.
+const dialPatience = 1500 * time.Millisecond
+
+// Send implements relay.Backend.
+func (b *backend) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+	time.Sleep(wireTime / 2)
+	v, err := b.reach(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	ans, job, load, err := b.enter(v, a)
+	if err != nil {
+		return nil, err
+	}
+	body := &reading{ctx: ctx, w: b.w, answer: ans, leave: func() { b.w.leave(v, job) }, last: resumed(a.ResumeAfter)}
+	if err := body.awaitFirst(); err != nil {
+		return nil, err
+	}
+	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Load: &load, Body: body}, nil
+}
+
+func resumed(id string) int {
+	n, err := strconv.Atoi(id)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (b *backend) reach(ctx context.Context, a relay.Attempt) (*vm, error) {
+	b.w.mu.Lock()
+	v := b.w.vms[a.To.Server]
+	up := v != nil && !v.dead && b.w.reaches(b.zone, v.entry.Zone)
+	b.w.mu.Unlock()
+	if up {
+		return v, nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(dialPatience):
+	}
+	return nil, &relay.NotRunError{Reason: "no connection", Err: errors.New("nobody answers")}
+}
+
+// enter puts the request on the replica whose head the VM is.
+func (b *backend) enter(v *vm, a relay.Attempt) (*answer, *enginemodel.Job, relay.Load, error) {
+	w := b.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := v.head
+	open := h != nil && v.entry.Membership != nil && v.entry.Membership.State == fleet.Open
+	load := relay.Load{Slots: w.scenario.Engine.Slots}
+	if h != nil {
+		load.Running, load.Waiting = h.replica.Running(), h.replica.Waiting()
+	}
+	if !open || v.model != a.Call.Model {
+		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica of the model", Arrived: true, Load: &load, Err: errors.New(string(v.entry.ID))}
+	}
+	if load.Waiting >= w.scenario.Engine.Queue {
+		return nil, nil, load, &relay.NotRunError{Reason: "full", Arrived: true, Load: &load, Err: errors.New(string(v.entry.ID))}
+	}
+	tokens := max(b.truth(a.Call.ID)-resumed(a.ResumeAfter)*w.scenario.Engine.Stride, 1)
+	job := &enginemodel.Job{Prompt: max(a.Call.PromptTokens, 1), Answer: tokens, Urgency: a.Call.Urgency}
+	ans := &answer{pieces: make(chan struct{}, tokens/w.scenario.Engine.Stride+1), failed: make(chan struct{})}
+	h.replica.Add(job)
+	h.jobs[job] = ans
+	if !h.turning {
+		h.turning = true
+		go v.turn(h)
+	}
+	return ans, job, load, nil
+}
+
+// leave takes a request off a replica whose sender has gone.
+func (w *world) leave(v *vm, job *enginemodel.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := v.head; h != nil && h.jobs[job] != nil {
+		h.replica.Remove(job)
+		delete(h.jobs, job)
+		v.settle()
+	}
+}
+
+// reading is a stream as its sender reads it; it implements relay.Body.
+type reading struct {
+	ctx    context.Context
+	w      *world
+	answer *answer
+	leave  func()
+	last   int
+	first  bool
+	ended  bool
+}
+
+// awaitFirst waits for the first piece: the head of an answer comes with it.
+func (r *reading) awaitFirst() error {
+	if err := r.await(); err != nil {
+		return err
+	}
+	time.Sleep(r.w.scenario.Engine.Reply)
+	r.first = true
+	return nil
+}
+
+func (r *reading) await() error {
+	select {
+	case _, more := <-r.answer.pieces:
+		if !more {
+			return io.EOF
+		}
+		return nil
+	case <-r.answer.failed:
+		return &relay.BrokenError{Reason: "the stream broke off", Err: io.ErrUnexpectedEOF}
+	case <-r.ctx.Done():
+		r.leave()
+		return &relay.BrokenError{Reason: "no answer", Err: r.ctx.Err()}
+	}
+}
+
+// Next implements relay.Body.
+func (r *reading) Next() ([]byte, string, error) {
+	if !r.first {
+		if err := r.await(); err != nil {
+			r.ended = errors.Is(err, io.EOF)
+			return nil, "", err
+		}
+	}
+	r.first = false
+	r.last++
+	return []byte{}, strconv.Itoa(r.last), nil
+}
+
+// All implements relay.Body.
+func (r *reading) All(int64) ([]byte, error) { return nil, errors.New("streams only") }
+
+// Close implements relay.Body.
+func (r *reading) Close() {
+	if !r.ended {
+		r.leave()
+	}
+}
--- /dev/null
+++ b/internal/player/cut.go
@@ -0,0 +1,114 @@
+package player
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/store"
+)
+
+// cutStore is the platform's store as a node sees it that may be cut off from it.
+type cutStore struct {
+	store.Store
+	cut func() bool
+}
+
+// cutPatience is how long a call over a cut hangs at least, and how often a watch
+// notices the cut.
+const cutPatience = 500 * time.Millisecond
+
+var errCut = errors.New("cut off from the store")
+
+// check hangs and fails while the node is cut off.
+func (s *cutStore) check(ctx context.Context) error {
+	if !s.cut() {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(cutPatience):
+	}
+	return &store.Error{Op: "call", Kind: store.Unavailable, Outcome: store.Refused, Err: errCut}
+}
+
+// Get implements store.Store.
+func (s *cutStore) Get(ctx context.Context, key string) (*store.KV, int64, error) {
+	if err := s.check(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Range implements store.Store.
+func (s *cutStore) Range(ctx context.Context, prefix string, opts store.RangeOptions) (store.RangeResult, error) {
+	if err := s.check(ctx); err != nil {
+		return store.RangeResult{}, err
+	}
+	return s.Store.Range(ctx, prefix, opts)
+}
+
+// Txn implements store.Store.
+func (s *cutStore) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if err := s.check(ctx); err != nil {
+		return store.TxnResult{}, err
+	}
+	return s.Store.Txn(ctx, txn)
+}
+
+// Grant implements store.Store.
+func (s *cutStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.check(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+// KeepAlive implements store.Store.
+func (s *cutStore) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	if err := s.check(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.KeepAlive(ctx, id)
+}
+
+// Watch implements store.Store; it ends when the node is cut off.
+func (s *cutStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
+	if err := s.check(ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	in, err := s.Store.Watch(ctx, prefix, from)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	out := make(chan store.WatchBatch)
+	go func() {
+		defer close(out)
+		defer cancel()
+		look := time.NewTicker(cutPatience)
+		defer look.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-look.C:
+				if s.cut() {
+					return
+				}
+			case batch, ok := <-in:
+				if !ok || s.cut() {
+					return
+				}
+				select {
+				case out <- batch:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}
+	}()
+	return out, nil
+}
--- /dev/null
+++ b/internal/player/faults.go
@@ -0,0 +1,133 @@
+package player
+
+import (
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// restartTime is how long a node that was killed is gone.
+const restartTime = time.Second
+
+// schedule has the scenario's faults happen.
+func (sys *System) schedule() {
+	for _, f := range sys.scenario.Faults {
+		time.AfterFunc(f.At, func() { sys.begin(f) })
+		if f.For > 0 {
+			time.AfterFunc(f.At+f.For, func() { sys.end(f) })
+		}
+	}
+}
+
+// begin brings a fault about.
+func (sys *System) begin(f Fault) {
+	w := sys.world
+	switch f.Kind {
+	case Lose:
+		w.each(w.takeMembers(f), w.kill)
+	case Add:
+		for range f.Count {
+			w.add(f.Zone, w.smallestDomain(f.Zone))
+		}
+	case Dark:
+		w.each(w.inDomain(domainName(f.Zone, f.Domain)), w.kill)
+	case Slow:
+		w.each(w.takeMembers(f), func(v *vm) { v.slow = f.Factor })
+	case CutZone:
+		w.setCut(f.Zone, true)
+	case RestartNodes:
+		for _, n := range sys.nodes {
+			if f.Zone == "" || n.zone == f.Zone {
+				n.kill()
+				time.AfterFunc(restartTime, func() { n.start(false) })
+			}
+		}
+	case StoreDown:
+		w.store.SetFaults(memstore.Faults{Down: true})
+	}
+}
+
+// end undoes a fault that lasts.
+func (sys *System) end(f Fault) {
+	w := sys.world
+	switch f.Kind {
+	case Dark:
+		w.each(w.inDomain(domainName(f.Zone, f.Domain)), func(v *vm) {
+			if v.dead {
+				w.revive(v)
+			}
+		})
+	case Slow:
+		w.each(w.all(), func(v *vm) { v.slow = 0 })
+	case CutZone:
+		w.setCut(f.Zone, false)
+	case StoreDown:
+		w.store.SetFaults(memstore.Faults{})
+	}
+}
+
+func (w *world) each(vms []*vm, do func(*vm)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range vms {
+		do(v)
+	}
+}
+
+// takeMembers are as many members of serving replicas as the fault names.
+func (w *world) takeMembers(f Fault) []*vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	vms := w.picked(f.Zone, f.Model)
+	return vms[:min(f.Count, len(vms))]
+}
+
+func (w *world) all() (out []*vm) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range w.vms {
+		out = append(out, v)
+	}
+	return out
+}
+
+func (w *world) inDomain(d cluster.DomainID) (out []*vm) {
+	for _, v := range w.all() {
+		if v.entry.Domain == d {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// smallestDomain is the zone's domain with the fewest live VMs.
+func (w *world) smallestDomain(zone cluster.ZoneID) (best cluster.DomainID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	live := make(map[cluster.DomainID]int)
+	for _, z := range w.scenario.Zones {
+		for d := range z.Domains {
+			if z.Name == zone {
+				live[domainName(zone, d)] = 0
+			}
+		}
+	}
+	for _, v := range w.vms {
+		if _, there := live[v.entry.Domain]; there && !v.dead {
+			live[v.entry.Domain]++
+		}
+	}
+	for d, n := range live {
+		if best == "" || n < live[best] || n == live[best] && d < best {
+			best = d
+		}
+	}
+	return best
+}
+
+func (w *world) setCut(zone cluster.ZoneID, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[zone] = cut
+}
--- /dev/null
+++ b/internal/player/result.go
@@ -0,0 +1,162 @@
+package player
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+)
+
+// Result is what callers got and what the VMs did.
+type Result struct {
+	Scenario *Scenario
+	Fates    []Fate
+	// VMs is the count of VMs by what they did, each second.
+	VMs []Tally
+	// Wrong are broken promises about replicas: each is a fault of the decisions.
+	Wrong []string
+	Loads int
+}
+
+// Tally counts VMs at a moment.
+type Tally struct {
+	At time.Duration
+	// Serving counts VMs of open replicas by model.
+	Serving map[string]int
+	// Live is all VMs that are up; those that neither serve nor join are Idle.
+	Live, Joining, Idle int
+}
+
+// watch tallies the VMs each second until ctx ends.
+func (sys *System) watch(ctx context.Context, res *Result) {
+	began := time.Now()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			res.VMs = append(res.VMs, sys.world.tally(time.Since(began)))
+		}
+	}
+}
+
+func (w *world) tally(at time.Duration) Tally {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := Tally{At: at, Serving: make(map[string]int)}
+	for _, v := range w.vms {
+		if v.dead {
+			continue
+		}
+		t.Live++
+		m := v.entry.Membership
+		switch {
+		case m == nil:
+			t.Idle++
+		case w.serving(v):
+			t.Serving[v.model]++
+		case m.State == fleet.Joining || m.State == fleet.Ready:
+			t.Joining++
+		default:
+			t.Idle++
+		}
+	}
+	return t
+}
+
+// serving reports whether the VM's replica takes requests and works.
+func (w *world) serving(v *vm) bool {
+	h := w.vms[v.members[0]]
+	return h != nil && !h.dead && h.epoch == v.epoch && h.head != nil && h.head.stuckSince.IsZero() &&
+		h.entry.Membership != nil && h.entry.Membership.State == fleet.Open
+}
+
+func (r *Result) take(sys *System) {
+	r.Fates = sys.callers.fates
+	slices.SortFunc(r.Fates, func(a, b Fate) int { return int(a.At - b.At) })
+	r.Wrong = sys.world.wrong
+	r.Loads = sys.world.loads
+}
+
+// Row sums up the calls of one kind, or all.
+type Row struct {
+	Kind                          string
+	Asked                         int
+	OnTime, Late, Refused, Failed float64
+	// Worth is the credit earned over that owed.
+	Worth float64
+	// FirstP50 and FirstP99 are of the first pieces.
+	FirstP50, FirstP99 time.Duration
+}
+
+// Rows sums up the calls sent from a moment until another, by kind and then all.
+func (r *Result) Rows(from, until time.Duration) []Row {
+	var out []Row
+	for _, k := range r.Scenario.Kinds {
+		out = append(out, r.row(k.Name, from, until))
+	}
+	return append(out, r.row("", from, until))
+}
+
+// row sums up a kind's calls, or all for an empty name.
+func (r *Result) row(kind string, from, until time.Duration) Row {
+	row := Row{Kind: kind}
+	if kind == "" {
+		row.Kind = "all"
+	}
+	owed, earned := 0.0, 0.0
+	var firsts []time.Duration
+	for _, f := range r.Fates {
+		if kind != "" && f.Kind != kind || f.At < from || f.At >= until {
+			continue
+		}
+		k := r.kind(f.Kind)
+		row.Asked++
+		owed += k.Worth
+		if f.First > 0 {
+			firsts = append(firsts, f.First)
+		}
+		switch f.Outcome {
+		case OnTime:
+			row.OnTime++
+			earned += k.Worth
+		case Late:
+			row.Late++
+			earned += k.Late
+		case Refused:
+			row.Refused++
+		case Failed:
+			row.Failed++
+		}
+	}
+	if row.Asked == 0 {
+		return row
+	}
+	n := float64(row.Asked)
+	row.OnTime, row.Late, row.Refused, row.Failed = row.OnTime/n, row.Late/n, row.Refused/n, row.Failed/n
+	row.Worth = earned / owed
+	slices.Sort(firsts)
+	if len(firsts) > 0 {
+		row.FirstP50, row.FirstP99 = firsts[len(firsts)/2], firsts[len(firsts)*99/100]
+	}
+	return row
+}
+
+func (r *Result) kind(name string) Kind {
+	at := slices.IndexFunc(r.Scenario.Kinds, func(k Kind) bool { return k.Name == name })
+	return r.Scenario.Kinds[at]
+}
+
+// Write prints the table of what callers got.
+func (r *Result) Write(out io.Writer, from, until time.Duration) {
+	fmt.Fprintf(out, "%-16s %6s %8s %6s %8s %7s %6s %9s %9s\n", "kind", "asked", "on time", "late", "refused", "failed", "worth", "p50", "p99")
+	for _, row := range r.Rows(from, until) {
+		fmt.Fprintf(out, "%-16s %6d %8.3f %6.3f %8.3f %7.3f %6.3f %9s %9s\n", row.Kind, row.Asked, row.OnTime, row.Late, row.Refused, row.Failed, row.Worth,
+			row.FirstP50.Round(time.Millisecond), row.FirstP99.Round(time.Millisecond))
+	}
+}
--- /dev/null
+++ b/internal/player/scenario.go
@@ -0,0 +1,190 @@
+// Package player plays load and faults against the decisions of whole nodes, in
+// virtual time and without a network: the nodes are real, with all that they decide
+// for callers and for VMs; VMs, replicas, callers and the platform are models of this
+// package. It answers what callers get under a load before anybody has to meet it.
+//
+// The player uses the clock of the time package. Inside a synctest bubble a minute of
+// load passes in a few seconds.
+package player
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
+)
+
+// Scenario is a load with its faults.
+type Scenario struct {
+	Name string `yaml:"name"`
+	// Lead is the time between the start of the nodes and the first call; Length is how
+	// long callers come.
+	Lead   time.Duration `yaml:"lead"`
+	Length time.Duration `yaml:"length"`
+	Zones  []Zone        `yaml:"zones"`
+	Engine Engine        `yaml:"engine"`
+	Models []Model       `yaml:"models"`
+	Kinds  []Kind        `yaml:"kinds"`
+	Bursts []Burst       `yaml:"bursts"`
+	Faults []Fault       `yaml:"faults"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name  cluster.ZoneID `yaml:"name"`
+	Nodes int            `yaml:"nodes"`
+	// Domains have so many VMs each.
+	Domains []int `yaml:"domains"`
+	// Share is the zone's part of all calls.
+	Share float64 `yaml:"share"`
+}
+
+// Engine has the figures that all models share.
+type Engine struct {
+	Slots         int           `yaml:"slots"`
+	Queue         int           `yaml:"queue"`
+	Stride        int           `yaml:"stride"`
+	Chunk         int           `yaml:"chunk"`
+	Step          time.Duration `yaml:"step"`
+	PerSequence   time.Duration `yaml:"per_sequence"`
+	PerContext    time.Duration `yaml:"per_context"`
+	ReadPerSecond float64       `yaml:"read_per_second"`
+	PerPairs      time.Duration `yaml:"per_pairs"`
+	// Reply is what a first piece takes beyond the passes: the way there and back, and
+	// what no figure tells.
+	Reply time.Duration `yaml:"reply"`
+	// Stall is how long a replica that lost a member stands still before it breaks.
+	Stall time.Duration `yaml:"stall"`
+	// Heartbeat is the time between two signs of life of a VM; its entry is gone three
+	// of them after its last one.
+	Heartbeat      time.Duration `yaml:"heartbeat"`
+	LoadsAtOnce    int           `yaml:"loads_at_once"`
+	LoadsPerSecond float64       `yaml:"loads_per_second"`
+}
+
+// Model is one of the models that the VMs can serve.
+type Model struct {
+	Name  string        `yaml:"name"`
+	VMs   int           `yaml:"vms"`
+	Pace  float64       `yaml:"pace"`
+	Cold  time.Duration `yaml:"cold"`
+	Warm  time.Duration `yaml:"warm"`
+	Share float64       `yaml:"share"`
+}
+
+// Kind is a kind of call.
+type Kind struct {
+	Name  string  `yaml:"name"`
+	Model string  `yaml:"model"`
+	Rate  float64 `yaml:"rate"`
+	// Target bounds the first piece, Pause the time between two.
+	Target, Pause, Deadline time.Duration
+	Prompt, Answer          Tokens
+	// Worth and Late are what an answer on time and a later one is worth.
+	Worth    float64 `yaml:"worth"`
+	Late     float64 `yaml:"late"`
+	Priority int     `yaml:"priority"`
+}
+
+// Tokens is a log-normal distribution with a mean, cut at a greatest value. Spread is
+// the standard deviation of its logarithm.
+type Tokens struct {
+	Mean   float64 `yaml:"mean"`
+	Spread float64 `yaml:"spread"`
+	Most   float64 `yaml:"most"`
+}
+
+// Burst multiplies the rate of a kind for some time; an empty kind is all.
+type Burst struct {
+	Kind   string        `yaml:"kind"`
+	At     time.Duration `yaml:"at"`
+	For    time.Duration `yaml:"for"`
+	Factor float64       `yaml:"factor"`
+}
+
+// FaultKind says what goes wrong.
+type FaultKind string
+
+// Faults. Lose has members of replicas fall silent for good; Add brings empty VMs; Dark
+// silences a whole domain for a time; Slow has VMs run slower for a time; CutZone parts
+// a zone from all others and from the store for a time; RestartNodes kills nodes at once
+// and starts them anew after a second; StoreDown keeps the store from answering.
+const (
+	Lose         FaultKind = "lose"
+	Add          FaultKind = "add"
+	Dark         FaultKind = "dark"
+	Slow         FaultKind = "slow"
+	CutZone      FaultKind = "cut-zone"
+	RestartNodes FaultKind = "restart-nodes"
+	StoreDown    FaultKind = "store-down"
+)
+
+// Fault is one thing that goes wrong at a time after the first call.
+type Fault struct {
+	Kind FaultKind      `yaml:"kind"`
+	At   time.Duration  `yaml:"at"`
+	For  time.Duration  `yaml:"for"`
+	Zone cluster.ZoneID `yaml:"zone"`
+	// Model narrows Lose and Slow to members of its replicas.
+	Model string `yaml:"model"`
+	Count int    `yaml:"count"`
+	// Domain is the zone's domain that goes dark, counted from 0.
+	Domain int     `yaml:"domain"`
+	Factor float64 `yaml:"factor"`
+}
+
+// figures are the engine's for one model.
+func (s *Scenario) figures(m Model) enginemodel.Figures {
+	e := s.Engine
+	return enginemodel.Figures{Slots: e.Slots, Stride: e.Stride, Chunk: e.Chunk, Step: e.Step, PerSequence: e.PerSequence, PerContext: e.PerContext,
+		ReadPerSecond: e.ReadPerSecond, PerPairs: e.PerPairs, Pace: m.Pace}
+}
+
+// ScenarioError says what a scenario lacks.
+type ScenarioError struct{ Field, Problem string }
+
+// Error implements error.
+func (e *ScenarioError) Error() string { return fmt.Sprintf("scenario: %s: %s", e.Field, e.Problem) }
+
+// Load reads and checks a scenario file.
+func Load(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Scenario{}
+	if err := yaml.UnmarshalWithOptions(text, s, yaml.Strict()); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Scenario) check() error {
+	models := make(map[string]bool)
+	for _, m := range s.Models {
+		models[m.Name] = true
+		if m.VMs < 1 {
+			return &ScenarioError{"models", m.Name + " needs at least one VM"}
+		}
+	}
+	for _, k := range s.Kinds {
+		if !models[k.Model] {
+			return &ScenarioError{"kinds", k.Name + " names no model"}
+		}
+	}
+	switch {
+	case len(s.Zones) == 0:
+		return &ScenarioError{"zones", "none"}
+	case len(s.Kinds) == 0:
+		return &ScenarioError{"kinds", "none"}
+	case s.Length <= 0:
+		return &ScenarioError{"length", "not above zero"}
+	case s.Engine.Slots < 1 || s.Engine.Step <= 0 || s.Engine.ReadPerSecond <= 0 || s.Engine.Heartbeat <= 0:
+		return &ScenarioError{"engine", "slots, step, read_per_second and heartbeat are needed"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/player/system.go
@@ -0,0 +1,193 @@
+package player
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/entry"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+)
+
+// System is a scenario under way.
+type System struct {
+	scenario *Scenario
+	world    *world
+	callers  *callers
+	rng      *rand.Rand
+	set      *rules.Set
+	opts     Options
+
+	mu    sync.Mutex
+	nodes []*node
+	stop  sync.WaitGroup
+}
+
+// Options of a play.
+type Options struct {
+	Seed uint64
+	// Decisions replace those that a node takes by itself; the zero value replaces none.
+	Decisions entry.Decisions
+	// Log gets the nodes' lines; may be nil.
+	Log *slog.Logger
+}
+
+// node is one entry VM.
+type node struct {
+	sys  *System
+	id   cluster.NodeID
+	zone cluster.ZoneID
+
+	mu   sync.Mutex
+	core *entry.Core
+	end  context.CancelFunc
+}
+
+const region = "region"
+
+// Play plays a scenario and returns what callers got.
+func Play(s *Scenario, opts Options) *Result {
+	rng := rand.New(rand.NewPCG(opts.Seed, 1))
+	sys := &System{scenario: s, world: newWorld(s, rand.New(rand.NewPCG(opts.Seed, 2))), rng: rng, opts: opts}
+	sys.callers = &callers{sys: sys, rng: rand.New(rand.NewPCG(opts.Seed, 3)), truth: make(map[string]int), routes: make(map[string]*rules.Route)}
+	sys.set = sys.rules()
+	sys.configure()
+	for _, z := range s.Zones {
+		for i := range z.Nodes {
+			n := &node{sys: sys, id: cluster.NodeID(fmt.Sprintf("%s-%d", z.Name, i)), zone: z.Name}
+			sys.nodes = append(sys.nodes, n)
+			n.start(true)
+		}
+	}
+	time.Sleep(s.Lead)
+	sys.world.serveNow()
+	watching, end := context.WithCancel(context.Background())
+	res := &Result{Scenario: s}
+	var watch sync.WaitGroup
+	watch.Go(func() { sys.watch(watching, res) })
+	sys.schedule()
+	sys.callers.run()
+	end()
+	watch.Wait()
+	for _, n := range sys.nodes {
+		n.kill()
+	}
+	sys.stop.Wait()
+	sys.world.close()
+	res.take(sys)
+	return res
+}
+
+// rules are the operator's configuration of the scenario.
+func (sys *System) rules() *rules.Set {
+	s := sys.scenario
+	set := rules.Set{Revision: 1, Weights: rules.WeightStore{LoadsPerSecond: s.Engine.LoadsPerSecond, LoadsAtOnce: s.Engine.LoadsAtOnce}}
+	for _, m := range s.Models {
+		set.Groups = append(set.Groups, rules.Group{Name: cluster.GroupName(m.Name), Model: m.Name, VMs: m.VMs, SameDomain: true, Weigh: rules.WeighDowntime,
+			Servers: engines, Demand: m.Share, Slots: s.Engine.Slots, ColdLoad: m.Cold, WarmLoad: m.Warm, Engine: s.figures(m)})
+	}
+	for _, k := range s.Kinds {
+		set.Routes = append(set.Routes, rules.Route{Path: "/" + k.Name + "/", Model: "*", Team: "*", Prefer: rules.PreferLocal, Terms: &rules.Terms{
+			Name: k.Name, Host: "played", Kind: rules.CallStream, Resumable: true, Timeout: k.Deadline, Target: k.Target, TargetGap: k.Pause,
+			MaxAttempts: 2, Priority: k.Priority, Public: true, Split: []rules.Weighted{{Service: engines, Weight: 1}}}})
+	}
+	out := rules.Assemble(set)
+	for i := range out.Routes {
+		sys.callers.routes[out.Routes[i].Terms.Name] = &out.Routes[i]
+	}
+	return out
+}
+
+func (sys *System) configure() {
+	_, err := sys.world.store.Txn(context.Background(), store.Txn{Then: []store.Op{store.Put(configKey, []byte("1"), 0)}})
+	if err != nil {
+		panic(err) // an empty store in memory takes it
+	}
+}
+
+// start runs a node's process.
+func (n *node) start(first bool) {
+	sys := n.sys
+	log := slog.New(slog.DiscardHandler)
+	if sys.opts.Log != nil {
+		log = sys.opts.Log.With("self", n.id)
+	}
+	set := &settings.Settings{Node: n.id, Zone: n.zone, Region: region,
+		Retries: settings.Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Nodes: settings.DefaultRetryNodes}}
+	set.Process.FirstStart = first
+	ctx, cancel := context.WithCancel(context.Background())
+	n.mu.Lock()
+	n.end = cancel
+	n.core = entry.NewCore(set, entry.Platform{
+		Store: &cutStore{Store: sys.world.store, cut: func() bool { return sys.world.isCut(n.zone) }}, Orders: orders{sys.world, n.zone},
+		Backend:       func(*conns.Pool) relay.Backend { return &backend{sys.world, n.zone, sys.callers.answerOf} },
+		ServersPrefix: serversPrefix, Servers: func(e map[string]store.KV, r int64) fleet.List { return servers(e, r) },
+		ConfigKey: configKey, Config: func(store.KV) (*rules.Set, error) { return sys.set, nil },
+	}, entry.CoreOptions{Decisions: sys.opts.Decisions, Log: log})
+	core := n.core
+	n.mu.Unlock()
+	sys.stop.Go(func() {
+		core.Run(ctx)
+		core.Close()
+	})
+}
+
+// kill ends a node's process at once.
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end != nil {
+		n.end()
+	}
+	n.core, n.end = nil, nil
+}
+
+// serve has the node serve a call; a dead one answers nothing.
+func (n *node) serve(ctx context.Context, c *call.Call, s *sink) {
+	n.mu.Lock()
+	core := n.core
+	n.mu.Unlock()
+	if core == nil {
+		return
+	}
+	core.Serve(ctx, c, s)
+}
+
+// pickNode is the node that the platform's balancer gives a caller.
+func (sys *System) pickNode(rng *rand.Rand) *node {
+	left := rng.Float64()
+	for i, z := range sys.scenario.Zones {
+		if left -= z.Share; left >= 0 && i < len(sys.scenario.Zones)-1 {
+			continue
+		}
+		return sys.inZone(z.Name, rng)
+	}
+	return sys.nodes[0]
+}
+
+func (sys *System) inZone(zone cluster.ZoneID, rng *rand.Rand) *node {
+	var there []*node
+	for _, n := range sys.nodes {
+		if n.zone == zone {
+			there = append(there, n)
+		}
+	}
+	return there[rng.IntN(len(there))]
+}
+
+// otherNode is where a caller comes back.
+func (sys *System) otherNode(n *node, rng *rand.Rand) *node {
+	sys.mu.Lock()
+	defer sys.mu.Unlock()
+	return sys.inZone(n.zone, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 7)))
+}
--- /dev/null
+++ b/internal/player/vm.go
@@ -0,0 +1,321 @@
+package player
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/formation"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+)
+
+// vm is one VM. All fields are guarded by world.mu.
+type vm struct {
+	w       *world
+	entry   fleet.Server
+	dead    bool
+	slow    float64
+	epoch   int64
+	members []cluster.VMID
+	model   string
+	// order counts the orders that began something, so that a later one replaces the
+	// effect of an earlier one that is still under way.
+	order int
+	head  *head
+	// doc is the newest entry, publishing is true while it is brought to the store.
+	doc        []byte
+	publishing bool
+}
+
+// head is the serving part of an open replica.
+type head struct {
+	replica enginemodel.Replica
+	jobs    map[*enginemodel.Job]*answer
+	// stuckSince is when a member was lost; zero while all are there.
+	stuckSince time.Time
+	turning    bool
+	failed     bool
+}
+
+// answer is one request on a replica, as its sender reads it.
+type answer struct {
+	pieces chan struct{}
+	// failed is closed when the replica gives the request up.
+	failed chan struct{}
+	total  int
+}
+
+// publish writes the VM's entry to the store; the caller holds world.mu.
+func (v *vm) publish() {
+	if v.dead {
+		return
+	}
+	doc, err := json.Marshal(v.entry)
+	if err != nil {
+		panic(err) // strings, numbers and times only: cannot fail
+	}
+	v.doc = doc
+	if !v.publishing {
+		v.publishing = true
+		go v.bring()
+	}
+}
+
+// publishAgain is when a VM tries again that the store did not answer.
+const publishAgain = 300 * time.Millisecond
+
+// bring writes the newest entry until the store has it.
+func (v *vm) bring() {
+	key := serversPrefix + string(v.entry.ID)
+	for {
+		v.w.mu.Lock()
+		doc, dead := v.doc, v.dead
+		v.w.mu.Unlock()
+		if dead {
+			doc = nil
+		}
+		if doc != nil {
+			if _, err := v.w.store.Txn(context.Background(), store.Txn{Then: []store.Op{store.Put(key, doc, 0)}}); err != nil {
+				time.Sleep(publishAgain)
+				continue
+			}
+		}
+		v.w.mu.Lock()
+		if doc == nil || bytes.Equal(doc, v.doc) {
+			v.publishing = false
+			v.w.mu.Unlock()
+			return
+		}
+		v.w.mu.Unlock()
+	}
+}
+
+// beat has the entry written at least once a heartbeat, which also tells the nodes that
+// the store answers.
+func (v *vm) beat(ctx context.Context) {
+	ticker := time.NewTicker(v.w.scenario.Engine.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			v.w.mu.Lock()
+			v.publish()
+			v.w.mu.Unlock()
+		}
+	}
+}
+
+// carryOut does an order and returns its answer.
+func (v *vm) carryOut(o formation.Order) formation.Answer {
+	w := v.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch o.Kind {
+	case formation.Stage:
+		v.stage(o.Model)
+	case formation.Join:
+		return v.join(o)
+	case formation.Open:
+		return v.open(o)
+	case formation.Close:
+		return v.close(o)
+	case formation.Leave:
+		if m := v.entry.Membership; m != nil && m.Replica == o.Replica && m.Epoch == o.Epoch {
+			v.leave()
+		}
+	}
+	return formation.Done
+}
+
+func (v *vm) stage(model string) {
+	if slices.Contains(v.entry.Staged, model) {
+		return
+	}
+	took := v.w.beginLoad(model)
+	v.after(took, func() {
+		v.w.loading--
+		v.entry.Staged = []string{model}
+		v.publish()
+	})
+}
+
+// after runs f later under the lock, unless the VM has died.
+func (v *vm) after(d time.Duration, f func()) {
+	time.AfterFunc(d, func() {
+		v.w.mu.Lock()
+		defer v.w.mu.Unlock()
+		if !v.dead {
+			f()
+		}
+	})
+}
+
+// rejoin is how long a VM takes to be ready for the model that it has loaded, and form
+// how long a head takes to open.
+const (
+	rejoin = 200 * time.Millisecond
+	form   = 300 * time.Millisecond
+)
+
+func (v *vm) join(o formation.Order) formation.Answer {
+	if o.Epoch < v.epoch {
+		return formation.Fenced
+	}
+	if o.Epoch == v.epoch {
+		return formation.Done
+	}
+	v.w.checkFree(v)
+	v.leave()
+	v.epoch, v.members, v.model = o.Epoch, o.Members, o.Model
+	v.order++
+	order := v.order
+	rank := slices.Index(o.Members, v.entry.ID)
+	v.entry.Membership = &fleet.Membership{Replica: o.Replica, Epoch: o.Epoch, Rank: rank, State: fleet.Joining}
+	took, loads := rejoin, false
+	switch {
+	case v.entry.Model == o.Model:
+	case slices.Contains(v.entry.Staged, o.Model):
+		took = v.w.model(o.Model).Warm
+	default:
+		took, loads = v.w.beginLoad(o.Model), true
+	}
+	v.publish()
+	v.after(took, func() {
+		if loads {
+			v.w.loading--
+			v.entry.Staged = []string{o.Model}
+		}
+		if v.order == order {
+			v.entry.Model = o.Model
+			v.entry.Membership.State = fleet.Ready
+		}
+		v.publish()
+	})
+	return formation.Begun
+}
+
+func (v *vm) open(o formation.Order) formation.Answer {
+	m := v.entry.Membership
+	if m == nil || m.Epoch != o.Epoch || m.Rank != 0 || m.State != fleet.Ready {
+		return formation.Misfit
+	}
+	order := v.order
+	v.after(form, func() {
+		if v.order != order || v.entry.Membership == nil {
+			return
+		}
+		v.w.checkWhole(v)
+		v.setState(fleet.Open)
+		v.head = &head{replica: enginemodel.Replica{Figures: v.w.scenario.figures(v.w.model(v.model))}, jobs: make(map[*enginemodel.Job]*answer)}
+		v.publish()
+	})
+	return formation.Begun
+}
+
+func (v *vm) close(o formation.Order) formation.Answer {
+	m := v.entry.Membership
+	if m == nil || m.Epoch != o.Epoch || m.State != fleet.Open {
+		return formation.Misfit
+	}
+	if !o.Finish {
+		v.head.fail()
+	}
+	v.setState(fleet.Closing)
+	v.publish()
+	v.settle()
+	return formation.Begun
+}
+
+// setState replaces the membership rather than changing it: its entry may be on the
+// way to the store.
+func (v *vm) setState(s fleet.State) {
+	m := *v.entry.Membership
+	m.State = s
+	v.entry.Membership = &m
+}
+
+// settle ends a closing head that has no work left.
+func (v *vm) settle() {
+	if m := v.entry.Membership; m != nil && m.State == fleet.Closing && (v.head == nil || len(v.head.jobs) == 0) {
+		v.head = nil
+		v.setState(fleet.Ready)
+		v.publish()
+	}
+}
+
+// leave takes the VM out of its replica; the head of one that lost a member notices.
+func (v *vm) leave() {
+	m := v.entry.Membership
+	if m == nil {
+		return
+	}
+	if v.head != nil {
+		v.head.fail()
+		v.head = nil
+	}
+	v.order++
+	members, epoch := v.members, v.epoch
+	v.entry.Membership, v.members = nil, nil
+	v.publish()
+	v.w.memberGone(members, epoch)
+}
+
+// fail gives up all requests.
+func (h *head) fail() {
+	h.failed = true
+	for j, a := range h.jobs {
+		h.replica.Remove(j)
+		close(a.failed)
+	}
+	clear(h.jobs)
+}
+
+// turn plays passes while the replica has work and all its members.
+func (v *vm) turn(h *head) {
+	w := v.w
+	for {
+		w.mu.Lock()
+		if v.head != h || v.dead || !h.stuckSince.IsZero() {
+			h.turning = false
+			w.mu.Unlock()
+			return
+		}
+		h.replica.Slow = w.slowest(v)
+		took, wrote := h.replica.Pass()
+		if took == 0 {
+			h.turning = false
+			v.settle()
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		time.Sleep(took)
+		w.mu.Lock()
+		if v.head == h && !v.dead && h.stuckSince.IsZero() {
+			h.deliver(wrote)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// deliver hands out the pieces that a pass has written.
+func (h *head) deliver(wrote []*enginemodel.Job) {
+	for _, j := range wrote {
+		a := h.jobs[j]
+		if a == nil {
+			continue
+		}
+		a.pieces <- struct{}{}
+		if j.Done() {
+			close(a.pieces)
+			delete(h.jobs, j)
+		}
+	}
+}
