fennelctl losses: why calls were late, refused or failed, from nodes' logs

Whoever was on call read attempts' lines one by one. The verb reads logs of any number of nodes, gives each lost call one cause, and shows them by model, zone and two seconds beside what the VMs did, with an SVG picture.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,7 +77,8 @@
   fennelctl rules apply rules.txt --wait
   fennelctl status
   fennelctl explain --path /v1/chat/completions --model assistente-fit --team escola-a
-  fennelctl outages --from 2026-11-01 --to 2026-12-01 --json`
+  fennelctl outages --from 2026-11-01 --to 2026-12-01 --json
+  fennelctl losses front-*.log`
 
 // Run carries out one command line, without the program's name.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
@@ -145,6 +146,7 @@
 			a.statusCommand(),
 			a.explainCommand(),
 			a.outagesCommand(),
+			a.lossesCommand(),
 		},
 	}
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -275,6 +275,29 @@
 	require.Equal(t, 60.0, doc.Totals[0].LowSeconds)
 }
 
+// After a bad hour the nodes may be gone: their logs are read without any of them.
+func TestLossesNeedNoNode(t *testing.T) {
+	dir := t.TempDir()
+	logFile, picture := filepath.Join(dir, "a.log"), filepath.Join(dir, "losses.svg")
+	lines := `time=2026-07-01T08:00:00Z level=INFO msg=serving node=entry-a zone=north
+time=2026-07-01T08:00:01Z level=INFO msg="no replica" request=r1 group=large excluded=0 held=300µs err="every replica of group large is full, of 4 looked at"
+time=2026-07-01T08:00:01Z level=INFO msg="no repl
+`
+	require.NoError(t, os.WriteFile(logFile, []byte(lines), 0o600))
+	var out, problems bytes.Buffer
+	require.Equal(t, ExitOK, Run(t.Context(), []string{"losses", "--plot", picture, logFile}, &out, &problems))
+	require.Contains(t, out.String(), "refused-by-us  1")
+	require.Contains(t, problems.String(), "1 lines can't be read")
+	require.FileExists(t, picture)
+
+	for args, code := range map[string]ExitCode{"losses": ExitUsage, "losses --every 0s " + logFile: ExitUsage, "losses " + dir + "/none.log": ExitFailed} {
+		require.Equal(t, code, Run(t.Context(), strings.Fields(args), io.Discard, io.Discard), args)
+	}
+	out.Reset()
+	require.Equal(t, ExitOK, Run(t.Context(), []string{"losses", "--json", logFile}, &out, io.Discard))
+	require.Contains(t, out.String(), `"refused-by-us": 1`)
+}
+
 func TestWrongServerSaysTheMend(t *testing.T) {
 	newSystem(t)
 	callers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) }))
--- /dev/null
+++ b/internal/losses/losses_test.go
@@ -0,0 +1,121 @@
+package losses_test
+
+import (
+	"bytes"
+	"encoding/xml"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/losses"
+)
+
+func readEntryA(t *testing.T) *losses.Log {
+	t.Helper()
+	f, err := os.Open("testdata/entry-a.log")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, f.Close()) }()
+	log := &losses.Log{}
+	require.NoError(t, log.Read(f))
+	return log
+}
+
+// After a bad hour whoever is on call must know for each call what it was lost by. One
+// that went on elsewhere and was late is late for what went wrong first, and one that was
+// on time all the same is no loss.
+func TestEachLossHasItsCause(t *testing.T) {
+	got := make(map[string]losses.Call)
+	for _, call := range readEntryA(t).Calls() {
+		got[call.Request] = call
+	}
+	for request, want := range map[string]struct {
+		outcome losses.Outcome
+		cause   losses.Cause
+	}{
+		"on-time": {losses.OnTime, ""},
+		"saved":   {losses.OnTime, ""},
+		"queued":  {losses.Late, losses.Queued},
+		"slow":    {losses.Late, losses.Slow},
+		"paused":  {losses.Late, losses.Paused},
+		"still":   {losses.Late, losses.StoodStill},
+		"hung":    {losses.Refused, losses.Unreachable},
+		"full":    {losses.Refused, losses.Full},
+		"shed":    {losses.Refused, losses.TurnedDown},
+		"broke":   {losses.Failed, losses.Broke},
+		"own":     {losses.Failed, losses.ServerFailed},
+		"left":    {losses.Failed, losses.Left},
+	} {
+		require.Equal(t, want.outcome, got[request].Outcome, request)
+		require.Equal(t, want.cause, got[request].Cause, request)
+		require.Equal(t, "north", got[request].Zone, request)
+	}
+}
+
+// A log that was cut while it was written has lines that end in the middle. The others
+// still tell what happened; what was passed over is said.
+func TestTornLinesArePassedOverAndTold(t *testing.T) {
+	log := readEntryA(t)
+	require.Len(t, log.Torn, 1)
+	require.Equal(t, 16, log.Torn[0].Line)
+	for _, call := range log.Calls() {
+		require.NotEqual(t, "cut", call.Request)
+	}
+}
+
+// Each call counts in the window in which it came, not in that of its end.
+func TestReportAddsUp(t *testing.T) {
+	report := readEntryA(t).Report(2 * time.Second)
+	require.Equal(t, 12, report.All.Calls)
+	require.Equal(t, 7, report.Groups["large"].Calls+report.Groups["service:desk"].Calls)
+	require.Equal(t, 12, report.Zones["north"].Calls)
+	sum := 0
+	for _, w := range report.Windows {
+		sum += w.Calls
+	}
+	require.Equal(t, 12, sum)
+	first := report.Windows[0]
+	require.Equal(t, time.Date(2026, 7, 1, 8, 0, 0, 0, time.UTC), first.From)
+	require.Equal(t, 9, first.Stock.Held)
+	require.Equal(t, 3, first.Stock.Cold)
+	require.Equal(t, 4, first.Calls, "on-time, queued, slow and paused came in the first two seconds")
+}
+
+func TestPlotIsAPicture(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, readEntryA(t).Report(2*time.Second).Plot(&out))
+	dec := xml.NewDecoder(&out)
+	for {
+		_, err := dec.Token()
+		if err == io.EOF {
+			return
+		}
+		require.NoError(t, err)
+	}
+}
+
+// A log without a line of a call is a report without rows, and still a picture.
+func TestNothingToReport(t *testing.T) {
+	report := (&losses.Log{}).Report(time.Second)
+	require.Zero(t, report.All.Calls)
+	require.NoError(t, report.Plot(io.Discard))
+}
+
+func FuzzRead(f *testing.F) {
+	log, err := os.ReadFile("testdata/entry-a.log")
+	require.NoError(f, err)
+	f.Add(log)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		log := &losses.Log{}
+		if log.Read(bytes.NewReader(b)) != nil {
+			return
+		}
+		counted := 0
+		for _, w := range log.Report(time.Second).Windows {
+			counted += w.Calls
+		}
+		require.Equal(t, len(log.Calls()), counted)
+	})
+}
--- /dev/null
+++ b/internal/losses/report.go
@@ -0,0 +1,95 @@
+package losses
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Counts are calls by what their callers got, and losses by cause.
+type Counts struct {
+	Calls    int             `json:"calls"`
+	Outcomes map[Outcome]int `json:"outcomes"`
+	Causes   map[Cause]int   `json:"causes"`
+}
+
+func newCounts() *Counts {
+	return &Counts{Outcomes: make(map[Outcome]int), Causes: make(map[Cause]int)}
+}
+
+func (c *Counts) add(call Call) {
+	c.Calls++
+	c.Outcomes[call.Outcome]++
+	if call.Cause != "" {
+		c.Causes[call.Cause]++
+	}
+}
+
+// Window is some time of the log.
+type Window struct {
+	From time.Time `json:"from"`
+	*Counts
+	// Stock is the last that was known of the VMs in the window; nil if nothing was.
+	Stock *Stock `json:"stock,omitempty"`
+}
+
+// Report sums up calls.
+type Report struct {
+	All     *Counts            `json:"all"`
+	Groups  map[string]*Counts `json:"groups"`
+	Zones   map[string]*Counts `json:"zones"`
+	Windows []Window           `json:"windows"`
+	// Every is the length of a window.
+	Every time.Duration `json:"-"`
+}
+
+// Calls are the calls that were read, each with its outcome and cause, in the order in
+// which they came.
+func (l *Log) Calls() []Call {
+	out := make([]Call, 0, len(l.calls))
+	for _, c := range l.calls {
+		outcome, cause := c.judge()
+		out = append(out, Call{Request: c.request, Node: c.node, Zone: c.zone, Group: c.group, At: c.at, Outcome: outcome, Cause: cause})
+	}
+	slices.SortStableFunc(out, func(a, b Call) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// Report sums up what was read, in windows of a length.
+func (l *Log) Report(every time.Duration) *Report {
+	r := &Report{All: newCounts(), Groups: make(map[string]*Counts), Zones: make(map[string]*Counts), Every: every}
+	windows := make(map[time.Time]*Window)
+	for _, call := range l.Calls() {
+		from := call.At.Truncate(every)
+		if windows[from] == nil {
+			windows[from] = &Window{From: from, Counts: newCounts()}
+		}
+		for _, c := range []*Counts{r.All, under(r.Groups, call.Group), under(r.Zones, call.Zone), windows[from].Counts} {
+			c.add(call)
+		}
+	}
+	for i := range l.stocks {
+		if w := windows[l.stocks[i].At.Truncate(every)]; w != nil {
+			w.Stock = &l.stocks[i]
+		}
+	}
+	for _, from := range slices.SortedFunc(maps.Keys(windows), time.Time.Compare) {
+		r.Windows = append(r.Windows, *windows[from])
+	}
+	return r
+}
+
+func under(by map[string]*Counts, name string) *Counts {
+	if by[name] == nil {
+		by[name] = newCounts()
+	}
+	return by[name]
+}
+
+// Largest are the causes that were seen, the most frequent first.
+func (c *Counts) Largest() []Cause {
+	seen := slices.DeleteFunc(Causes(), func(cause Cause) bool { return c.Causes[cause] == 0 })
+	slices.SortStableFunc(seen, func(a, b Cause) int { return cmp.Compare(c.Causes[b], c.Causes[a]) })
+	return seen
+}
