--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/feed"
@@ -266,18 +267,11 @@
 
 // sweep closes connections that nobody may use any more.
 func (n *Core) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			list, _ := n.currentList()
-			n.pool.Sweep(func(p conns.Peer) bool {
-				s := list.Find(p.Server)
-				return s != nil && s.Addr == p.Addr && s.Born.UnixMilli() == p.Born
-			}, time.Now())
-		}
-	}
+	clock.Every(ctx, sweepEvery, func(now time.Time) {
+		list, _ := n.currentList()
+		n.pool.Sweep(func(p conns.Peer) bool {
+			s := list.Find(p.Server)
+			return s != nil && s.Addr == p.Addr && s.Born.UnixMilli() == p.Born
+		}, now)
+	})
 }
--- a/internal/entry/outages.go
+++ b/internal/entry/outages.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/ledger"
@@ -181,16 +182,7 @@
 
 // watchIdle counts idle accelerators until ctx ends.
 func (n *Core) watchIdle(ctx context.Context) {
-	ticker := time.NewTicker(strandedEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.outages.count(n.idle(), time.Now())
-		}
-	}
+	clock.Every(ctx, strandedEvery, func(now time.Time) { n.outages.count(n.idle(), now) })
 }
 
 // Outages implements operator.OutageSource. Without the store it tells what this
--- a/internal/player/gossip.go
+++ b/internal/player/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/entry"
 )
 
@@ -17,18 +18,13 @@
 
 // gossip has the nodes tell each other their news in turn, but across a cut.
 func (sys *System) gossip(ctx context.Context) {
-	ticker := time.NewTicker(newsEvery)
-	defer ticker.Stop()
-	for turn := 1; ; turn++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for i, from := range sys.nodes {
-				sys.tell(from, sys.peerInTurn(i, turn))
-			}
+	turn := 0
+	clock.Every(ctx, newsEvery, func(time.Time) {
+		turn++
+		for i, from := range sys.nodes {
+			sys.tell(from, sys.peerInTurn(i, turn))
 		}
-	}
+	})
 }
 
 // peerInTurn is the node that the i-th one tells at its turn.
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 )
 
@@ -33,16 +34,9 @@
 // watch tallies the VMs each second until ctx ends.
 func (sys *System) watch(ctx context.Context, res *Result) {
 	began := time.Now()
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			res.VMs = append(res.VMs, sys.world.tally(time.Since(began)))
-		}
-	}
+	clock.Every(ctx, time.Second, func(now time.Time) {
+		res.VMs = append(res.VMs, sys.world.tally(now.Sub(began)))
+	})
 }
 
 func (w *world) tally(at time.Duration) Tally {
--- a/internal/player/vm.go
+++ b/internal/player/vm.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
@@ -99,18 +100,11 @@
 // beat has the entry written at least once a heartbeat, which also tells the nodes that
 // the store answers.
 func (v *vm) beat(ctx context.Context) {
-	ticker := time.NewTicker(v.w.scenario.Engine.Heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			v.w.mu.Lock()
-			v.publish()
-			v.w.mu.Unlock()
-		}
-	}
+	clock.Every(ctx, v.w.scenario.Engine.Heartbeat, func(time.Time) {
+		v.w.mu.Lock()
+		defer v.w.mu.Unlock()
+		v.publish()
+	})
 }
 
 // carryOut does an order and returns its answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
@@ -85,21 +86,14 @@
 
 // Run watches the replicas for ones that stand still, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker := time.NewTicker(stallCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, id := range r.vitals.review(time.Now()) {
-				r.opts.Log.Warn("replica stands still", "replica", id, "moved", r.move(id, errStalled))
-				if r.opts.OnStall != nil {
-					r.opts.OnStall(id)
-				}
+	clock.Every(ctx, stallCheck, func(now time.Time) {
+		for _, id := range r.vitals.review(now) {
+			r.opts.Log.Warn("replica stands still", "replica", id, "moved", r.move(id, errStalled))
+			if r.opts.OnStall != nil {
+				r.opts.OnStall(id)
 			}
 		}
-	}
+	})
 }
 
 // ReplicaLost ends the attempts on a replica that lost a member, so that they go
