Ablation: the order of waiting calls by lateness goes

Calls that can still be on time went before those that are late already, among calls of one urgency.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,7 +56,7 @@
 
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, Attempt{
 		Call: a.s.call, To: a.peer, Replica: a.choice.Replica.ID, Left: time.Until(a.s.end),
-		ResumeAfter: a.s.lastID, Urgency: a.s.urgency(), MaxIdle: a.maxIdle(),
+		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(),
 	})
 	if err != nil {
 		if notRun, ok := errors.Into[*NotRunError](err); ok {
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -21,8 +21,6 @@
 	Left time.Duration
 	// ResumeAfter is the id of the last piece that came; empty to start anew.
 	ResumeAfter string
-	// Urgency is the call's place among those that wait on a replica, 0 first.
-	Urgency int
 	// MaxIdle is how long a connection may have been idle to be used.
 	MaxIdle time.Duration
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -148,17 +148,6 @@
 	return firstExtra
 }
 
-// urgency is the call's place among those that wait on a replica. Among calls that are
-// as urgent as each other those go first whose answers can still be on time: one that is
-// late already loses nothing more by waiting a little longer.
-func (s *session) urgency() int {
-	late := 0
-	if s.attempts > 1 || s.call.Returning() {
-		late = 1
-	}
-	return 2*s.call.Urgency + late
-}
-
 // Gone implements recovery.Call.
 func (s *session) Gone(ctx context.Context, _ error) error {
 	if !gone(ctx) {
