--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -103,7 +103,7 @@
 		if s.isCrashed() {
 			panic(http.ErrAbortHandler)
 		}
-		// The switches of the test bench work on a frozen engine too.
+		// The switches that tests use work on a frozen engine too.
 		if r.URL.Path != FaultsPath && r.URL.Path != RunsPath {
 			select {
 			case <-s.thawed():
