formation: log lines that tell which process a VM is

The holder now writes a line (msg=vm) when a VM leaves the list, comes back or is started anew, with the start of its process before and after; order, break-up and "replica ended" lines have the start of the process they speak of and the members concerned.

No change of behaviour.

--- a/internal/formation/ending.go
+++ b/internal/formation/ending.go
@@ -50,7 +50,7 @@
 }
 
 func (t *tenure) settle(id cluster.ReplicaID, e *ending, why string, now time.Time) {
-	t.opts.Log.Info("replica ended", "replica", id, "head", e.head, "reason", e.reason, "evidence", why, "took", now.Sub(e.since))
+	t.opts.Log.Info("replica ended", "replica", id, "head", e.head, "head_born", t.seen[e.head].Born, "reason", e.reason, "held", e.held(), "evidence", why, "took", now.Sub(e.since))
 	delete(t.ending, id)
 	t.settled[id] = true
 }
@@ -106,7 +106,7 @@
 	}
 	t.ending[a.Replica] = e
 	t.opts.Log.Info("placement", "action", a.Kind, "group", a.Group, "replica", a.Replica, "head", e.head,
-		"fence", t.fence, "list_revision", list.Revision, "reason", a.Reason)
+		"head_listed", list.Find(e.head) != nil, "head_born", t.seen[e.head].Born, "members", e.members, "fence", t.fence, "list_revision", list.Revision, "reason", a.Reason)
 }
 
 // membersOf finds the members of a replica among the listed VMs, and its serving
--- a/internal/formation/send.go
+++ b/internal/formation/send.go
@@ -10,7 +10,9 @@
 
 // answered is an order with what came of it.
 type answered struct {
-	vm     cluster.VMID
+	vm cluster.VMID
+	// born is the start of the process that the order was meant for, as listed.
+	born   time.Time
 	order  Order
 	answer Answer
 	err    error
@@ -38,7 +40,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.inFlight, to.ID)
-		t.answers = append(t.answers, answered{to.ID, order, answer, err})
+		t.answers = append(t.answers, answered{to.ID, to.Born, order, answer, err})
 		select {
 		case t.woken <- struct{}{}:
 		default:
@@ -62,7 +64,7 @@
 	id := fleet.ReplicaID(a.order.Replica, a.order.Epoch)
 	if a.err != nil {
 		ordersFailed.Inc()
-		t.opts.Log.Warn("order", "order", a.order.Kind, "vm", a.vm, "replica", id, "outcome", "unknown", "err", a.err.Error())
+		t.opts.Log.Warn("order", "order", a.order.Kind, "vm", a.vm, "born", a.born, "replica", id, "outcome", "unknown", "err", a.err.Error())
 		if e := t.ending[id]; e != nil && a.vm == e.head {
 			e.headSilent = true
 			if notSent(a.err) {
@@ -71,7 +73,7 @@
 		}
 		return
 	}
-	t.opts.Log.Info("order", "order", a.order.Kind, "vm", a.vm, "replica", id, "outcome", a.answer)
+	t.opts.Log.Info("order", "order", a.order.Kind, "vm", a.vm, "born", a.born, "replica", id, "outcome", a.answer)
 	switch {
 	case a.answer == Fenced:
 		t.lost = true
--- /dev/null
+++ b/internal/formation/sightings.go
@@ -0,0 +1,58 @@
+package formation
+
+import (
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+)
+
+// sighting is how the holder last saw a VM in the list.
+type sighting struct {
+	born       time.Time
+	membership *fleet.Membership
+	// unlistedAt is when the VM was first missing from the list; zero while it is there.
+	unlistedAt time.Time
+}
+
+// logSightings writes a line for each VM that left the list, came back to it, or was
+// started anew, with the start of its process: it tells afterwards whether a VM that
+// came back is the process that went.
+func (t *tenure) logSightings(list fleet.List, now time.Time) {
+	for i := range list.Servers {
+		s := &list.Servers[i]
+		before, known := t.sightings[s.ID]
+		switch {
+		case !known && t.sightingsAt.IsZero():
+		case !known:
+			t.logSighting("listed", s.ID, s.Born, s.Membership, list, "draining", s.Draining)
+		case !before.unlistedAt.IsZero():
+			t.logSighting("listed-again", s.ID, s.Born, s.Membership, list, "born_before", before.born,
+				"same_process", s.Born.Equal(before.born), "away", now.Sub(before.unlistedAt))
+		case !s.Born.Equal(before.born):
+			t.logSighting("started-anew", s.ID, s.Born, s.Membership, list, "born_before", before.born)
+		}
+		t.sightings[s.ID] = sighting{born: s.Born, membership: s.Membership}
+	}
+	for vm, s := range t.sightings {
+		switch {
+		case list.Find(vm) != nil:
+		case s.unlistedAt.IsZero():
+			s.unlistedAt = now
+			t.sightings[vm] = s
+			t.logSighting("unlisted", vm, s.born, s.membership, list)
+		case now.Sub(s.unlistedAt) > forgetAfter:
+			delete(t.sightings, vm)
+		}
+	}
+	t.sightingsAt = now
+}
+
+func (t *tenure) logSighting(change string, vm cluster.VMID, born time.Time, m *fleet.Membership, list fleet.List, more ...any) {
+	replica, state := cluster.ReplicaID(""), fleet.State("")
+	if m != nil {
+		replica, state = fleet.ReplicaID(m.Replica, m.Epoch), m.State
+	}
+	fields := []any{"change", change, "vm", vm, "born", born, "replica", replica, "state", state, "list_revision", list.Revision}
+	t.opts.Log.Info("vm", append(fields, more...)...)
+}
--- a/internal/formation/tenure.go
+++ b/internal/formation/tenure.go
@@ -48,6 +48,10 @@
 	present map[cluster.VMID]*presence
 	// seen is each VM as last listed, for those that are not listed any more.
 	seen map[cluster.VMID]fleet.Server
+	// sightings are the VMs as they were last logged, sightingsAt when; zero before the
+	// first list.
+	sightings   map[cluster.VMID]sighting
+	sightingsAt time.Time
 
 	mu       sync.Mutex
 	sending  sync.WaitGroup
@@ -69,7 +73,7 @@
 func newTenure(opts Options, fence cluster.Fence, seen map[cluster.VMID]fleet.Server) *tenure {
 	return &tenure{opts: opts, fence: fence, loads: newLoads(), staging: make(map[cluster.VMID]string),
 		formed: make(map[cluster.ReplicaID]*forming), ending: make(map[cluster.ReplicaID]*ending),
-		settled: make(map[cluster.ReplicaID]bool), down: make(map[cluster.VMID]silent), present: make(map[cluster.VMID]*presence), seen: seen,
+		settled: make(map[cluster.ReplicaID]bool), down: make(map[cluster.VMID]silent), present: make(map[cluster.VMID]*presence), seen: seen, sightings: make(map[cluster.VMID]sighting),
 		inFlight: make(map[cluster.VMID]bool), woken: make(chan struct{}, 1)}
 }
 
@@ -79,6 +83,7 @@
 	if set == nil {
 		return
 	}
+	t.logSightings(list, now)
 	t.takeAnswers(now)
 	t.adoptLoads(set, list, now)
 	t.loads.set(set.Weights, t.opts.FreeLoads(), now)
