--- a/internal/formation/tenure_test.go
+++ b/internal/formation/tenure_test.go
@@ -1,10 +1,13 @@
 package formation
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,12 +27,14 @@
 	order Order
 }
 
-// recorder takes orders and answers them as set; VMs in dead never answer.
+// recorder takes orders and answers them as set; VMs in dead never answer, those in
+// refusing refuse connections.
 type recorder struct {
-	mu     sync.Mutex
-	sent   []sentOrder
-	answer Answer
-	dead   map[cluster.VMID]bool
+	mu       sync.Mutex
+	sent     []sentOrder
+	answer   Answer
+	dead     map[cluster.VMID]bool
+	refusing map[cluster.VMID]bool
 }
 
 func (r *recorder) Send(_ context.Context, to fleet.Server, order Order) (Answer, error) {
@@ -39,13 +44,16 @@
 	if r.dead[to.ID] {
 		return "", &SendError{VM: to.ID, Err: context.DeadlineExceeded}
 	}
+	if r.refusing[to.ID] {
+		return "", &SendError{VM: to.ID, NotSent: true, Err: syscall.ECONNREFUSED}
+	}
 	return r.answer, nil
 }
 
 func (r *recorder) Probe(_ context.Context, vm fleet.Server) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dead[vm.ID] {
+	if r.dead[vm.ID] || r.refusing[vm.ID] {
 		return &SendError{VM: vm.ID, Err: context.DeadlineExceeded}
 	}
 	return nil
@@ -87,7 +95,7 @@
 	lease, err := grouping.AcquireLease(t.Context(), mem, "here", "node-1", time.Hour)
 	require.NoError(t, err)
 	require.NotNil(t, lease)
-	s := &scene{t: t, orders: &recorder{answer: Begun, dead: make(map[cluster.VMID]bool)}, lease: lease, now: time.Now()}
+	s := &scene{t: t, orders: &recorder{answer: Begun, dead: make(map[cluster.VMID]bool), refusing: make(map[cluster.VMID]bool)}, lease: lease, now: time.Now()}
 	s.tenure = newTenure(Options{Scope: "here", Rules: func() *rules.Set { return sceneRules }, FreeLoads: func() bool { return true },
 		Orders: s.orders, Policy: placement.Mix{}, Log: slog.New(slog.DiscardHandler)}, lease.Fence(), make(map[cluster.VMID]fleet.Server))
 	for i := range vms {
@@ -127,6 +135,23 @@
 	s.servers = kept
 }
 
+// listed is a VM as the list has it.
+func (s *scene) listed(vm cluster.VMID) fleet.Server {
+	for _, one := range s.servers {
+		if one.ID == vm {
+			return one
+		}
+	}
+	s.t.Fatalf("%s is not listed", vm)
+	return fleet.Server{}
+}
+
+// restore brings a VM back into the list, in its order.
+func (s *scene) restore(vm fleet.Server) {
+	s.servers = append(s.servers, vm)
+	slices.SortFunc(s.servers, func(a, b fleet.Server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // opened is a scene with one replica that serves, and the order that made it.
 func opened(t *testing.T, vms int) (*scene, Order) {
 	t.Helper()
@@ -248,3 +273,57 @@
 	later.step()
 	require.Greater(t, later.orders.take(Join)["vm-0"].Epoch, early+1<<(epochBits-1))
 }
+
+// A head refuses connections for a while, then goes on serving: its members must not be used before they have left.
+func TestMembersOfAHeadThatRefusesConnectionsAreNotReused(t *testing.T) {
+	s, order := opened(t, 5)
+	head, second, third := order.Members[0], order.Members[1], order.Members[2]
+	s.vanish(third)
+	s.orders.dead[third], s.orders.dead[second], s.orders.refusing[head] = true, true, true
+	for range 4 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Leave), head)
+	for _, join := range s.orders.take(Join) {
+		require.NotContains(t, join.Members, second, "it has not left the replica")
+	}
+	s.orders.answer = Done
+	delete(s.orders.dead, second)
+	for range 4 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Leave), second)
+	require.Contains(t, s.orders.take(Join), second, "it has left")
+}
+
+// A head that refused connections is listed again as open: it must leave before it joins another replica.
+func TestHeadThatComesBackOpenLeavesBeforeItJoins(t *testing.T) {
+	s, order := opened(t, 4)
+	head, third := order.Members[0], order.Members[2]
+	back := s.listed(head)
+	s.vanish(third)
+	s.orders.dead[third], s.orders.refusing[head] = true, true
+	s.orders.answer = Done
+	for range 3 {
+		s.step()
+	}
+	s.vanish(head)
+	s.step()
+	s.orders.take(Leave)
+	s.orders.take(Join)
+
+	s.restore(back)
+	delete(s.orders.refusing, head)
+	s.orders.dead[head] = true // it hears nothing yet
+	s.step()
+	require.Contains(t, s.orders.take(Leave), head)
+	for _, join := range s.orders.take(Join) {
+		require.NotContains(t, join.Members, head, "it is open")
+	}
+	delete(s.orders.dead, head)
+	for range 4 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Leave), head)
+	require.Contains(t, s.orders.take(Join), head, "it has left")
+}
