formation: a refused connection does not end a replica

Cause: when the leave order to a replica's head failed with "connection refused", the holder took the replica for ended and its members, the head among them, for free. What a refused connection proves is that nothing listens at the address at that moment.

Ruled out: two holders, delayed orders, another process under the id.

Fix: what frees a VM is a typed evidence now, and each comes from the VM's own process (it answered the leave, or its entry says that it left, broke or joined another replica) or from the fact that no open order was sent. With a head that does not answer, refusing or silent, each member leaves by itself, which takes milliseconds; the head stays unusable until it has left. A line msg="member released" or "replica ended" has the evidence, its VM, that process's start and its age. A replica of which nothing is listed is forgotten, not freed.

--- a/internal/formation/ending.go
+++ b/internal/formation/ending.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
@@ -19,7 +17,7 @@
 	// members are all that were known; each is held until the head is known to have
 	// stopped, or it has left itself.
 	members []cluster.VMID
-	left    map[cluster.VMID]bool
+	left    map[cluster.VMID]evidence
 	since   time.Time
 	// sentAt is when an order was last sent to a VM.
 	sentAt map[cluster.VMID]time.Time
@@ -29,7 +27,7 @@
 
 func newEnding(reason string, head cluster.VMID, members []cluster.VMID, now time.Time) *ending {
 	return &ending{reason: reason, head: head, members: members, since: now,
-		left: make(map[cluster.VMID]bool), sentAt: make(map[cluster.VMID]time.Time)}
+		left: make(map[cluster.VMID]evidence), sentAt: make(map[cluster.VMID]time.Time)}
 }
 
 // hold adds a member that the list shows later than others.
@@ -42,33 +40,42 @@
 // held are the members that no other replica may take yet.
 func (e *ending) held() (out []cluster.VMID) {
 	for _, vm := range e.members {
-		if !e.left[vm] {
+		if _, left := e.left[vm]; !left {
 			out = append(out, vm)
 		}
 	}
 	return out
 }
 
-func (t *tenure) settle(id cluster.ReplicaID, e *ending, why string, now time.Time) {
-	t.opts.Log.Info("replica ended", "replica", id, "head", e.head, "head_born", t.seen[e.head].Born, "reason", e.reason, "held", e.held(), "evidence", why, "took", now.Sub(e.since))
+// settle frees the members of a replica that serves no more.
+func (t *tenure) settle(id cluster.ReplicaID, e *ending, why evidence, now time.Time) {
+	t.opts.Log.Info("replica ended", "replica", id, "head", e.head, "head_born", t.seen[e.head].Born, "reason", e.reason, "held", e.held(),
+		why.attrs(now), "took", now.Sub(e.since))
 	delete(t.ending, id)
 	t.settled[id] = true
 }
 
-// headStopped reports whether the replica's serving member certainly takes no
-// more requests for it: it says so, or has started anew. One that is not listed
-// may be cut off from the store and serve on.
-func (t *tenure) headStopped(list fleet.List, id cluster.ReplicaID, e *ending) bool {
+// release frees one member of a replica whose head may serve on.
+func (t *tenure) release(id cluster.ReplicaID, e *ending, vm cluster.VMID, why evidence, now time.Time) {
+	t.opts.Log.Info("member released", "replica", id, "head", e.head, "vm", vm, why.attrs(now))
+	e.left[vm] = why
+}
+
+// headStopped is the evidence of the list that the replica's serving member takes no
+// more requests for it. One that is not listed may be cut off from the store and serve
+// on.
+func (t *tenure) headStopped(list fleet.List, id cluster.ReplicaID, e *ending) (evidence, bool) {
 	s := list.Find(e.head)
 	if s == nil {
-		return false
+		return evidence{}, false
 	}
 	m := s.Membership
-	return m == nil || fleet.ReplicaID(m.Replica, m.Epoch) != id || m.State == fleet.Broken
+	stopped := m == nil || fleet.ReplicaID(m.Replica, m.Epoch) != id || m.State == fleet.Broken
+	return evidence{kind: headStopped, vm: s.ID, born: s.Born, at: list.ReadAt}, stopped
 }
 
-// reviewEnding settles replicas whose head has stopped, and those without a member
-// that is still to be freed.
+// reviewEnding settles replicas whose head has stopped, and forgets those without a
+// member in the list.
 func (t *tenure) reviewEnding(list fleet.List, shown map[cluster.ReplicaID]*fleet.Replica, now time.Time) {
 	for id, e := range t.ending {
 		if r := shown[id]; r != nil {
@@ -76,11 +83,13 @@
 				e.hold(m.ID)
 			}
 		}
-		switch {
-		case t.headStopped(list, id, e):
-			t.settle(id, e, "head stopped", now)
-		case shown[id] == nil && now.Sub(e.since) > forgetAfter:
-			t.settle(id, e, "no member is listed", now)
+		if why, stopped := t.headStopped(list, id, e); stopped {
+			t.settle(id, e, why, now)
+			continue
+		}
+		if shown[id] == nil && now.Sub(e.since) > forgetAfter {
+			t.opts.Log.Info("replica forgotten", "replica", id, "head", e.head, "held", e.held(), "reason", "no member is listed", "took", now.Sub(e.since))
+			delete(t.ending, id)
 		}
 	}
 }
@@ -149,7 +158,7 @@
 			continue
 		}
 		if m := s.Membership; m == nil || fleet.ReplicaID(m.Replica, m.Epoch) != id {
-			e.left[vm] = true // it says that it is no member any more
+			t.release(id, e, vm, evidence{kind: memberElsewhere, vm: vm, born: s.Born, at: list.ReadAt}, now)
 			continue
 		}
 		if t.send(ctx, *s, t.leaveOrder(s.Membership)) {
@@ -190,15 +199,10 @@
 const reasonLeaving = "member-leaving"
 
 // takeLeave notes that the head or another member has left.
-func (t *tenure) takeLeave(id cluster.ReplicaID, e *ending, vm cluster.VMID, now time.Time) {
-	if vm == e.head {
-		t.settle(id, e, "head left", now)
+func (t *tenure) takeLeave(id cluster.ReplicaID, e *ending, a answered, now time.Time) {
+	if a.vm == e.head {
+		t.settle(id, e, evidence{kind: headLeft, vm: a.vm, born: a.born, at: a.at}, now)
 		return
 	}
-	e.left[vm] = true
-}
-
-func notSent(err error) bool {
-	e, ok := errors.Into[*SendError](err)
-	return ok && e.NotSent
+	t.release(id, e, a.vm, evidence{kind: memberLeft, vm: a.vm, born: a.born, at: a.at}, now)
 }
--- a/internal/formation/send.go
+++ b/internal/formation/send.go
@@ -16,6 +16,8 @@
 	order  Order
 	answer Answer
 	err    error
+	// at is when the answer came.
+	at time.Time
 }
 
 func (t *tenure) busy(vm cluster.VMID) bool {
@@ -40,7 +42,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.inFlight, to.ID)
-		t.answers = append(t.answers, answered{to.ID, to.Born, order, answer, err})
+		t.answers = append(t.answers, answered{to.ID, to.Born, order, answer, err, time.Now()})
 		select {
 		case t.woken <- struct{}{}:
 		default:
@@ -67,9 +69,6 @@
 		t.opts.Log.Warn("order", "order", a.order.Kind, "vm", a.vm, "born", a.born, "replica", id, "outcome", "unknown", "err", a.err.Error())
 		if e := t.ending[id]; e != nil && a.vm == e.head {
 			e.headSilent = true
-			if notSent(a.err) {
-				t.settle(id, e, "nothing listens at the head's address", now)
-			}
 		}
 		return
 	}
@@ -82,7 +81,7 @@
 			f.joined[a.vm] = true
 		}
 	case a.order.Kind == Leave && t.ending[id] != nil && a.answer != Invalid:
-		t.takeLeave(id, t.ending[id], a.vm, now)
+		t.takeLeave(id, t.ending[id], a, now)
 	}
 }
 
