formation: a replica that an earlier holder formed is left before its members are used

A ready replica of an earlier holder is adopted when it is to be opened. If its head was busy with another order, none was sent; when a member was lost then, the replica counted as never opened and its members were free at once, though the earlier holder's open order may still be under way: workers carry out orders seconds late.

The test failed before: TestReplicaOfAnEarlierHolderIsLeftBeforeItsMembersAreReused: no leave order to vm-0. A replica that may have been told to open by anyone is ended like one that serves: by its head's answer or its members' own.

--- a/internal/formation/forming.go
+++ b/internal/formation/forming.go
@@ -22,6 +22,9 @@
 	// born tells the members' processes from later ones under the same id.
 	born   map[cluster.VMID]time.Time
 	openAt time.Time
+	// mayServe is true once an open order may have been sent, by this holder or by an
+	// earlier one, whose order may still be under way.
+	mayServe bool
 }
 
 // adoptLoads counts, once, the loads that an earlier holder began: VMs that join a
@@ -67,11 +70,11 @@
 	return false
 }
 
-// giveUp ends a replica that never served. One that was told to open may be
-// about to; it is ended like any other. Of the others no member ever serves.
+// giveUp ends a replica that is not known to serve. One that may have been told to
+// open is ended like any other; of the others no member ever serves.
 func (t *tenure) giveUp(id cluster.ReplicaID, f *forming, reason string, now time.Time) {
 	delete(t.formed, id)
-	if f.openAt.IsZero() {
+	if !f.mayServe {
 		t.settled[id] = true
 		return
 	}
@@ -171,14 +174,14 @@
 		return
 	}
 	if t.send(ctx, *r.Head(), Order{Kind: Open, Fence: t.fence, Replica: r.Name, Epoch: r.Epoch}) {
-		f.openAt = now
+		f.openAt, f.mayServe = now, true
 		t.opts.Log.Info("placement", "action", "open", "group", r.Model, "replica", r.ID(), "head", r.Head().ID, "fence", t.fence, "reason", "all-members-ready")
 	}
 }
 
 // adopt takes over a ready replica of an earlier holder.
 func (t *tenure) adopt(r *fleet.Replica, now time.Time) *forming {
-	f := &forming{name: r.Name, epoch: r.Epoch, deadline: now.Add(joinGrace), born: make(map[cluster.VMID]time.Time),
+	f := &forming{name: r.Name, epoch: r.Epoch, mayServe: true, deadline: now.Add(joinGrace), born: make(map[cluster.VMID]time.Time),
 		sentAt: make(map[cluster.VMID]time.Time), joined: make(map[cluster.VMID]bool), replica: placementReplica(r, nil, t.opts.Scope)}
 	for _, m := range r.Members {
 		f.born[m.ID] = m.Born
--- a/internal/formation/tenure_test.go
+++ b/internal/formation/tenure_test.go
@@ -35,6 +35,8 @@
 	answer   Answer
 	dead     map[cluster.VMID]bool
 	refusing map[cluster.VMID]bool
+	// elsewhere are VMs at whose address another one answers.
+	elsewhere map[cluster.VMID]bool
 }
 
 func (r *recorder) Send(_ context.Context, to fleet.Server, order Order) (Answer, error) {
@@ -47,6 +49,9 @@
 	if r.refusing[to.ID] {
 		return "", &SendError{VM: to.ID, NotSent: true, Err: syscall.ECONNREFUSED}
 	}
+	if r.elsewhere[to.ID] {
+		return Elsewhere, nil
+	}
 	return r.answer, nil
 }
 
@@ -124,6 +129,15 @@
 	}
 }
 
+// clear takes a VM's membership out of the list.
+func (s *scene) clear(vm cluster.VMID) {
+	for i := range s.servers {
+		if s.servers[i].ID == vm {
+			s.servers[i].Membership = nil
+		}
+	}
+}
+
 // vanish takes a VM out of the list.
 func (s *scene) vanish(vm cluster.VMID) {
 	kept := s.servers[:0]
@@ -327,3 +341,22 @@
 	require.Contains(t, s.orders.take(Leave), head)
 	require.Contains(t, s.orders.take(Join), head, "it has left")
 }
+
+// An earlier holder's open order may still take effect: a replica it formed is never freed on this holder's word alone.
+func TestReplicaOfAnEarlierHolderIsLeftBeforeItsMembersAreReused(t *testing.T) {
+	s := newScene(t, 4)
+	order := Order{Replica: "m/7", Epoch: 7, Members: []cluster.VMID{"vm-0", "vm-1", "vm-2"}}
+	for rank, vm := range order.Members {
+		s.show(vm, order, rank, fleet.Ready)
+	}
+	s.tenure.inFlight["vm-0"] = true // so that no open order of this holder goes out
+	s.step()
+	require.Empty(t, s.orders.take(Open))
+	delete(s.tenure.inFlight, "vm-0")
+	s.vanish("vm-2")
+	s.orders.dead["vm-0"] = true
+	s.step()
+	s.step()
+	require.Contains(t, s.orders.take(Leave), cluster.VMID("vm-0"))
+	require.Empty(t, s.orders.take(Join), "the head has not answered")
+}
