formation: the answer of another VM at the address frees nobody

Begun, done and misfit come from the VM itself and count; after any other answer of the head each member leaves by itself, as when the head is silent.

TestAnswerOfAnotherVMDoesNotEndAReplica failed before: no leave order to vm-1, its replica had been settled.

--- a/internal/formation/ending.go
+++ b/internal/formation/ending.go
@@ -21,7 +21,7 @@
 	since   time.Time
 	// sentAt is when an order was last sent to a VM.
 	sentAt map[cluster.VMID]time.Time
-	// headSilent is true once an order to the head got no answer.
+	// headSilent is true once an order to the head got no answer from its process.
 	headSilent bool
 }
 
@@ -198,8 +198,16 @@
 // reasonLeaving is the policy's reason to break up a replica that still works.
 const reasonLeaving = "member-leaving"
 
-// takeLeave notes that the head or another member has left.
+// takeLeave notes that the head or another member has left. Misfit says that the VM is
+// not in the replica any more. The answer of another VM at the address says nothing of
+// this one.
 func (t *tenure) takeLeave(id cluster.ReplicaID, e *ending, a answered, now time.Time) {
+	switch a.answer {
+	case Begun, Done, Misfit:
+	default:
+		e.headSilent = e.headSilent || a.vm == e.head
+		return
+	}
 	if a.vm == e.head {
 		t.settle(id, e, evidence{kind: headLeft, vm: a.vm, born: a.born, at: a.at}, now)
 		return
--- a/internal/formation/send.go
+++ b/internal/formation/send.go
@@ -80,7 +80,7 @@
 		if f := t.formed[id]; f != nil {
 			f.joined[a.vm] = true
 		}
-	case a.order.Kind == Leave && t.ending[id] != nil && a.answer != Invalid:
+	case a.order.Kind == Leave && t.ending[id] != nil:
 		t.takeLeave(id, t.ending[id], a, now)
 	}
 }
--- a/internal/formation/tenure_test.go
+++ b/internal/formation/tenure_test.go
@@ -360,3 +360,17 @@
 	require.Contains(t, s.orders.take(Leave), cluster.VMID("vm-0"))
 	require.Empty(t, s.orders.take(Join), "the head has not answered")
 }
+
+// Another VM answers at the head's address: that says nothing of the head's process.
+func TestAnswerOfAnotherVMDoesNotEndAReplica(t *testing.T) {
+	s, order := opened(t, 4)
+	head, second, third := order.Members[0], order.Members[1], order.Members[2]
+	s.vanish(third)
+	s.orders.dead[third], s.orders.dead[second] = true, true
+	s.orders.elsewhere = map[cluster.VMID]bool{head: true}
+	for range 4 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Leave), second)
+	require.Empty(t, s.orders.take(Join))
+}
