formation: a head that serves again after it left is held again

A head that answered its leave, or that the list showed as stopped, stayed settled until no member named the replica any more. Workers carry out orders late: a join and an open that had been sent twice may take effect after the leave, and the members, which had not left themselves, were used while their head was open.

Once the list has shown the head as stopped, an entry that shows it open takes the mark back (msg="replica serves again") and the replica is ended anew. Until the list has followed the head's answer its old entry counts for nothing, as before. TestHeadThatOpensAgainAfterItLeftIsLeftAgain failed before: the survivors and a spare were joined.

--- a/internal/formation/ending.go
+++ b/internal/formation/ending.go
@@ -52,7 +52,35 @@
 	t.opts.Log.Info("replica ended", "replica", id, "head", e.head, "head_born", t.seen[e.head].Born, "reason", e.reason, "held", e.held(),
 		why.attrs(now), "took", now.Sub(e.since))
 	delete(t.ending, id)
-	t.settled[id] = true
+	t.settled[id] = &settled{why: why}
+}
+
+// settled is a replica that serves no more while some members still name it.
+type settled struct {
+	why evidence
+	// shown is true once the list shows the head as not serving it. Until then the list
+	// may lag behind the head's own answer.
+	shown bool
+}
+
+// reviewSettled forgets replicas that no member names any more, and those whose head
+// serves again: a delayed join or open order may take effect after the head has left.
+func (t *tenure) reviewSettled(listed map[cluster.ReplicaID]*fleet.Replica, now time.Time) {
+	for id, s := range t.settled {
+		r := listed[id]
+		if r == nil {
+			delete(t.settled, id)
+			continue
+		}
+		if state := r.State(); state != fleet.Open && state != fleet.Closing {
+			s.shown = true
+			continue
+		}
+		if s.shown {
+			t.opts.Log.Warn("replica serves again", "replica", id, "head", r.Head().ID, "head_born", r.Head().Born, s.why.attrs(now))
+			delete(t.settled, id)
+		}
+	}
 }
 
 // release frees one member of a replica whose head may serve on.
@@ -110,7 +138,6 @@
 	head, members := t.membersOf(list, a.Replica)
 	e := newEnding(a.Reason, head, members, now)
 	if e.head == "" && len(e.members) == 0 {
-		t.settled[a.Replica] = true
 		return
 	}
 	t.ending[a.Replica] = e
--- a/internal/formation/forming.go
+++ b/internal/formation/forming.go
@@ -75,7 +75,7 @@
 func (t *tenure) giveUp(id cluster.ReplicaID, f *forming, reason string, now time.Time) {
 	delete(t.formed, id)
 	if !f.mayServe {
-		t.settled[id] = true
+		t.settled[id] = &settled{why: evidence{kind: neverOpened, at: now}}
 		return
 	}
 	t.ending[id] = newEnding(reason, f.replica.Serving, f.replica.Members, now)
--- a/internal/formation/tenure.go
+++ b/internal/formation/tenure.go
@@ -39,8 +39,8 @@
 	// ending are the replicas that were broken up, until their serving member is
 	// known to have stopped.
 	ending map[cluster.ReplicaID]*ending
-	// settled are replicas that certainly serve no more; their members are free.
-	settled map[cluster.ReplicaID]bool
+	// settled are replicas that serve no more; their members are free.
+	settled map[cluster.ReplicaID]*settled
 	// down are VMs that did not answer though they are listed, by the start of the
 	// process that fell silent.
 	down map[cluster.VMID]silent
@@ -73,7 +73,7 @@
 func newTenure(opts Options, fence cluster.Fence, seen map[cluster.VMID]fleet.Server) *tenure {
 	return &tenure{opts: opts, fence: fence, loads: newLoads(), staging: make(map[cluster.VMID]string),
 		formed: make(map[cluster.ReplicaID]*forming), ending: make(map[cluster.ReplicaID]*ending),
-		settled: make(map[cluster.ReplicaID]bool), down: make(map[cluster.VMID]silent), present: make(map[cluster.VMID]*presence), seen: seen, sightings: make(map[cluster.VMID]sighting),
+		settled: make(map[cluster.ReplicaID]*settled), down: make(map[cluster.VMID]silent), present: make(map[cluster.VMID]*presence), seen: seen, sightings: make(map[cluster.VMID]sighting),
 		inFlight: make(map[cluster.VMID]bool), woken: make(chan struct{}, 1)}
 }
 
@@ -123,11 +123,7 @@
 		}
 	}
 	t.reviewEnding(list, shown, now)
-	for id := range t.settled {
-		if shown[id] == nil {
-			delete(t.settled, id)
-		}
-	}
+	t.reviewSettled(shown, now)
 }
 
 // input is what the policy decides on. Members of ending replicas count as held;
@@ -147,7 +143,7 @@
 	for i := range replicas {
 		r := &replicas[i]
 		id := r.ID()
-		if t.settled[id] || t.formed[id] != nil || t.ending[id] != nil {
+		if t.settled[id] != nil || t.formed[id] != nil || t.ending[id] != nil {
 			continue
 		}
 		unlisted := t.unlisted(id, now)
@@ -202,7 +198,7 @@
 func (t *tenure) progress(ctx context.Context, list fleet.List, replicas []fleet.Replica, now time.Time) {
 	for i := range replicas {
 		r := &replicas[i]
-		if t.ending[r.ID()] == nil && !t.settled[r.ID()] && r.State() == fleet.Ready && r.Formed() {
+		if t.ending[r.ID()] == nil && t.settled[r.ID()] == nil && r.State() == fleet.Ready && r.Formed() {
 			t.open(ctx, r, now)
 		}
 	}
--- a/internal/formation/tenure_test.go
+++ b/internal/formation/tenure_test.go
@@ -374,3 +374,31 @@
 	require.Contains(t, s.orders.take(Leave), second)
 	require.Empty(t, s.orders.take(Join))
 }
+
+// Delayed orders may join and open a head again after it left: its members are held again then.
+func TestHeadThatOpensAgainAfterItLeftIsLeftAgain(t *testing.T) {
+	s, order := opened(t, 3)
+	head, third := order.Members[0], order.Members[2]
+	s.orders.answer = Done
+	s.orders.dead[third] = true
+	s.vanish(third)
+	for range 3 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Leave), head)
+	s.clear(head)
+	s.step()
+
+	s.show(head, order, 0, fleet.Open)
+	s.orders.dead[head] = true
+	s.restore(fleet.Server{ID: "vm-9", Service: "models", Domain: "rack", Slots: 8, Born: s.now, Staged: []string{"m"}})
+	s.step()
+	s.step()
+	require.Empty(t, s.orders.take(Join), "the head serves again")
+	require.Contains(t, s.orders.take(Leave), head)
+	delete(s.orders.dead, head)
+	for range 3 {
+		s.step()
+	}
+	require.Contains(t, s.orders.take(Join), head)
+}
