fleet: events older than an entry do not take it back

A mirror reads its views one after the other and watches from the revision of the first read. An entry of a later view may already be newer; the watch then brought its older states, one by one: a server went from open to joining to absent and back. Each of these is a transition that the holder acts on.

TestOlderEventsDoNotTakeAnEntryBack failed before: [open joining "" broken] should not contain joining. An event applies only if it is newer than the entry it changes.

--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -284,6 +284,9 @@
 		if ev.KV.ModRevision <= m.revision || !m.viewed(ev.KV.Key) {
 			continue // seen before, or of no concern
 		}
+		if ev.KV.ModRevision <= m.entries[ev.KV.Key].ModRevision {
+			continue // the entry was read after this change
+		}
 		changed = append(changed, ev.KV.Key)
 		if ev.Type == store.EventPut {
 			m.entries[ev.KV.Key] = ev.KV
--- a/internal/fleet/mirror_test.go
+++ b/internal/fleet/mirror_test.go
@@ -168,3 +168,43 @@
 		})
 	})
 }
+
+// movingSource is a store that changes while it is read: its second view is read later
+// than its first, and the watch starts where the first was read.
+type movingSource struct{ batches chan store.WatchBatch }
+
+func (s movingSource) Range(_ context.Context, prefix string, _ store.RangeOptions) (store.RangeResult, error) {
+	if prefix == "config" {
+		return store.RangeResult{Revision: 10}, nil
+	}
+	return store.RangeResult{Revision: 14, KVs: []store.KV{{Key: "servers/a", Value: []byte("open"), ModRevision: 13}}}, nil
+}
+
+func (s movingSource) Watch(context.Context, string, int64) (<-chan store.WatchBatch, error) {
+	return s.batches, nil
+}
+
+// A read is no snapshot: events older than an entry that was read must not take the entry back.
+func TestOlderEventsDoNotTakeAnEntryBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []string
+		source := movingSource{make(chan store.WatchBatch)}
+		mirror := fleet.NewMirror(source, nil, slog.New(slog.DiscardHandler), fleet.View{Prefix: "config", OnChange: func(map[string]store.KV, int64) {}},
+			fleet.View{Prefix: "servers/", OnChange: func(entries map[string]store.KV, _ int64) { told = append(told, string(entries["servers/a"].Value)) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); mirror.Run(ctx) }()
+		put := func(value string, revision int64) store.Event {
+			return store.Event{Type: store.EventPut, KV: store.KV{Key: "servers/a", Value: []byte(value), ModRevision: revision}}
+		}
+		source.batches <- store.WatchBatch{Revision: 11, Events: []store.Event{put("joining", 11)}}
+		source.batches <- store.WatchBatch{Revision: 12, Events: []store.Event{{Type: store.EventDelete, KV: store.KV{Key: "servers/a", ModRevision: 12}}}}
+		source.batches <- store.WatchBatch{Revision: 15, Events: []store.Event{put("open", 13), put("broken", 15)}}
+		synctest.Wait()
+		require.NotContains(t, told, "joining")
+		require.NotContains(t, told, "")
+		require.Equal(t, "broken", told[len(told)-1])
+		cancel()
+		<-done
+	})
+}
