grouping: an unanswered poll does not make a drained replica idle

A drained replica is broken up once its serving engine says, some seconds after the drain, that nothing runs. What was compared with that moment was when the engine was last asked, not when it answered: one poll that was lost made an older "nothing runs" count, and streams that had begun meanwhile were cut by the new assignment.

Found by reading each transition that frees a VM. TestUnansweredPollDoesNotMakeADrainedReplicaIdle failed before (three orders while streams ran). The state now carries the time of the call that it answers. What else frees a VM there was read and left: a VM has one assignment, the serving VM and the nodes ask for its confirmation, and neither a refused connection nor silence gives a replica's VMs away without a new committed generation.

--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -296,7 +296,7 @@
 		}
 		draining[r.ID] = since
 		view := t.fleet.views[r.Serving]
-		if view == nil || view.asked.Before(since.Add(drainGrace)) || view.state.Load.Running+view.state.Load.Waiting > 0 {
+		if view == nil || view.stateAt.Before(since.Add(drainGrace)) || view.state.Load.Running+view.state.Load.Waiting > 0 {
 			out[r.ID] = placement.Load{Running: 1}
 		}
 	}
--- a/internal/grouping/engines.go
+++ b/internal/grouping/engines.go
@@ -28,6 +28,7 @@
 	state    engine.State
 	known    bool      // state holds an answer
 	asked    time.Time // when the last poll was sent
+	stateAt  time.Time // when the call was sent that state answers
 	lastSeen time.Time // when the engine last answered, or was last heard by its serving VM
 	failing  time.Time // first failure in a row; zero while it answers
 }
@@ -156,7 +157,7 @@
 }
 
 func (f *fleet) answered(view *engineView, state engine.State, sent time.Time) {
-	view.state, view.known = state, true
+	view.state, view.stateAt, view.known = state, sent, true
 	view.lastSeen, view.failing = sent, time.Time{}
 }
 
--- a/internal/grouping/repair_test.go
+++ b/internal/grouping/repair_test.go
@@ -175,3 +175,33 @@
 		n.stop()
 	})
 }
+
+// A poll without an answer says nothing of the streams that run: a drained replica is kept until its engine says it is idle.
+func TestUnansweredPollDoesNotMakeADrainedReplicaIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, n, before := weightedWorld(t, 5)
+		serving := before[0].Serving
+		w.editVM(before[0].Members[1], func(vms []cluster.VM, at int) []cluster.VM {
+			vms[at].State = cluster.VMLeaving
+			return vms
+		})
+		time.Sleep(2 * DefaultTick)
+		synctest.Wait()
+		require.True(t, w.committed()[0].Leaving)
+		time.Sleep(drainGrace - DefaultTick)
+		synctest.Wait()
+		w.edit(serving, func(e *fakeEngine) { e.state.Load.Running, e.down = 3, true })
+		orders := len(w.orders)
+		time.Sleep(DefaultDownAfter - DefaultTick)
+		synctest.Wait()
+		w.edit(serving, func(e *fakeEngine) { e.down = false })
+		time.Sleep(10 * DefaultTick)
+		synctest.Wait()
+		require.Len(t, w.orders, orders, "no order while streams run")
+		require.True(t, w.committed()[0].Leaving)
+
+		w.edit(serving, func(e *fakeEngine) { e.state.Load.Running = 0 })
+		require.Equal(t, []cluster.VMID{"vm00", "vm04"}, w.settle(2)[0].Members)
+		n.stop()
+	})
+}
