lifecycle: the decisions on replicas are a machine without clock, locks or sending

What was internal/formation's tenure is internal/lifecycle's Machine: what was seen and the time go in, orders and probes to send come out. One record a replica with its phase (joining, opening, ending, ended; no record: the list says all), all changes of phase in one table (transitions.go), and those that free VMs name the evidence they need; a change that the table lacks is logged and not made. internal/formation keeps the lease, the clock, sending and probing. "tenure" is a term now, "stock" inventory (log line msg=inventory, metric fennel_formation_terms_total).

No change of behaviour meant: the tests of the machine are the same cases, unchanged but for the scaffolding.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,11 @@
 	return *s.Membership == *o.Membership
 }
 
+// In reports whether the server says that it is a member of the replica.
+func (s Server) In(id cluster.ReplicaID) bool {
+	return s.Membership != nil && ReplicaID(s.Membership.Replica, s.Membership.Epoch) == id
+}
+
 // List is all servers, ordered by id, as of a revision of the store.
 type List struct {
 	Revision int64
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -1,3 +1,6 @@
+// Package formation holds the placement lease of a scope (the zones of a deployment) and
+// forms its replicas. One node at a time holds it; what it does is decided by a
+// lifecycle.Machine, and this package sends, reads the clock and keeps the lease.
 package formation
 
 import (
@@ -50,17 +53,12 @@
 	DefaultLeaseTTL = 2500 * time.Millisecond
 	// DefaultTick is a fraction of the shortest step of a VM (0.2 s to join again).
 	DefaultTick = 100 * time.Millisecond
-	// orderTimeout bounds one order; VMs answer in milliseconds.
-	orderTimeout = time.Second
-	// leaseSpare is what must be left of the lease when an order is sent, so that
-	// the order does not outlast it.
-	leaseSpare = orderTimeout
 	// tryEvery is the time between two looks whether the lease is free.
 	tryEvery = 250 * time.Millisecond
 )
 
 var (
-	tenures      = metrics.NewCounter("fennel_formation_tenures_total")
+	termsTotal   = metrics.NewCounter("fennel_formation_terms_total")
 	ordersSent   = metrics.NewCounter("fennel_formation_orders_sent_total")
 	ordersFailed = metrics.NewCounter("fennel_formation_orders_failed_total")
 )
@@ -108,7 +106,7 @@
 	if lease == nil {
 		return
 	}
-	tenures.Inc()
+	termsTotal.Inc()
 	c.opts.Log.Info("placement lease acquired", "scope", c.opts.Scope, "fence", lease.Fence())
 	c.hold(ctx, lease)
 	lease.Revoke(ctx)
@@ -132,7 +130,7 @@
 		defer close(kept)
 		c.keep(ctx, lease)
 	}()
-	t := newTenure(c.opts, lease.Fence(), c.seen)
+	t := newTerm(c.opts, lease.Fence(), c.seen)
 	defer t.wait()
 	for ctx.Err() == nil && lease.Left(time.Now()) > 0 {
 		list, _ := c.opts.List()
@@ -140,9 +138,10 @@
 		if list.Revision < int64(lease.Fence()) {
 			c.refresh(ctx)
 		} else {
-			t.step(ctx, list, lease, c.suspects.take(), time.Now())
+			now := time.Now()
+			t.step(ctx, list, lease.Left(now), c.suspects.take(), now)
 		}
-		if t.fenced() {
+		if t.machine.Fenced() {
 			lease.Lose()
 		}
 		t.sleep(ctx, c.opts.Tick)
--- a/internal/formation/stock.go
+++ b/internal/lifecycle/inventory.go
@@ -1,4 +1,4 @@
-package formation
+package lifecycle
 
 import (
 	"fmt"
@@ -10,33 +10,33 @@
 	"github.com/fennelcourse/fennelcourse/internal/placement"
 )
 
-// stockEvery is how often the holder logs what each domain holds.
-const stockEvery = 2 * time.Second
+// inventoryEvery is how often the holder logs what each domain holds.
+const inventoryEvery = 2 * time.Second
 
-// stock counts a domain's VMs.
-type stock struct{ inReplicas, free, cold, loading int }
+// inventory counts a domain's VMs.
+type inventory struct{ inReplicas, free, cold, loading int }
 
-// logStock writes what each domain holds: it tells afterwards why a replica was or
+// logInventory writes what each domain holds: it tells afterwards why a replica was or
 // was not formed.
-func (t *tenure) logStock(in placement.Input, now time.Time) {
-	if now.Sub(t.stockAt) < stockEvery {
+func (m *Machine) logInventory(in placement.Input, now time.Time) {
+	if now.Sub(m.inventoryAt) < inventoryEvery {
 		return
 	}
-	t.stockAt = now
+	m.inventoryAt = now
 	held := make(map[cluster.VMID]bool)
 	for _, r := range in.Replicas {
 		for _, vm := range r.Members {
 			held[vm] = true
 		}
 	}
-	domains := make(map[cluster.DomainID]*stock)
+	domains := make(map[cluster.DomainID]*inventory)
 	for _, vm := range in.VMs {
 		d := domains[vm.Domain]
 		if d == nil {
-			d = &stock{}
+			d = &inventory{}
 			domains[vm.Domain] = d
 		}
-		_, loading := t.loads.until[vm.ID]
+		_, loading := m.loads.until[vm.ID]
 		switch {
 		case loading:
 			d.loading++
@@ -53,5 +53,5 @@
 		parts = append(parts, fmt.Sprintf("%s:held=%d,free=%d,cold=%d,loading=%d", id, d.inReplicas, d.free, d.cold, d.loading))
 	}
 	slices.Sort(parts)
-	t.opts.Log.Info("stock", "replicas", len(in.Replicas), "ending", len(t.ending), "domains", strings.Join(parts, " "))
+	m.opts.Log.Info("inventory", "replicas", len(in.Replicas), "ending", len(m.inPhase(phaseEnding)), "domains", strings.Join(parts, " "))
 }
--- a/internal/formation/limit.go
+++ b/internal/lifecycle/loads.go
@@ -1,4 +1,4 @@
-package formation
+package lifecycle
 
 import (
 	"time"
--- a/internal/formation/tenure_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -1,4 +1,4 @@
-package formation
+package lifecycle
 
 import (
 	"cmp"
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -15,10 +14,8 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
-	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
-	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
 )
 
 // sentOrder is an order with the VM it went to.
@@ -30,7 +27,6 @@
 // recorder takes orders and answers them as set; VMs in dead never answer, those in
 // refusing refuse connections.
 type recorder struct {
-	mu       sync.Mutex
 	sent     []sentOrder
 	answer   Answer
 	dead     map[cluster.VMID]bool
@@ -39,35 +35,21 @@
 	elsewhere map[cluster.VMID]bool
 }
 
-func (r *recorder) Send(_ context.Context, to fleet.Server, order Order) (Answer, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *recorder) send(to fleet.Server, order Order) (Answer, error) {
 	r.sent = append(r.sent, sentOrder{to.ID, order})
-	if r.dead[to.ID] {
-		return "", &SendError{VM: to.ID, Err: context.DeadlineExceeded}
-	}
-	if r.refusing[to.ID] {
-		return "", &SendError{VM: to.ID, NotSent: true, Err: syscall.ECONNREFUSED}
-	}
-	if r.elsewhere[to.ID] {
+	switch {
+	case r.dead[to.ID]:
+		return "", context.DeadlineExceeded
+	case r.refusing[to.ID]:
+		return "", syscall.ECONNREFUSED
+	case r.elsewhere[to.ID]:
 		return Elsewhere, nil
 	}
 	return r.answer, nil
 }
 
-func (r *recorder) Probe(_ context.Context, vm fleet.Server) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.dead[vm.ID] || r.refusing[vm.ID] {
-		return &SendError{VM: vm.ID, Err: context.DeadlineExceeded}
-	}
-	return nil
-}
-
 // take returns the orders of a kind that were sent since the last call, by VM.
 func (r *recorder) take(kind OrderKind) map[cluster.VMID]Order {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	out := make(map[cluster.VMID]Order)
 	kept := r.sent[:0]
 	for _, s := range r.sent {
@@ -81,42 +63,49 @@
 	return out
 }
 
-// scene is a tenure before a list that the test writes.
+// scene is a machine before a list that the test writes.
 type scene struct {
 	t       *testing.T
-	tenure  *tenure
+	machine *Machine
 	orders  *recorder
-	lease   *grouping.Lease
 	servers []fleet.Server
 	now     time.Time
+	// next is what the machine is told at its next step.
+	next Input
 }
 
 var sceneRules = rules.Assemble(rules.Set{Groups: []rules.Group{{Name: "m", Model: "m", VMs: 3, SameDomain: true, Servers: "models", ColdLoad: time.Second, WarmLoad: time.Second}}})
 
 func newScene(t *testing.T, vms int) *scene {
 	t.Helper()
-	mem := memstore.New(memstore.Options{})
-	t.Cleanup(mem.Close)
-	lease, err := grouping.AcquireLease(t.Context(), mem, "here", "node-1", time.Hour)
-	require.NoError(t, err)
-	require.NotNil(t, lease)
-	s := &scene{t: t, orders: &recorder{answer: Begun, dead: make(map[cluster.VMID]bool), refusing: make(map[cluster.VMID]bool)}, lease: lease, now: time.Now()}
-	s.tenure = newTenure(Options{Scope: "here", Rules: func() *rules.Set { return sceneRules }, FreeLoads: func() bool { return true },
-		Orders: s.orders, Policy: placement.Mix{}, Log: slog.New(slog.DiscardHandler)}, lease.Fence(), make(map[cluster.VMID]fleet.Server))
+	s := &scene{t: t, orders: &recorder{answer: Begun, dead: make(map[cluster.VMID]bool), refusing: make(map[cluster.VMID]bool)}, now: time.Now()}
+	s.machine = NewMachine(Options{Scope: "here", Fence: 2, Policy: placement.Mix{}, Log: slog.New(slog.DiscardHandler), Seen: make(map[cluster.VMID]fleet.Server)})
 	for i := range vms {
 		s.servers = append(s.servers, fleet.Server{ID: cluster.VMID(fmt.Sprintf("vm-%d", i)), Service: "models", Domain: "rack", Slots: 8, Born: s.now})
 	}
 	return s
 }
 
-// step lets the tenure look at the list, a while after its last look.
+// step lets the machine look at the list, a while after its last look.
 func (s *scene) step() {
 	s.now = s.now.Add(2 * resendAfter)
 	for _, one := range s.servers {
-		s.tenure.seen[one.ID] = one
+		s.machine.seen[one.ID] = one
+	}
+	in := s.next
+	in.Now, in.Rules, in.FreeLoads, in.LeaseLeft = s.now, sceneRules, true, time.Hour
+	in.List = fleet.List{Revision: 1 << 40, ReadAt: s.now, Servers: s.servers}
+	s.next = Input{}
+	out := s.machine.Step(in)
+	for _, o := range out.Send {
+		answer, err := s.orders.send(o.To, o.Order)
+		s.next.Answered = append(s.next.Answered, Answered{To: o.To, Order: o.Order, Answer: answer, Err: err, At: s.now})
+	}
+	for _, vm := range out.ProbeMissing {
+		if !s.orders.dead[vm.ID] && !s.orders.refusing[vm.ID] {
+			s.next.Answering = append(s.next.Answering, vm.ID)
+		}
 	}
-	s.tenure.step(s.t.Context(), fleet.List{Revision: 1 << 40, ReadAt: s.now, Servers: s.servers}, s.lease, nil, s.now)
-	s.tenure.wait()
 }
 
 // show sets a VM's membership in the list.
@@ -273,7 +262,7 @@
 	s.orders.answer = Fenced
 	s.step()
 	s.step()
-	require.True(t, s.tenure.fenced())
+	require.True(t, s.machine.Fenced())
 }
 
 // Epochs of a later holder are above all of an earlier one's, so that an order
@@ -283,7 +272,7 @@
 	first.step()
 	early := first.orders.take(Join)["vm-0"].Epoch
 	later := newScene(t, 3)
-	later.tenure.fence = first.tenure.fence + 1
+	later.machine.opts.Fence = first.machine.opts.Fence + 1
 	later.step()
 	require.Greater(t, later.orders.take(Join)["vm-0"].Epoch, early+1<<(epochBits-1))
 }
@@ -349,10 +338,10 @@
 	for rank, vm := range order.Members {
 		s.show(vm, order, rank, fleet.Ready)
 	}
-	s.tenure.inFlight["vm-0"] = true // so that no open order of this holder goes out
+	s.machine.inFlight["vm-0"] = true // so that no open order of this holder goes out
 	s.step()
 	require.Empty(t, s.orders.take(Open))
-	delete(s.tenure.inFlight, "vm-0")
+	delete(s.machine.inFlight, "vm-0")
 	s.vanish("vm-2")
 	s.orders.dead["vm-0"] = true
 	s.step()
--- /dev/null
+++ b/internal/lifecycle/order.go
@@ -0,0 +1,109 @@
+// Package lifecycle decides how replicas of VMs that say their own state in a list
+// come and go: which VMs join one, when it opens, when it is ended, and what proves
+// that a VM is free for another. A Machine is one holder's view; it takes what was seen
+// and the time, and returns the orders and probes to send. It reads no clock and sends
+// nothing itself.
+package lifecycle
+
+import (
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+// OrderKind says what an order asks of a VM.
+type OrderKind string
+
+// Kinds of orders. Stage loads weights onto the VM's host. Join makes it a member
+// of a replica. Open has a ready serving member take requests; Close ends that
+// and returns it to ready. Leave takes a member out at once.
+const (
+	Stage OrderKind = "stage"
+	Join  OrderKind = "join"
+	Open  OrderKind = "open"
+	Close OrderKind = "close"
+	Leave OrderKind = "leave"
+)
+
+// Order is one order to one VM.
+type Order struct {
+	Kind  OrderKind
+	Fence cluster.Fence
+	// Replica and Epoch name the replica of all kinds but Stage.
+	Replica string
+	Epoch   int64
+	// Model is what Stage and Join load; Members are the VMs of a Join, the
+	// serving one first.
+	Model   string
+	Members []cluster.VMID
+	// Finish has a Close let running requests end; without it they are cut.
+	Finish bool
+}
+
+// Answer is what a VM said to an order.
+type Answer string
+
+// Answers. Misfit: the order does not fit the VM's state. Fenced: the VM has seen
+// a higher fencing number or epoch. Elsewhere: another VM has the address.
+const (
+	Begun     Answer = "begun"
+	Done      Answer = "done"
+	Misfit    Answer = "misfit"
+	Fenced    Answer = "fenced"
+	Elsewhere Answer = "elsewhere"
+	Invalid   Answer = "invalid"
+)
+
+// Input is what a Machine looks at in one step.
+type Input struct {
+	Now   time.Time
+	List  fleet.List
+	Rules *rules.Set
+	// FreeLoads is true while loads do not count yet: nobody has sent a request.
+	FreeLoads bool
+	// LeaseLeft is how long this holder may still act.
+	LeaseLeft time.Duration
+	// Suspected are replicas that stand still as callers' requests show.
+	Suspected map[cluster.ReplicaID]bool
+	// Answered are the orders whose outcome came since the last step.
+	Answered []Answered
+	// Silent are listed VMs that probes found not to answer, Answering those that the
+	// list lacks and that answered.
+	Silent    []fleet.Server
+	Answering []cluster.VMID
+}
+
+// Answered is an order with what came of it.
+type Answered struct {
+	// To is the VM as it was listed when the order was sent.
+	To     fleet.Server
+	Order  Order
+	Answer Answer
+	// Err is set when no answer came; the order may still be carried out.
+	Err error
+	// At is when the answer came.
+	At time.Time
+}
+
+// Output is what a step asks to be done.
+type Output struct {
+	Send []Sending
+	// Probe are replicas whose members are to be probed.
+	Probe []Probing
+	// ProbeMissing are VMs that the list lacks, to be probed.
+	ProbeMissing []fleet.Server
+}
+
+// Sending is an order with its VM.
+type Sending struct {
+	To    fleet.Server
+	Order Order
+}
+
+// Probing is a replica with the members to probe.
+type Probing struct {
+	Replica cluster.ReplicaID
+	Members []fleet.Server
+}
--- a/internal/formation/sightings.go
+++ b/internal/lifecycle/sightings.go
@@ -1,4 +1,4 @@
-package formation
+package lifecycle
 
 import (
 	"time"
@@ -18,41 +18,41 @@
 // logSightings writes a line for each VM that left the list, came back to it, or was
 // started anew, with the start of its process: it tells afterwards whether a VM that
 // came back is the process that went.
-func (t *tenure) logSightings(list fleet.List, now time.Time) {
+func (m *Machine) logSightings(list fleet.List, now time.Time) {
 	for i := range list.Servers {
 		s := &list.Servers[i]
-		before, known := t.sightings[s.ID]
+		before, known := m.sightings[s.ID]
 		switch {
-		case !known && t.sightingsAt.IsZero():
+		case !known && m.sightingsAt.IsZero():
 		case !known:
-			t.logSighting("listed", s.ID, s.Born, s.Membership, list, "draining", s.Draining)
+			m.logSighting("listed", s.ID, s.Born, s.Membership, list, "draining", s.Draining)
 		case !before.unlistedAt.IsZero():
-			t.logSighting("listed-again", s.ID, s.Born, s.Membership, list, "born_before", before.born,
+			m.logSighting("listed-again", s.ID, s.Born, s.Membership, list, "born_before", before.born,
 				"same_process", s.Born.Equal(before.born), "away", now.Sub(before.unlistedAt))
 		case !s.Born.Equal(before.born):
-			t.logSighting("started-anew", s.ID, s.Born, s.Membership, list, "born_before", before.born)
+			m.logSighting("started-anew", s.ID, s.Born, s.Membership, list, "born_before", before.born)
 		}
-		t.sightings[s.ID] = sighting{born: s.Born, membership: s.Membership}
+		m.sightings[s.ID] = sighting{born: s.Born, membership: s.Membership}
 	}
-	for vm, s := range t.sightings {
+	for vm, s := range m.sightings {
 		switch {
 		case list.Find(vm) != nil:
 		case s.unlistedAt.IsZero():
 			s.unlistedAt = now
-			t.sightings[vm] = s
-			t.logSighting("unlisted", vm, s.born, s.membership, list)
+			m.sightings[vm] = s
+			m.logSighting("unlisted", vm, s.born, s.membership, list)
 		case now.Sub(s.unlistedAt) > forgetAfter:
-			delete(t.sightings, vm)
+			delete(m.sightings, vm)
 		}
 	}
-	t.sightingsAt = now
+	m.sightingsAt = now
 }
 
-func (t *tenure) logSighting(change string, vm cluster.VMID, born time.Time, m *fleet.Membership, list fleet.List, more ...any) {
+func (m *Machine) logSighting(change string, vm cluster.VMID, born time.Time, membership *fleet.Membership, list fleet.List, more ...any) {
 	replica, state := cluster.ReplicaID(""), fleet.State("")
-	if m != nil {
-		replica, state = fleet.ReplicaID(m.Replica, m.Epoch), m.State
+	if membership != nil {
+		replica, state = fleet.ReplicaID(membership.Replica, membership.Epoch), membership.State
 	}
 	fields := []any{"change", change, "vm", vm, "born", born, "replica", replica, "state", state, "list_revision", list.Revision}
-	t.opts.Log.Info("vm", append(fields, more...)...)
+	m.opts.Log.Info("vm", append(fields, more...)...)
 }
--- a/internal/losses/read.go
+++ b/internal/losses/read.go
@@ -93,7 +93,7 @@
 }
 
 // lastField is the last field of the lines that are read, without which one was cut.
-var lastField = map[string]string{"attempt": "outcome", "no replica": "err", "stock": "domains"}
+var lastField = map[string]string{"attempt": "outcome", "no replica": "err", "inventory": "domains"}
 
 func (r *reader) take(f fields) error {
 	last, known := lastField[f["msg"]]
@@ -111,7 +111,7 @@
 			return err
 		}
 		c.noReplica = true
-	case "stock":
+	case "inventory":
 		return r.stock(f)
 	}
 	return nil
--- a/internal/player/vm.go
+++ b/internal/player/vm.go
@@ -11,7 +11,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
-	"github.com/fennelcourse/fennelcourse/internal/formation"
+	"github.com/fennelcourse/fennelcourse/internal/lifecycle"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
 
@@ -108,25 +108,25 @@
 }
 
 // carryOut does an order and returns its answer.
-func (v *vm) carryOut(o formation.Order) formation.Answer {
+func (v *vm) carryOut(o lifecycle.Order) lifecycle.Answer {
 	w := v.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch o.Kind {
-	case formation.Stage:
+	case lifecycle.Stage:
 		v.stage(o.Model)
-	case formation.Join:
+	case lifecycle.Join:
 		return v.join(o)
-	case formation.Open:
+	case lifecycle.Open:
 		return v.open(o)
-	case formation.Close:
+	case lifecycle.Close:
 		return v.close(o)
-	case formation.Leave:
+	case lifecycle.Leave:
 		if m := v.entry.Membership; m != nil && m.Replica == o.Replica && m.Epoch == o.Epoch {
 			v.leave()
 		}
 	}
-	return formation.Done
+	return lifecycle.Done
 }
 
 func (v *vm) stage(model string) {
@@ -159,12 +159,12 @@
 	form   = 300 * time.Millisecond
 )
 
-func (v *vm) join(o formation.Order) formation.Answer {
+func (v *vm) join(o lifecycle.Order) lifecycle.Answer {
 	if o.Epoch < v.epoch {
-		return formation.Fenced
+		return lifecycle.Fenced
 	}
 	if o.Epoch == v.epoch {
-		return formation.Done
+		return lifecycle.Done
 	}
 	v.w.checkFree(v)
 	v.leave()
@@ -193,13 +193,13 @@
 		}
 		v.publish()
 	})
-	return formation.Begun
+	return lifecycle.Begun
 }
 
-func (v *vm) open(o formation.Order) formation.Answer {
+func (v *vm) open(o lifecycle.Order) lifecycle.Answer {
 	m := v.entry.Membership
 	if m == nil || m.Epoch != o.Epoch || m.Rank != 0 || m.State != fleet.Ready {
-		return formation.Misfit
+		return lifecycle.Misfit
 	}
 	order := v.order
 	v.after(form, func() {
@@ -211,13 +211,13 @@
 		v.head = &head{replica: enginemodel.Replica{Figures: v.w.scenario.figures(v.w.model(v.model))}, jobs: make(map[*enginemodel.Job]*answer)}
 		v.publish()
 	})
-	return formation.Begun
+	return lifecycle.Begun
 }
 
-func (v *vm) close(o formation.Order) formation.Answer {
+func (v *vm) close(o lifecycle.Order) lifecycle.Answer {
 	m := v.entry.Membership
 	if m == nil || m.Epoch != o.Epoch || m.State != fleet.Open {
-		return formation.Misfit
+		return lifecycle.Misfit
 	}
 	if !o.Finish {
 		v.head.fail()
@@ -225,7 +225,7 @@
 	v.setState(fleet.Closing)
 	v.publish()
 	v.settle()
-	return formation.Begun
+	return lifecycle.Begun
 }
 
 // setState replaces the membership rather than changing it: its entry may be on the
--- a/internal/player/world.go
+++ b/internal/player/world.go
@@ -14,6 +14,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/formation"
+	"github.com/fennelcourse/fennelcourse/internal/lifecycle"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
 )
@@ -255,7 +256,7 @@
 const wireTime = 2 * time.Millisecond
 
 // Send implements formation.Orders.
-func (o orders) Send(ctx context.Context, to fleet.Server, order formation.Order) (formation.Answer, error) {
+func (o orders) Send(ctx context.Context, to fleet.Server, order lifecycle.Order) (lifecycle.Answer, error) {
 	v, err := o.reach(ctx, to.ID)
 	if err != nil {
 		return "", err
