lifecycle: a replica whose head broke is formed anew though all members are listed

What callers saw: a replica's VMs serve nobody any more, without end. A head breaks when it has lacked a member for the engines' stall time. If the list had that member all the while (the store stood still, or the path between the two was cut), or had it back by then, the replica looked whole to the policy and was neither opened nor ended.

TestReplicaWhoseHeadBrokeIsFormedAnew failed before: no join order. A replica whose head says it broke has lost a member for the policy, which breaks it up; that the head broke is the evidence that ends it.

--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -155,7 +155,7 @@
 }
 
 // placementReplica is the replica as the policy sees it, with an unknown member in
-// place of those that neither are listed nor answer.
+// place of those that neither are listed nor answer, or that its head has lost.
 func placementReplica(r *fleet.Replica, unlisted []fleet.Server, zone cluster.ZoneID) cluster.Replica {
 	out := cluster.Replica{ID: r.ID(), Group: cluster.GroupName(r.Model), Model: r.Model, Zone: zone, Generation: r.Epoch}
 	for _, member := range r.Members {
@@ -164,7 +164,7 @@
 	for _, s := range unlisted {
 		out.Members = append(out.Members, s.ID)
 	}
-	if len(out.Members) < r.Size || r.Size == 0 || r.Head() == nil {
+	if len(out.Members) < r.Size || r.Size == 0 || r.Head() == nil || r.State() == fleet.Broken {
 		out.Members = append(out.Members, "")
 	}
 	if head := r.Head(); head != nil {
--- a/internal/lifecycle/machine_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -391,3 +391,15 @@
 	}
 	require.Contains(t, s.orders.take(Join), head)
 }
+
+// A head broke while a member was away, and all are listed again: the replica must not stand as it is.
+func TestReplicaWhoseHeadBrokeIsFormedAnew(t *testing.T) {
+	s, order := opened(t, 3)
+	s.show(order.Members[0], order, 0, fleet.Broken)
+	for range 3 {
+		s.step()
+	}
+	joins := s.orders.take(Join)
+	require.Len(t, joins, 3)
+	require.Greater(t, joins[order.Members[0]].Epoch, order.Epoch)
+}
