--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -52,7 +52,7 @@
 	q.setSlots(epoch, 1)
 	q.start = startEstimate{known: true, mean: 60, dev: 60}
 	q.hold = holdEstimate{known: true, mean: 600, perCost: 600}
-	tk := &ticket{team: "t0", cost: 1, deadline: epoch.Add(patience), given: true, settled: make(chan struct{})}
+	tk := &ticket{team: "t0", cost: 1, deadline: epoch.Add(waitTimeout), given: true, settled: make(chan struct{})}
 	require.Nil(t, q.arrive(epoch, tk, 1, noLimit{}))
 	require.Len(t, q.dispatch(epoch), 1)
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -64,8 +64,8 @@
 func (m *queueModel) arrive(t *rapid.T) {
 	who := rapid.IntRange(0, len(m.limits)-1).Draw(t, "team")
 	tk := &ticket{team: team(who), cost: float64(rapid.IntRange(1, 500).Draw(t, "cost")), settled: make(chan struct{})}
-	if patience := rapid.IntRange(0, 20).Draw(t, "patience"); patience > 0 {
-		tk.given, tk.deadline = true, m.now.Add(time.Duration(patience)*time.Second)
+	if seconds := rapid.IntRange(0, 20).Draw(t, "seconds"); seconds > 0 {
+		tk.given, tk.deadline = true, m.now.Add(time.Duration(seconds)*time.Second)
 	}
 	free := m.q.running < m.q.slots && m.limits[who].room() > 0 && len(m.q.team(tk.team, 1, m.limits[who]).waiting) == 0
 	if refusal := m.q.arrive(m.now, tk, float64(who+1), m.limits[who]); refusal != nil {
--- a/internal/admission/virtual_test.go
+++ b/internal/admission/virtual_test.go
@@ -56,7 +56,7 @@
 
 const (
 	batch         = 8
-	patience      = 3 * time.Second // how long a caller waits for the first token
+	waitTimeout   = 3 * time.Second // how long a caller waits for the first token
 	tries         = 3               // how often a caller sends a request at most
 	warmUp        = 20 * time.Second
 	tokenInterval = 20 * time.Millisecond
@@ -238,10 +238,10 @@
 	c.sentAt, c.firstAt, c.gone = f.now, 0, false
 	if f.naive {
 		f.start(c)
-		f.after(patience, func() { f.giveUp(c) })
+		f.after(waitTimeout, func() { f.giveUp(c) })
 		return
 	}
-	t := &ticket{team: c.team, cost: 1, deadline: f.clock().Add(patience), given: true, settled: make(chan struct{})}
+	t := &ticket{team: c.team, cost: 1, deadline: f.clock().Add(waitTimeout), given: true, settled: make(chan struct{})}
 	c.ticket = t
 	weight := 10.0
 	if w := f.weights[c.team]; w > 0 {
@@ -286,7 +286,7 @@
 	}
 }
 
-// giveUp is a naive caller whose patience ended: it sends the request again.
+// giveUp is a naive caller whose timeout passed: it sends the request again.
 func (f *fleet) giveUp(c *call) {
 	if c.firstAt > 0 {
 		return
@@ -355,7 +355,7 @@
 	if f.now >= warmUp {
 		f.out.served++
 	}
-	if f.now < warmUp || c.gone || c.firstAt-c.sentAt > patience {
+	if f.now < warmUp || c.gone || c.firstAt-c.sentAt > waitTimeout {
 		return
 	}
 	f.out.good++
--- a/internal/capacity/nodes_test.go
+++ b/internal/capacity/nodes_test.go
@@ -25,8 +25,8 @@
 
 const (
 	// observeFor is how long an idle system is watched.
-	observeFor = 30 * time.Second
-	patience   = time.Minute
+	observeFor  = 30 * time.Second
+	waitTimeout = time.Minute
 )
 
 // shape is the size of a small real system.
@@ -172,12 +172,12 @@
 	require.Eventually(f.b, func() bool {
 		cmd := exec.Command(filepath.Join(f.bins, "fennelctl"), "--server", "http://"+f.controls[0], "rules", "apply", "--author", "bench", "--wait", path)
 		return cmd.Run() == nil
-	}, patience, time.Second)
+	}, waitTimeout, time.Second)
 	for _, control := range f.controls {
 		require.Eventually(f.b, func() bool {
 			m := f.metrics(control)
 			return m["fennel_health_whole_total"]-m["fennel_health_not_whole_total"] >= float64(f.shape.replicas)
-		}, patience, 100*time.Millisecond)
+		}, waitTimeout, 100*time.Millisecond)
 	}
 }
 
--- a/internal/capacity/serving_test.go
+++ b/internal/capacity/serving_test.go
@@ -81,7 +81,7 @@
 		}
 		wg.Wait()
 		return refused.Load() == 0
-	}, patience, time.Second)
+	}, waitTimeout, time.Second)
 }
 
 // processor is the node's processor time for work, in seconds.
@@ -150,7 +150,7 @@
 // holdStreams runs meanwhile with heldStreams open streams.
 func (f *fleet) holdStreams(meanwhile func()) {
 	f.b.Helper()
-	ctx, cancel := context.WithTimeout(f.b.Context(), patience)
+	ctx, cancel := context.WithTimeout(f.b.Context(), waitTimeout)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
@@ -168,7 +168,7 @@
 	go func() { open.Wait(); close(opened) }()
 	select {
 	case <-opened:
-	case <-time.After(patience):
+	case <-time.After(waitTimeout):
 		require.FailNow(f.b, "streams did not open", "%d ended at once", failed.Load())
 	}
 	meanwhile()
--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -133,10 +133,10 @@
 	rows := [][]string{{"from", "calls", "on time", "VMs held", "free", "cold", "loading", "largest causes"}}
 	for _, w := range report.Windows {
 		row := []string{w.From.UTC().Format("15:04:05"), fmt.Sprint(w.Calls), fmt.Sprint(w.Outcomes[losses.OnTime])}
-		if w.Stock == nil {
+		if w.Inventory == nil {
 			row = append(row, "-", "-", "-", "-")
 		} else {
-			row = append(row, fmt.Sprint(w.Stock.Held), fmt.Sprint(w.Stock.Free), fmt.Sprint(w.Stock.Cold), fmt.Sprint(w.Stock.Loading))
+			row = append(row, fmt.Sprint(w.Inventory.Held), fmt.Sprint(w.Inventory.Free), fmt.Sprint(w.Inventory.Cold), fmt.Sprint(w.Inventory.Loading))
 		}
 		var named []string
 		for _, cause := range w.Largest()[:min(shownCauses, len(w.Largest()))] {
--- a/internal/e2e/claims_test.go
+++ b/internal/e2e/claims_test.go
@@ -48,7 +48,7 @@
 func (s *system) awaitReady(n *node) {
 	s.t.Helper()
 	require.Eventually(s.t, func() bool { return s.call(n, http.MethodGet, "/readyz", "", nil).status == http.StatusOK },
-		patience, pollEvery, "%s never ready", n.name)
+		waitTimeout, pollEvery, "%s never ready", n.name)
 }
 
 const booking = `{"amount":40}`
@@ -65,7 +65,7 @@
 	require.Eventually(d.t, func() bool {
 		r = d.deposit(n, key)
 		return r.status == status
-	}, patience, pollEvery, "last answer: %+v", &r)
+	}, waitTimeout, pollEvery, "last answer: %+v", &r)
 	return r
 }
 
@@ -119,7 +119,7 @@
 			want := 0
 			if held == toCaller {
 				want = 1
-				require.Eventually(t, func() bool { return d.runs("k") == 1 }, patience, pollEvery)
+				require.Eventually(t, func() bool { return d.runs("k") == 1 }, waitTimeout, pollEvery)
 			}
 			dying.kill()
 			require.Error(t, (<-cut).err, "the caller must not take this for an answer")
@@ -316,7 +316,7 @@
 		require.Eventually(t, func() bool { // in progress until the outcome is in the store
 			again = reserve(n)
 			return again.status != http.StatusConflict
-		}, patience, pollEvery)
+		}, waitTimeout, pollEvery)
 		requireRefused(t, again, fennelerr.OutcomeUnknown, fennelerr.Unknown)
 	}
 	require.Equal(t, survivors, s.engineRuns(), "no other replica ran it")
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -69,7 +69,7 @@
 }
 
 func (w *committedWatch) follow(ctx context.Context, client store.Store, prefix string) {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	batches, err := client.Watch(ctx, prefix, w.seen+1)
 	if err != nil {
@@ -198,12 +198,12 @@
 func (s *system) awaitNoProblem(problem func() string) {
 	s.t.Helper()
 	last := ""
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pollEvery) {
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(pollEvery) {
 		if last = problem(); last == "" {
 			return
 		}
 	}
-	require.FailNow(s.t, "still after "+patience.String()+": "+last)
+	require.FailNow(s.t, "still after "+waitTimeout.String()+": "+last)
 }
 
 // addrOf is where the engine itself listens, whatever the VM list says.
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -102,7 +102,7 @@
 		require.Eventually(t, func() bool {
 			crashes += s.restartCrashed()
 			return s.wholeAt(n) == 3
-		}, patience, pollEvery)
+		}, waitTimeout, pollEvery)
 	}
 	close(over)
 	senders.Wait()
@@ -149,7 +149,7 @@
 func (s *system) sendPoison() (out poisonResult) {
 	began := time.Now()
 	refusedBy := map[*node]bool{}
-	for len(out.refused) < refusalsEach*len(s.nodes) && time.Since(began) < patience {
+	for len(out.refused) < refusalsEach*len(s.nodes) && time.Since(began) < waitTimeout {
 		n := s.nodes[out.sends%len(s.nodes)]
 		out.sends++
 		sent := time.Now()
--- a/internal/e2e/grouping_test.go
+++ b/internal/e2e/grouping_test.go
@@ -71,7 +71,7 @@
 		}
 		return sum
 	}
-	require.Eventually(s.t, func() bool { return count() > before }, patience, pollEvery, "nobody took the placement lease over")
+	require.Eventually(s.t, func() bool { return count() > before }, waitTimeout, pollEvery, "nobody took the placement lease over")
 }
 
 // awaitCommitted waits until the table holds the VM, or no longer holds it.
@@ -82,7 +82,7 @@
 		var ok bool
 		have, ok = w.assigned()[vm]
 		return ok == held
-	}, patience, pollEvery, "VM %s: want in a replica: %t", vm, held)
+	}, waitTimeout, pollEvery, "VM %s: want in a replica: %t", vm, held)
 	return have
 }
 
@@ -264,7 +264,7 @@
 	}
 	for _, p := range pumps {
 		before := p.ok.Load()
-		require.Eventually(t, func() bool { return p.ok.Load() > before }, patience, pollEvery)
+		require.Eventually(t, func() bool { return p.ok.Load() > before }, waitTimeout, pollEvery)
 	}
 	for _, vm := range dark {
 		<-s.engines[vm.ID].done
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -32,8 +32,8 @@
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
-// patience bounds every wait for an event; a healthy run stays far below it.
-const patience = 60 * time.Second
+// waitTimeout bounds every wait for an event; a healthy run stays far below it.
+const waitTimeout = 60 * time.Second
 
 // pollEvery is how often a condition is looked at that no log line announces.
 const pollEvery = 20 * time.Millisecond
@@ -114,7 +114,7 @@
 func (p *proc) await(pattern string) string {
 	p.t.Helper()
 	re := regexp.MustCompile(pattern)
-	deadline := time.After(patience)
+	deadline := time.After(waitTimeout)
 	for from := 0; ; {
 		p.mu.Lock()
 		lines, more := p.log[from:], p.more
@@ -288,7 +288,7 @@
 		servers = append(servers, scheme+n.control)
 	}
 	args = append(slices.Clone(s.ctlTLS), args...)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(bins, "fennelctl"), append([]string{"--server", strings.Join(servers, ",")}, args...)...)
 	out, err := cmd.CombinedOutput()
@@ -330,7 +330,7 @@
 // call sends one request to a node; event, if not nil, runs after the first byte of the answer.
 func (s *system) call(n *node, method, path, body string, event func(), headers ...string) reply {
 	s.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, strings.NewReader(body))
 	require.NoError(s.t, err)
@@ -390,13 +390,13 @@
 	require.Eventually(s.t, func() bool {
 		last = s.call(n, http.MethodPost, engine.ChatPath, chatBody(1, false), nil)
 		return last.status == http.StatusOK
-	}, patience, pollEvery, "%s never answered: %+v", n.name, &last)
+	}, waitTimeout, pollEvery, "%s never answered: %+v", n.name, &last)
 }
 
 // awaitWhole waits until the node holds that many replicas for whole.
 func (s *system) awaitWhole(n *node, replicas int) {
 	s.t.Helper()
-	require.Eventually(s.t, func() bool { return s.wholeAt(n) == replicas }, patience, pollEvery,
+	require.Eventually(s.t, func() bool { return s.wholeAt(n) == replicas }, waitTimeout, pollEvery,
 		"%s never held %d replicas for whole", n.name, replicas)
 }
 
--- a/internal/e2e/leave_test.go
+++ b/internal/e2e/leave_test.go
@@ -119,7 +119,7 @@
 // run began on the VM.
 func (s *system) workUntil(id cluster.VMID, done func() bool) (last time.Time) {
 	s.t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitTimeout)
 	last = time.Now()
 	seen := s.runsOn(id)
 	for i := 0; !done(); i++ {
@@ -160,7 +160,7 @@
 			<-f.begun
 		}
 	}
-	require.Eventually(t, func() bool { return s.engineRuns() >= len(running) }, patience, pollEvery)
+	require.Eventually(t, func() bool { return s.engineRuns() >= len(running) }, waitTimeout, pollEvery)
 	l.hold(toCaller)
 	deposit := make(chan reply, 1)
 	go func() {
@@ -210,7 +210,7 @@
 	n.signal(syscall.SIGTERM)
 	select {
 	case <-n.done:
-	case <-time.After(patience):
+	case <-time.After(waitTimeout):
 		require.FailNow(t, "still running")
 	}
 	require.Equal(t, 1, n.cmd.ProcessState.ExitCode(), "a cut stop is not a clean one")
@@ -238,7 +238,7 @@
 	d.publish()
 	for i, n := range d.nodes {
 		for k := 0; ; k++ { // calls that still go to the leaving machine stay held there
-			require.Less(t, time.Since(told), patience/4, "still sent to the leaving machine")
+			require.Less(t, time.Since(told), waitTimeout/4, "still sent to the leaving machine")
 			key := fmt.Sprintf("probe-%d-%d", i, k)
 			d.depositAside(n, key)
 			if d.eventuallyRan(key, spare) {
@@ -267,6 +267,6 @@
 	require.Eventually(d.t, func() bool {
 		there = depositRuns(d.t, other, key) == 1
 		return there || d.runs(key) == 1
-	}, patience, pollEvery)
+	}, waitTimeout, pollEvery)
 	return there
 }
--- a/internal/e2e/link_test.go
+++ b/internal/e2e/link_test.go
@@ -86,7 +86,7 @@
 // awaitHeld waits until a piece is held back.
 func (l *link) awaitHeld(t *testing.T) {
 	t.Helper()
-	require.Eventually(t, func() bool { return len(l.caught) > 0 }, patience, pollEvery)
+	require.Eventually(t, func() bool { return len(l.caught) > 0 }, waitTimeout, pollEvery)
 	<-l.caught
 }
 
--- a/internal/e2e/outage_test.go
+++ b/internal/e2e/outage_test.go
@@ -129,7 +129,7 @@
 	s.nodes[1].kill()
 	s.nodes = s.nodes[:1]
 	n := s.startNode("serra-a-2", zone, "", "")
-	require.Eventually(t, func() bool { return ready(s, n) }, patience, pollEvery)
+	require.Eventually(t, func() bool { return ready(s, n) }, waitTimeout, pollEvery)
 	s.awaitServing(n)
 }
 
@@ -189,7 +189,7 @@
 	}
 	for _, p := range pumps {
 		answered := p.ok.Load()
-		require.Eventually(t, func() bool { return p.ok.Load() > answered }, patience, pollEvery)
+		require.Eventually(t, func() bool { return p.ok.Load() > answered }, waitTimeout, pollEvery)
 		p.finish()
 	}
 	require.Equal(t, before, w.assigned(), "regrouped without the lease")
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -48,7 +48,7 @@
 	require.Eventually(t, func() bool { // in progress until the outcome is in the store
 		again = s.call(s.nodes[1], http.MethodPost, "/deposits/42", `{"amount":40}`, nil, "Idempotency-Key", "booking-42")
 		return again.status != http.StatusConflict
-	}, patience, pollEvery)
+	}, waitTimeout, pollEvery)
 	require.Equal(t, first.body, again.body)
 	require.Equal(t, "true", again.header.Get("Fennel-Replayed"))
 	require.Equal(t, 1, depositRuns(t, svc, "booking-42"))
@@ -118,6 +118,6 @@
 			}
 		}
 		return false
-	}, patience, pollEvery)
+	}, waitTimeout, pollEvery)
 	return found
 }
--- a/internal/e2e/rules_test.go
+++ b/internal/e2e/rules_test.go
@@ -104,7 +104,7 @@
 	s.nodes = []*node{old, s.nodes[0]} // the seeds, the old one first
 	fresh := s.startNode("serra-a-2", zone, "", "")
 	old.signal(syscall.SIGCONT)
-	require.Eventually(t, func() bool { return ready(s, fresh) }, patience, pollEvery)
+	require.Eventually(t, func() bool { return ready(s, fresh) }, waitTimeout, pollEvery)
 	require.Len(t, fresh.matches(inForce), 1)
 	require.Equal(t, second, parseInt(s, fresh.matches(inForce)[0][1]))
 	old.awaitRevision(second)
--- a/internal/e2e/silent_test.go
+++ b/internal/e2e/silent_test.go
@@ -62,7 +62,7 @@
 	before := s.counter(n, silentStreams)
 	l.mute()
 	muted := time.Now()
-	require.Eventually(t, func() bool { return s.counter(n, silentStreams) >= before+len(running) }, patience, pollEvery)
+	require.Eventually(t, func() bool { return s.counter(n, silentStreams) >= before+len(running) }, waitTimeout, pollEvery)
 	noticed := time.Since(muted)
 	s.send(http.MethodPost, "http://"+direct+standinengine.FaultsPath, standinengine.Faults{})
 	for _, f := range running {
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -134,7 +134,7 @@
 	s.t.Helper()
 	for _, n := range s.nodes {
 		before := s.received(n)
-		require.Eventually(s.t, func() bool { return s.received(n) > before+2 && s.hears(n) }, patience, pollEvery, "%s does not hear all", n.name)
+		require.Eventually(s.t, func() bool { return s.received(n) > before+2 && s.hears(n) }, waitTimeout, pollEvery, "%s does not hear all", n.name)
 	}
 }
 
--- a/internal/e2e/zones_test.go
+++ b/internal/e2e/zones_test.go
@@ -37,6 +37,6 @@
 	}
 	require.Eventually(t, func() bool {
 		return s.call(a, http.MethodPost, engine.ChatPath, chatBody(1, false), nil).status == http.StatusOK
-	}, patience, pollEvery)
+	}, waitTimeout, pollEvery)
 	a.await(`msg=route .*replica=serra-b`)
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -113,7 +113,7 @@
 	}
 	n := &Core{onRules: opts.OnRules, set: set, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
 	n.outages = newOutages(set.Node, cluster.ZoneID(set.Region), time.Now())
-	n.table = routing.NewTable(routing.Options{Zone: set.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Decisions.Route, PeerExpiry: newsLife})
+	n.table = routing.NewTable(routing.Options{Zone: set.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Decisions.Route, PeerExpiry: loadReportLife})
 	n.relay = relay.New(relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.peer, Log: log,
 		OnStall: func(id cluster.ReplicaID) { n.control.Suspect(id) },
--- a/internal/entry/news.go
+++ b/internal/entry/loadreport.go
@@ -9,18 +9,17 @@
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 )
 
-// newsLife is how long it counts what another node said it runs: about as long as a
-// request. With 35 nodes each hears another every eight seconds; requests that had long
-// ended made replicas look full, and callers were turned away from free ones.
-const newsLife = time.Second
+// loadReportLife is how long another node's report counts: about as long as a request.
+// With many nodes reports come seldom, and requests that ended would make replicas look full.
+const loadReportLife = time.Second
 
 // loadBytes is what one replica's count takes in a datagram: its id and a small number.
 const loadBytes = 5
 
-// News is what this node tells the others of its region, within budget bytes: whether it
-// was asked for anything, and what it runs on each replica. It is told again each round:
-// datagrams are lost.
-func (n *Core) News(budget int) membership.Section {
+// LoadReport is what this node reports to the others of its region, within budget bytes:
+// whether it was asked for anything, and what it runs on each replica. It is sent again each
+// round, as datagrams are lost.
+func (n *Core) LoadReport(budget int) membership.Section {
 	out := membership.Section{Asked: n.asked.Load()}
 	room := (budget - membership.SectionSize(out) - 2*loadBytes) / loadBytes
 	for id, count := range n.table.Outstanding() {
@@ -37,21 +36,21 @@
 // a hundred replicas that is one chance in a million.
 func loadID(id cluster.ReplicaID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
-// Hear takes what another node told.
-func (n *Core) Hear(node cluster.NodeID, news membership.Section) {
+// TakeLoadReport takes what another node reported.
+func (n *Core) TakeLoadReport(node cluster.NodeID, report membership.Section) {
 	now := time.Now()
-	if news.Asked {
+	if report.Asked {
 		n.asked.Store(true)
 	}
-	n.hearLoads(node, news, now)
+	n.takeLoads(node, report, now)
 }
 
-// hearLoads takes another node's counts. A replica that it does not name has none of its
+// takeLoads takes another node's counts. A replica that it does not name has none of its
 // requests.
-func (n *Core) hearLoads(node cluster.NodeID, news membership.Section, now time.Time) {
-	counts := make(map[uint32]int, len(news.LoadIDs))
-	for i := range min(len(news.LoadIDs), len(news.LoadCounts)) {
-		counts[news.LoadIDs[i]] = int(news.LoadCounts[i])
+func (n *Core) takeLoads(node cluster.NodeID, report membership.Section, now time.Time) {
+	counts := make(map[uint32]int, len(report.LoadIDs))
+	for i := range min(len(report.LoadIDs), len(report.LoadCounts)) {
+		counts[report.LoadIDs[i]] = int(report.LoadCounts[i])
 	}
 	n.deriving.Lock()
 	serving := n.serving
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -20,7 +20,7 @@
 )
 
 // region is the other nodes that send to the same replicas: this node tells them its
-// news by datagrams and hears theirs. A node that hears nobody decides alone, by what it
+// load report by datagrams and hears theirs. A node that hears nobody decides alone, by what it
 // sees itself.
 //
 // The datagrams are signed with a key that the nodes keep in the platform's store, which
@@ -48,7 +48,7 @@
 // 6 KB/s. Nodes of one region are few, and what they run changes fast.
 const (
 	heartbeatBudget = 900
-	briefBudget     = 1900
+	gossipBudget    = 1900
 )
 
 // keyTimeout bounds the writing of a new key.
@@ -113,11 +113,11 @@
 	}
 	members := membership.New(membership.Options{
 		Node: r.set.Node, Zone: cluster.ZoneID(r.set.Region), Seeds: r.seeds(), PeerAddr: r.set.Feeds.Listen, Transport: transport, Log: r.log,
-		SendBudget: heartbeatBudget, Briefs: membership.Briefs{Source: r.core.News, Budget: briefBudget},
+		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Source: r.core.LoadReport, Budget: gossipBudget},
 	})
-	members.AddSource(r.core.News)
+	members.AddSource(r.core.LoadReport)
 	members.OnDatagram(func(from membership.Member, d *wirepb.Datagram) {
-		r.core.Hear(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts})
+		r.core.TakeLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts})
 	})
 	ctx, r.end = context.WithCancel(ctx)
 	done := make(chan struct{})
--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -83,7 +83,7 @@
 	ordersFailed   = metrics.NewCounter("fennel_grouping_orders_failed_total")
 	commitsDone    = metrics.NewCounter("fennel_grouping_commits_total")
 	commitsFailed  = metrics.NewCounter("fennel_grouping_commits_failed_total")
-	tenures        = metrics.NewCounter("fennel_grouping_lease_acquired_total")
+	termsTotal     = metrics.NewCounter("fennel_grouping_lease_acquired_total")
 )
 
 // Controller tries for the zone's placement lease and, while it holds it, keeps
@@ -143,15 +143,15 @@
 	if lease == nil {
 		return
 	}
-	tenures.Inc()
+	termsTotal.Inc()
 	c.opts.Log.Info("placement lease acquired", "zone", c.opts.Zone, "node", c.opts.Node, "fence", lease.Fence())
 	c.hold(ctx, lease)
 	lease.Revoke(ctx)
 	c.opts.Log.Info("placement lease given up", "zone", c.opts.Zone, "node", c.opts.Node, "fence", lease.Fence())
 }
 
-// tenure is one time of holding the lease.
-type tenure struct {
+// term is one time of holding the lease.
+type term struct {
 	lease  *Lease
 	commit *committer
 	fleet  *fleet
@@ -174,7 +174,7 @@
 		defer cancel()
 		c.keep(ctx, lease)
 	}()
-	t := &tenure{
+	t := &term{
 		lease:  lease,
 		commit: &committer{store: c.opts.Store, zone: c.opts.Zone, lease: lease},
 		fleet:  newFleet(c.opts.Zone, c.opts.Engines, c.opts.DownAfter),
@@ -208,7 +208,7 @@
 
 // step looks at the zone once: it reads what must be read, commits the policy's
 // plan and sends the orders that the engines need.
-func (c *Controller) step(ctx context.Context, t *tenure) {
+func (c *Controller) step(ctx context.Context, t *term) {
 	set, list := c.opts.Rules.Current(), c.opts.VMs.List()
 	if set == nil || list.AsOf.IsZero() {
 		return
@@ -236,7 +236,7 @@
 }
 
 // place asks the policy for a plan and commits it.
-func (c *Controller) place(ctx context.Context, t *tenure, set *rules.Set) error {
+func (c *Controller) place(ctx context.Context, t *term, set *rules.Set) error {
 	now := time.Now()
 	replicas := t.commit.book.Replicas()
 	in := placement.Input{
@@ -282,7 +282,7 @@
 
 // work returns the replicas that may have streams running: all but those that
 // were drained a while ago and say since that they are idle.
-func (t *tenure) work(replicas []cluster.Replica, now time.Time) map[cluster.ReplicaID]placement.Load {
+func (t *term) work(replicas []cluster.Replica, now time.Time) map[cluster.ReplicaID]placement.Load {
 	out := make(map[cluster.ReplicaID]placement.Load, len(replicas))
 	draining := make(map[cluster.ReplicaID]time.Time)
 	for _, r := range replicas {
@@ -304,7 +304,7 @@
 	return out
 }
 
-func (c *Controller) commitBatch(ctx context.Context, t *tenure, batch []placement.Change) error {
+func (c *Controller) commitBatch(ctx context.Context, t *term, batch []placement.Change) error {
 	if len(batch) == 0 {
 		return nil
 	}
@@ -318,7 +318,7 @@
 	return nil
 }
 
-func (c *Controller) stamp(t *tenure, set *rules.Set, a placement.Action) placement.Stamp {
+func (c *Controller) stamp(t *term, set *rules.Set, a placement.Action) placement.Stamp {
 	stamp := placement.Stamp{Fence: t.lease.Fence()}
 	if a.Kind == placement.Form {
 		stamp.NewID = cluster.ReplicaID(t.ids.next(string(a.Group)))
@@ -329,7 +329,7 @@
 	return stamp
 }
 
-func (c *Controller) logAction(t *tenure, a placement.Action, change placement.Change) {
+func (c *Controller) logAction(t *term, a placement.Action, change placement.Change) {
 	c.opts.Log.Info("placement", "zone", c.opts.Zone, "policy", c.opts.Policy.Name(), "action", a.Kind, "group", a.Group,
 		"replica", change.Replica.ID, "generation", change.Replica.Generation, "members", change.Replica.Members,
 		"fence", t.lease.Fence(), "reason", a.Reason)
--- a/internal/grouping/fencing_test.go
+++ b/internal/grouping/fencing_test.go
@@ -155,7 +155,7 @@
 // orders to send. An engine that ignores fencing numbers obeys whoever speaks
 // last, so the old holder must fall silent before the new one's first order, by
 // more than an order's life.
-func TestOrdersOfTwoTenuresNeverOverlap(t *testing.T) {
+func TestOrdersOfTwoTermsNeverOverlap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 4, pairs)
 		through := &cutStore{Store: w.store}
--- a/internal/grouping/ids.go
+++ b/internal/grouping/ids.go
@@ -11,7 +11,7 @@
 func newWriteID() string { return rand.Text() }
 
 // idSequence makes ids that are unique over all holders of a zone's lease: the
-// fencing number never repeats, and seq rises within one tenure.
+// fencing number never repeats, and seq rises within one term.
 type idSequence struct {
 	zone  cluster.ZoneID
 	fence cluster.Fence
--- a/internal/grouping/lease.go
+++ b/internal/grouping/lease.go
@@ -90,10 +90,10 @@
 	return nil
 }
 
-// Fence is the fencing number of this tenure.
+// Fence is the fencing number of this term.
 func (l *Lease) Fence() cluster.Fence { return l.fence }
 
-// Guard is the condition under which every write of this tenure is made. The key
+// Guard is the condition under which every write of this term is made. The key
 // is written once, so its last change is its creation, which every driver can
 // compare.
 func (l *Lease) Guard() store.Guard { return store.ModifiedAt(l.key, int64(l.fence)) }
--- a/internal/grouping/orders.go
+++ b/internal/grouping/orders.go
@@ -80,7 +80,7 @@
 // moment. An engine that ignores fencing numbers has no other protection from a
 // holder that was paused: the check stands right before the call, and the call
 // itself ends with the order's life.
-func (c *Controller) sendOrders(ctx context.Context, t *tenure, orders []addressedOrder) {
+func (c *Controller) sendOrders(ctx context.Context, t *term, orders []addressedOrder) {
 	var group errgroup.Group
 	group.SetLimit(parallelCalls)
 	results := make([]orderAnswer, len(orders))
@@ -107,7 +107,7 @@
 	err    error
 }
 
-func (c *Controller) sendOrder(ctx context.Context, t *tenure, o addressedOrder) orderAnswer {
+func (c *Controller) sendOrder(ctx context.Context, t *term, o addressedOrder) orderAnswer {
 	ctx, cancel := context.WithTimeout(ctx, c.orderLife)
 	defer cancel()
 	sent := time.Now()
@@ -118,7 +118,7 @@
 	return orderAnswer{sent: sent, result: result, err: err}
 }
 
-func (c *Controller) orderDone(t *tenure, o addressedOrder, a orderAnswer) {
+func (c *Controller) orderDone(t *term, o addressedOrder, a orderAnswer) {
 	log := c.opts.Log.With("zone", c.opts.Zone, "order", o.order.ID, "kind", o.order.Kind, "vm", o.order.VM,
 		"replica", o.order.Assignment.Replica, "generation", o.order.Assignment.Generation, "fence", o.order.Fence)
 	switch {
--- a/internal/grouping/reconcile.go
+++ b/internal/grouping/reconcile.go
@@ -15,7 +15,7 @@
 // the serving VMs, whose digest covers their members. Members whose last sign
 // of life is old are asked themselves. Replicas that the zone's health checks
 // hold to be whole are not asked at all.
-func (c *Controller) due(t *tenure, set *rules.Set, now time.Time) []cluster.VMID {
+func (c *Controller) due(t *term, set *rules.Set, now time.Time) []cluster.VMID {
 	replicas := t.commit.book.Replicas()
 	want := desired(replicas, t.holds, set.Groups, t.fleet.addr)
 	byID := make(map[cluster.ReplicaID]cluster.Replica, len(replicas))
@@ -71,7 +71,7 @@
 // orders compares the engines' states with the committed table and returns what
 // must be ordered. It goes by the engines' own answers, so a lost order is sent
 // again and a VM that comes back with an old assignment is put right.
-func (c *Controller) orders(t *tenure, set *rules.Set) []addressedOrder {
+func (c *Controller) orders(t *term, set *rules.Set) []addressedOrder {
 	want := desired(t.commit.book.Replicas(), t.holds, set.Groups, t.fleet.addr)
 	ids := make([]cluster.VMID, 0, len(t.fleet.views))
 	for id := range t.fleet.views {
@@ -117,7 +117,7 @@
 
 // rolling returns the replicas that may load a new version now: those that have
 // begun, and more up to the group's share.
-func (t *tenure) rolling(want map[cluster.VMID]engine.Assignment) map[cluster.ReplicaID]bool {
+func (t *term) rolling(want map[cluster.VMID]engine.Assignment) map[cluster.ReplicaID]bool {
 	begun := make(map[cluster.GroupName]int)
 	total := make(map[cluster.GroupName]int)
 	var waiting []cluster.Replica
@@ -146,7 +146,7 @@
 // told to load, all of them the same, and whether any has yet to be told. A
 // replica with a member that does not answer takes no part: it would hold its
 // place in the roll until the VM is back.
-func (t *tenure) progress(r cluster.Replica, want map[cluster.VMID]engine.Assignment) (loaded, old bool) {
+func (t *term) progress(r cluster.Replica, want map[cluster.VMID]engine.Assignment) (loaded, old bool) {
 	loaded = true
 	updated := false
 	for _, id := range r.Members {
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -65,8 +65,8 @@
 	Cause Cause
 }
 
-// Stock is what the VMs did at a moment, by the node that places them.
-type Stock struct {
+// Inventory is what the VMs did at a moment, by the node that places them.
+type Inventory struct {
 	At time.Time
 	// Held are in replicas; Free have weights and no replica; Cold have no weights;
 	// Loading read some.
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -78,8 +78,8 @@
 	require.Equal(t, 12, sum)
 	first := report.Windows[0]
 	require.Equal(t, time.Date(2026, 7, 1, 8, 0, 0, 0, time.UTC), first.From)
-	require.Equal(t, 9, first.Stock.Held)
-	require.Equal(t, 3, first.Stock.Cold)
+	require.Equal(t, 9, first.Inventory.Held)
+	require.Equal(t, 3, first.Inventory.Cold)
 	require.Equal(t, 4, first.Calls, "on-time, queued, slow and paused came in the first two seconds")
 }
 
--- a/internal/losses/read.go
+++ b/internal/losses/read.go
@@ -30,8 +30,8 @@
 
 // Log is what was read of nodes' logs.
 type Log struct {
-	calls  []*open
-	stocks []Stock
+	calls       []*open
+	inventories []Inventory
 	// Torn are lines that can't be read: a log that was cut while it was written has
 	// some. They are passed over.
 	Torn []*LineError
@@ -112,7 +112,7 @@
 		}
 		c.noReplica = true
 	case "inventory":
-		return r.stock(f)
+		return r.inventory(f)
 	}
 	return nil
 }
@@ -166,13 +166,13 @@
 	return nil
 }
 
-// stock adds up the domains of a line: "d0:held=1,free=3,cold=6,loading=8 d1:held=...".
-func (r *reader) stock(f fields) error {
+// inventory adds up the domains of a line: "d0:held=1,free=3,cold=6,loading=8 d1:held=...".
+func (r *reader) inventory(f fields) error {
 	at, err := time.Parse(time.RFC3339Nano, f["time"])
 	if err != nil {
 		return errors.Wrap(err, "time")
 	}
-	s := Stock{At: at}
+	s := Inventory{At: at}
 	into := map[string]*int{"held": &s.Held, "free": &s.Free, "cold": &s.Cold, "loading": &s.Loading}
 	for _, domain := range strings.Fields(f["domains"]) {
 		_, counts, _ := strings.Cut(domain, ":")
@@ -185,6 +185,6 @@
 			*into[name] += n
 		}
 	}
-	r.log.stocks = append(r.log.stocks, s)
+	r.log.inventories = append(r.log.inventories, s)
 	return nil
 }
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -30,8 +30,8 @@
 type Window struct {
 	From time.Time `json:"from"`
 	*Counts
-	// Stock is the last that was known of the VMs in the window; nil if nothing was.
-	Stock *Stock `json:"stock,omitempty"`
+	// Inventory is the last that was known of the VMs in the window; nil if nothing was.
+	Inventory *Inventory `json:"inventory,omitempty"`
 }
 
 // Report sums up calls.
@@ -69,9 +69,9 @@
 			c.add(call)
 		}
 	}
-	for i := range l.stocks {
-		if w := windows[l.stocks[i].At.Truncate(every)]; w != nil {
-			w.Stock = &l.stocks[i]
+	for i := range l.inventories {
+		if w := windows[l.inventories[i].At.Truncate(every)]; w != nil {
+			w.Inventory = &l.inventories[i]
 		}
 	}
 	for _, from := range slices.SortedFunc(maps.Keys(windows), time.Time.Compare) {
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -29,8 +29,8 @@
 	all   []*node
 	// system names the system; empty for none.
 	system string
-	// briefs are what the nodes tell between heartbeats.
-	briefs membership.Briefs
+	// gossip is what the nodes tell between heartbeats.
+	gossip membership.Gossip
 }
 
 type node struct {
@@ -87,7 +87,7 @@
 	require.NoError(ns.t, err)
 	n.Service = membership.New(membership.Options{
 		Node: cluster.NodeID(n.name), Zone: n.zone, Incarnation: incarnation, Seeds: append(seeds, ns.seeds...), PeerAddr: addr,
-		Transport: n.transport, Rand: rand.New(rand.NewPCG(uint64(zone), uint64(i))), Log: slog.New(slog.DiscardHandler), FindNamesake: ns.finder(n.name), Briefs: ns.briefs,
+		Transport: n.transport, Rand: rand.New(rand.NewPCG(uint64(zone), uint64(i))), Log: slog.New(slog.DiscardHandler), FindNamesake: ns.finder(n.name), Gossip: ns.gossip,
 	})
 	n.SetRulesRevision(func() int64 { return n.revision })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/membership/brief_test.go
+++ b/internal/membership/gossip_test.go
@@ -17,14 +17,14 @@
 	"github.com/fennelcourse/fennelcourse/internal/wire/wiretest"
 )
 
-// briefBudget is the bytes per second that the nodes of these tests spend on briefs.
-const briefBudget = 1900
+// gossipBudget is the bytes per second that the nodes of these tests spend on gossip.
+const gossipBudget = 1900
 
 // startTalking brings up nodes of one zone that tell each other what one request runs on.
 func startTalking(t *testing.T, perZone int) *nodes {
 	t.Helper()
 	ns := startSystem(t, wiretest.New(9), "", 0, 0, addrOf)
-	ns.briefs = membership.Briefs{Budget: briefBudget, Source: func(int) membership.Section {
+	ns.gossip = membership.Gossip{Budget: gossipBudget, Source: func(int) membership.Section {
 		return membership.Section{LoadIDs: []uint32{7}, LoadCounts: []uint32{1}}
 	}}
 	ns.seeds = []string{addrOf(0, 0)}
@@ -37,9 +37,9 @@
 
 // A request takes about a second. Nodes that hear of each other's once a second send the
 // same replica more than it can take, and its callers wait while other replicas idle. With
-// briefs each of three peers hears at least twice between two heartbeats, the bytes
+// gossip each of three peers hears at least twice between two heartbeats, the bytes
 // allowed are not exceeded, and nobody is left out.
-func TestBriefsBringNewsBetweenHeartbeats(t *testing.T) {
+func TestGossipBringsLoadsBetweenHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const seconds = 20
 		ns := startTalking(t, 4)
@@ -61,13 +61,13 @@
 		for node, n := range heard {
 			require.GreaterOrEqual(t, n, 2*seconds, node)
 		}
-		require.LessOrEqual(t, countOf(ns.all[1]).minus(before), seconds*(briefBudget+membership.DefaultSendBudget))
+		require.LessOrEqual(t, countOf(ns.all[1]).minus(before), seconds*(gossipBudget+membership.DefaultSendBudget))
 	})
 }
 
-// A brief names no address. Were one of a process believed of which no heartbeat was
+// A gossip datagram names no address. Were one of a process believed of which no heartbeat was
 // heard, a process that has been replaced could go on to say what runs where.
-func TestBriefsOfStrangersSayNothing(t *testing.T) {
+func TestGossipOfStrangersSaysNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ns := startTalking(t, 2)
 		var heard atomic.Bool
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -72,8 +72,8 @@
 	status   Status
 	// sentTo is the number of the heartbeat last sent to it.
 	sentTo uint64
-	// briefed is the number of the brief last sent to it.
-	briefed uint64
+	// gossipedAt is the number of the gossip datagram last sent to it.
+	gossipedAt uint64
 	// toldEntry and toldBeat are the numbers of the heartbeats that last carried
 	// its entry and its beat.
 	toldEntry, toldBeat uint64
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -57,8 +57,8 @@
 	// FindNamesake looks for the process that has this node's name; without it a node
 	// that fell silent stays so until it is restarted.
 	FindNamesake FindNamesake
-	// Briefs go out between the heartbeats; the zero value sends none.
-	Briefs Briefs
+	// Gossip goes out between the heartbeats; the zero value sends none.
+	Gossip Gossip
 	Log    *slog.Logger
 }
 
@@ -73,7 +73,7 @@
 
 	findNamesake FindNamesake
 	looks        sync.WaitGroup
-	briefs       Briefs
+	gossip       Gossip
 
 	// mu guards state and is never held while sending or calling out.
 	mu    sync.Mutex
@@ -119,7 +119,7 @@
 		nudged:    make(chan struct{}, 1),
 
 		findNamesake: opts.FindNamesake,
-		briefs:       opts.Briefs,
+		gossip:       opts.Gossip,
 
 		state:    NewState(self, opts.Seeds, opts.Timing, opts.SendBudget, opts.Rand, now),
 		revision: func() int64 { return 0 },
@@ -137,8 +137,8 @@
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	defer s.looks.Wait()
-	if s.briefs.Source != nil {
-		s.looks.Go(func() { s.brief(ctx) })
+	if s.gossip.Source != nil {
+		s.looks.Go(func() { s.sendGossip(ctx) })
 	}
 	var lastNudge time.Time
 	s.heartbeat()
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -46,7 +46,7 @@
 	order []*member
 
 	tick        uint64
-	briefs      uint64
+	gossiped    uint64
 	seedCursor  int
 	nudgeCredit float64
 	nudgedAt    time.Time
--- a/internal/placement/lean.go
+++ b/internal/placement/affinity.go
@@ -8,8 +8,8 @@
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
-// leanDomain is what a domain holds.
-type leanDomain struct {
+// affinityDomain is what a domain holds.
+type affinityDomain struct {
 	id   cluster.DomainID
 	zone cluster.ZoneID
 	vms  int
@@ -17,21 +17,21 @@
 	staged map[cluster.GroupName]int
 }
 
-// leanings gives each domain the group whose weights its VMs read. A domain keeps
+// affinities gives each domain the group whose weights its VMs read. A domain keeps
 // the one that most of its VMs have. Domains without weights go to the groups by
-// their demand, as seats go to parties by the method of D'Hondt, and within a
+// their demand, by D'Hondt's apportionment, and within a
 // group to the zone that has fewest domains of it.
-func leanings(in Input) map[cluster.DomainID]*rules.Group {
+func affinities(in Input) map[cluster.DomainID]*rules.Group {
 	out := make(map[cluster.DomainID]*rules.Group)
 	given := make(map[cluster.GroupName]int)
 	zones := make(map[groupZone]int)
-	give := func(d leanDomain, g *rules.Group) {
+	give := func(d affinityDomain, g *rules.Group) {
 		out[d.id] = g
 		given[g.Name] += d.vms
 		zones[groupZone{g.Name, d.zone}]++
 	}
-	var open []leanDomain
-	for _, d := range leanDomains(in) {
+	var open []affinityDomain
+	for _, d := range affinityDomains(in) {
 		if g := d.mostStaged(in.Groups); g != nil {
 			give(d, g)
 		} else {
@@ -55,13 +55,13 @@
 	return out
 }
 
-// leanDomains are the input's domains, ordered by id.
-func leanDomains(in Input) []leanDomain {
-	byID := make(map[cluster.DomainID]*leanDomain)
+// affinityDomains are the input's domains, ordered by id.
+func affinityDomains(in Input) []affinityDomain {
+	byID := make(map[cluster.DomainID]*affinityDomain)
 	for _, vm := range in.VMs {
 		d := byID[vm.Domain]
 		if d == nil {
-			d = &leanDomain{id: vm.Domain, zone: vm.Zone, staged: make(map[cluster.GroupName]int)}
+			d = &affinityDomain{id: vm.Domain, zone: vm.Zone, staged: make(map[cluster.GroupName]int)}
 			byID[vm.Domain] = d
 		}
 		d.vms++
@@ -80,16 +80,16 @@
 			}
 		}
 	}
-	out := make([]leanDomain, 0, len(byID))
+	out := make([]affinityDomain, 0, len(byID))
 	for _, d := range byID {
 		out = append(out, *d)
 	}
-	slices.SortFunc(out, func(a, b leanDomain) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(out, func(a, b affinityDomain) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
 // mostStaged is the group whose weights most VMs of the domain have, nil for none.
-func (d leanDomain) mostStaged(groups []rules.Group) (best *rules.Group) {
+func (d affinityDomain) mostStaged(groups []rules.Group) (best *rules.Group) {
 	for i := range groups {
 		g := &groups[i]
 		if n := d.staged[g.Name]; n > 0 && (best == nil || n > d.staged[best.Name]) {
--- a/internal/placement/mix.go
+++ b/internal/placement/mix.go
@@ -14,7 +14,7 @@
 // again costs its survivors a fraction of a second, and they may serve better
 // with other VMs.
 //
-// Every fabric domain leans to one model, whose weights all its VMs read. Then the
+// Every fabric domain has an affinity to one model, whose weights all its VMs read. Then the
 // survivors of broken replicas in a domain make up replicas with each other at
 // once, and what can't be used is at most a replica less one VM in each domain. With
 // several models in a domain it is that much for each of them, and a survivor
@@ -47,8 +47,8 @@
 	vms     map[cluster.VMID]VM
 	free    map[cluster.DomainID][]VM
 	domains []cluster.DomainID
-	// lean is the group whose weights the VMs of a domain read.
-	lean map[cluster.DomainID]*rules.Group
+	// affinity is the group whose weights the VMs of a domain read.
+	affinity map[cluster.DomainID]*rules.Group
 	// serving counts replicas by group, perZone by group and zone.
 	serving map[cluster.GroupName]int
 	perZone map[groupZone]int
@@ -81,7 +81,7 @@
 		m.free[vm.Domain] = append(m.free[vm.Domain], vm)
 	}
 	slices.Sort(m.domains)
-	m.lean = leanings(in)
+	m.affinity = affinities(in)
 	return m
 }
 
@@ -177,7 +177,7 @@
 		}
 		for _, d := range m.domains {
 			s, ok := m.siteIn(g, d)
-			if !ok || s.cold > cold || s.cold > 0 && m.lean[d] != g {
+			if !ok || s.cold > cold || s.cold > 0 && m.affinity[d] != g {
 				continue
 			}
 			if !found || better(s, best) {
@@ -280,17 +280,17 @@
 // their weights read ahead that takes a second, without as long as many VMs take
 // to fail.
 func (m *mixPlan) leftOver(d cluster.DomainID) bool {
-	g := m.lean[d]
+	g := m.affinity[d]
 	return len(m.free[d]) < g.VMs && slices.ContainsFunc(m.in.Replicas, func(r cluster.Replica) bool {
 		return r.Group == g.Name && len(r.Members) > 0 && m.vms[r.Members[0]].Domain == d
 	})
 }
 
-// stage has free VMs without weights read those that their domain leans to, in the
+// stage has free VMs without weights read those that their domain has an affinity to, in the
 // domains that are asked for.
 func (m *mixPlan) stage(in func(cluster.DomainID) bool) {
 	for _, d := range m.domains {
-		g := m.lean[d]
+		g := m.affinity[d]
 		if g == nil || !in(d) {
 			continue
 		}
--- a/internal/placement/mix_test.go
+++ b/internal/placement/mix_test.go
@@ -86,7 +86,7 @@
 	p := &played{in: placement.Input{Groups: mixed, VMs: site(6, 9), CheapLoads: true}}
 	p.apply(p.plan(), 100)
 	p.apply(p.plan(), 100)
-	require.Equal(t, 8, p.serving("four"), "four domains lean to the larger model, which strands more")
+	require.Equal(t, 8, p.serving("four"), "four domains have the affinity of the larger model, which strands more")
 	require.Equal(t, 6, p.serving("three"))
 	zones := map[cluster.ZoneID]map[cluster.GroupName]bool{}
 	for _, r := range p.in.Replicas {
@@ -230,17 +230,17 @@
 func TestMixServesThroughTheDay(t *testing.T) {
 	mix := playDay(t, true)
 	scattered := playDay(t, false)
-	t.Logf("replicas of both models, mean over the day: %.1f with domains that lean to one model, %.1f without", mix, scattered)
+	t.Logf("replicas of both models, mean over the day: %.1f with domains that have an affinity to one model, %.1f without", mix, scattered)
 	require.Greater(t, mix, 7.0)
 	require.Greater(t, mix, scattered)
 }
 
 // playDay returns the mean number of replicas of the model that has fewer, times two.
-// Without lean, VMs were loaded alternately with both models.
-func playDay(t *testing.T, lean bool) float64 {
+// Without affinity, VMs were loaded alternately with both models.
+func playDay(t *testing.T, affinity bool) float64 {
 	t.Helper()
 	vms := site(6, 9)
-	if !lean {
+	if !affinity {
 		for i := range vms {
 			vms[i].Staged = []string{[]string{"four", "three"}[i%2]}
 		}
--- a/internal/placement/stage.go
+++ b/internal/placement/stage.go
@@ -12,14 +12,14 @@
 type stageable struct {
 	domain cluster.DomainID
 	group  *rules.Group
-	// cold are the VMs that may read weights; stocked counts the free ones that have
+	// cold are the VMs that may read weights; staged counts the free ones that have
 	// them or are reading.
-	cold    []VM
-	stocked int
+	cold   []VM
+	staged int
 }
 
 // missing is how many loads the next replica of the domain waits for.
-func (s stageable) missing() int { return s.group.VMs - s.stocked%s.group.VMs }
+func (s stageable) missing() int { return s.group.VMs - s.staged%s.group.VMs }
 
 // stageAhead orders the loads of free VMs: first those that let a replica be
 // formed with the fewest loads, and among these those of the group that lacks
@@ -36,7 +36,7 @@
 		}
 		m.add(Action{Kind: Hold, Group: d.group.Name, VM: d.cold[0].ID, Repairs: missing == 1, Reason: stageReason(missing)})
 		d.cold = d.cold[1:]
-		d.stocked++
+		d.staged++
 		if len(d.cold) == 0 {
 			domains = slices.Delete(domains, at, at+1)
 		}
@@ -52,7 +52,7 @@
 
 func (m *mixPlan) stageables() (out []stageable) {
 	for _, d := range m.domains {
-		g := m.lean[d]
+		g := m.affinity[d]
 		if g == nil {
 			continue
 		}
@@ -61,7 +61,7 @@
 			switch {
 			case g.Servers != "" && g.Servers != vm.Service, m.staging[vm.ID]:
 			case slices.Contains(vm.Staged, g.Model), vm.Loading == g.Model:
-				s.stocked++
+				s.staged++
 			case vm.Loading == "":
 				s.cold = append(s.cold, vm)
 			}
--- a/internal/placement/weighted_form.go
+++ b/internal/placement/weighted_form.go
@@ -48,7 +48,7 @@
 	return min(fits, (p.count("")-p.sparesOfOthers(g))/g.VMs)
 }
 
-// sparesOfOthers is how many VMs other groups that lean to less downtime keep
+// sparesOfOthers is how many VMs other groups that weigh downtime higher keep
 // idle. A group without a wanted number of replicas leaves them alone.
 func (p *planner) sparesOfOthers(g *rules.Group) int {
 	n := 0
--- a/internal/placement/weighted_room.go
+++ b/internal/placement/weighted_room.go
@@ -33,7 +33,7 @@
 	p.roomForBroken(now)
 }
 
-// roomForBroken does the same for broken replicas of groups that lean to fewer
+// roomForBroken does the same for broken replicas of groups that weigh fewer
 // stranded accelerators: their survivors idle until the missing VM is back.
 func (p *planner) roomForBroken(now time.Time) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(b brokenReplica) bool {
--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -24,8 +24,8 @@
 	truth func(id string) int
 }
 
-// dialPatience is how long a connection to a VM that is silent is waited for.
-const dialPatience = 1500 * time.Millisecond
+// dialTimeout is how long a connection to a VM that is silent is waited for.
+const dialTimeout = 1500 * time.Millisecond
 
 // Send implements relay.Backend.
 func (b *backend) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
@@ -63,7 +63,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(dialPatience):
+	case <-time.After(dialTimeout):
 	}
 	return nil, &relay.NotRunError{Reason: "no connection", Err: errors.New("nobody answers")}
 }
--- a/internal/player/callers.go
+++ b/internal/player/callers.go
@@ -101,7 +101,7 @@
 	return max(tokens, 1)
 }
 
-// Limits of a caller's patience.
+// Limits of a caller's timeout.
 const (
 	// shortestGap is the least time without a piece after which callers leave; they
 	// wait for longestTargets targets and longestPauses pauses if these are longer.
@@ -158,8 +158,8 @@
 func (c *callers) try(n *node, k *Kind, id string, sent time.Time, prompt, answer, hint int, resume string) *sink {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &sink{sent: sent, patience: max(shortestGap, longestTargets*k.Target, longestPauses*k.Pause)}
-	s.timer = time.AfterFunc(s.patience, cancel)
+	s := &sink{sent: sent, timeout: max(shortestGap, longestTargets*k.Target, longestPauses*k.Pause)}
+	s.timer = time.AfterFunc(s.timeout, cancel)
 	defer s.timer.Stop()
 	c.mu.Lock()
 	c.truth[id] = answer
@@ -181,7 +181,7 @@
 // sink notes when pieces come; it implements call.Sink.
 type sink struct {
 	sent        time.Time
-	patience    time.Duration
+	timeout     time.Duration
 	timer       *time.Timer
 	first, last time.Time
 	pause       time.Duration
@@ -206,7 +206,7 @@
 	}
 	s.pieces++
 	s.last = now
-	s.timer.Reset(s.patience)
+	s.timer.Reset(s.timeout)
 	return nil
 }
 
--- a/internal/player/cut.go
+++ b/internal/player/cut.go
@@ -15,9 +15,9 @@
 	cut func() bool
 }
 
-// cutPatience is how long a call over a cut hangs at least, and how often a watch
+// cutTimeout is how long a call over a cut hangs at least, and how often a watch
 // notices the cut.
-const cutPatience = 500 * time.Millisecond
+const cutTimeout = 500 * time.Millisecond
 
 var errCut = errors.New("cut off from the store")
 
@@ -28,7 +28,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(cutPatience):
+	case <-time.After(cutTimeout):
 	}
 	return &store.Error{Op: "call", Kind: store.Unavailable, Outcome: store.Refused, Err: errCut}
 }
@@ -88,7 +88,7 @@
 	go func() {
 		defer close(out)
 		defer cancel()
-		look := time.NewTicker(cutPatience)
+		look := time.NewTicker(cutTimeout)
 		defer look.Stop()
 		for {
 			select {
--- a/internal/player/gossip.go
+++ b/internal/player/gossip.go
@@ -9,25 +9,25 @@
 )
 
 const (
-	// newsEvery is the time between two datagrams of news of a node, each to one other
+	// gossipEvery is the time between two load reports of a node, each to one other
 	// node: what their bytes allow.
-	newsEvery = 110 * time.Millisecond
-	// newsBudget is the bytes of one.
-	newsBudget = 400
+	gossipEvery = 110 * time.Millisecond
+	// reportBudget is the bytes of one.
+	reportBudget = 400
 )
 
-// gossip has the nodes tell each other their news in turn, but across a cut.
+// gossip has the nodes send each other load reports in turn, but across a cut.
 func (sys *System) gossip(ctx context.Context) {
 	turn := 0
-	clock.Every(ctx, newsEvery, func(time.Time) {
+	clock.Every(ctx, gossipEvery, func(time.Time) {
 		turn++
 		for i, from := range sys.nodes {
-			sys.tell(from, sys.peerInTurn(i, turn))
+			sys.sendLoadReport(from, sys.peerInTurn(i, turn))
 		}
 	})
 }
 
-// peerInTurn is the node that the i-th one tells at its turn.
+// peerInTurn is the node that the i-th one sends to at its turn.
 func (sys *System) peerInTurn(i, turn int) *node {
 	n := len(sys.nodes)
 	if n < 2 {
@@ -36,12 +36,12 @@
 	return sys.nodes[(i+1+turn%(n-1))%n]
 }
 
-func (sys *System) tell(from, to *node) {
-	teller, hearer := from.running(), to.running()
-	if teller == nil || hearer == nil || from == to || !sys.world.reachesNode(from.zone, to.zone) {
+func (sys *System) sendLoadReport(from, to *node) {
+	sender, receiver := from.running(), to.running()
+	if sender == nil || receiver == nil || from == to || !sys.world.reachesNode(from.zone, to.zone) {
 		return
 	}
-	hearer.Hear(from.id, teller.News(newsBudget))
+	receiver.TakeLoadReport(from.id, sender.LoadReport(reportBudget))
 }
 
 // running is the node's process; nil while it is dead.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,11 +47,11 @@
 	a.s.r.enter(a.choice.Replica.ID, a)
 	defer a.s.r.leave(a.choice.Replica.ID, a)
 	if a.s.streams() {
-		a.s.r.vitals.begin(a.choice.Replica.ID, a.started)
-		defer a.s.r.vitals.end(a.choice.Replica.ID)
+		a.s.r.stalls.begin(a.choice.Replica.ID, a.started)
+		defer a.s.r.stalls.end(a.choice.Replica.ID)
 	}
 	defer a.cancel(nil)
-	a.watch(a.firstPatience())
+	a.watch(a.firstTimeout())
 	defer a.unwatch()
 
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, Attempt{
@@ -134,7 +134,7 @@
 		}
 		pieces++
 		a.noteSign(time.Now())
-		a.watch(a.gapPatience())
+		a.watch(a.gapTimeout())
 		if err := a.pass(reply, data); err != nil {
 			a.cancel(err)
 			return a.result(false, first, pieces), &BrokenError{Reason: "the caller takes nothing", Err: err}
@@ -186,15 +186,15 @@
 }
 
 // watch ends the attempt after so long without another call of watch.
-func (a *attempt) watch(patience time.Duration) {
+func (a *attempt) watch(timeout time.Duration) {
 	if !a.notLast {
 		return
 	}
 	if a.silence == nil {
-		a.silence = time.AfterFunc(patience, func() { a.cancel(errSilent) })
+		a.silence = time.AfterFunc(timeout, func() { a.cancel(errSilent) })
 		return
 	}
-	a.silence.Reset(patience)
+	a.silence.Reset(timeout)
 }
 
 func (a *attempt) unwatch() {
@@ -203,20 +203,20 @@
 	}
 }
 
-func (a *attempt) firstPatience() time.Duration {
+func (a *attempt) firstTimeout() time.Duration {
 	return time.Duration(firstShare * float64(time.Until(a.s.end)))
 }
 
 // noteSign notes that a piece came.
 func (a *attempt) noteSign(now time.Time) {
 	a.lastSign.Store(now.UnixNano())
-	a.s.r.vitals.sign(a.choice.Replica.ID, now)
+	a.s.r.stalls.sign(a.choice.Replica.ID, now)
 }
 
 func (a *attempt) silentFor(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - a.lastSign.Load())
 }
 
-func (a *attempt) gapPatience() time.Duration {
-	return max(gapPatience*a.s.call.Route.Terms.TargetGap, gapFloor)
+func (a *attempt) gapTimeout() time.Duration {
+	return max(gapFactor*a.s.call.Route.Terms.TargetGap, gapFloor)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,12 +45,12 @@
 	unsafeIdle = 1500 * time.Millisecond
 	// safeIdle is the same for calls that can be repeated.
 	safeIdle = 8 * time.Second
-	// gapPatience and gapFloor: a stream that was silent for so many of its longest
+	// gapFactor and gapFloor: a stream that was silent for so many of its longest
 	// on-time pauses, or so long, goes on elsewhere, though its replica serves
 	// others: its connection may have gone silent. Callers leave after eight pauses
 	// or two seconds.
-	gapPatience = 5
-	gapFloor    = 1400 * time.Millisecond
+	gapFactor = 5
+	gapFloor  = 1400 * time.Millisecond
 	// firstShare is the part of its time that an idempotent call waits for its first
 	// piece from a replica that serves others: a long queue looks the same as a
 	// silent connection, and going elsewhere gives the place in it up.
@@ -60,7 +60,7 @@
 // Relay serves calls. All methods are safe for concurrent use.
 type Relay struct {
 	opts    Options
-	vitals  *vitals
+	stalls  *stallDetector
 	returns *returns
 	// running has the attempts by replica, to be told when one is lost.
 	mu      sync.Mutex
@@ -72,7 +72,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Relay{opts: opts, vitals: newVitals(), returns: newReturns(), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
+	return &Relay{opts: opts, stalls: newStallDetector(), returns: newReturns(), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
 // errReplicaLost ends attempts on a replica that lost a member.
@@ -87,7 +87,7 @@
 // Run watches the replicas for ones that stand still, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	clock.Every(ctx, stallCheck, func(now time.Time) {
-		for _, id := range r.vitals.review(now) {
+		for _, id := range r.stalls.review(now) {
 			r.opts.Log.Warn("replica stands still", "replica", id, "moved", r.move(id, errStalled))
 			if r.opts.OnStall != nil {
 				r.opts.OnStall(id)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -122,7 +122,7 @@
 // stand still it is more likely this node that hears nothing, and any will do.
 func (s *session) pick() (routing.Choice, error) {
 	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit()}
-	if still := s.r.vitals.stalled(time.Now()); len(still) > 0 {
+	if still := s.r.stalls.stalled(time.Now()); len(still) > 0 {
 		req.Exclude = append(still, s.exclude...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
 			return choice, nil
--- a/internal/relay/vitals.go
+++ b/internal/relay/stall.go
@@ -39,13 +39,13 @@
 
 var stallsTotal = metrics.NewCounter("fennel_relay_replica_stalls_total")
 
-// vitals notes when each replica last brought anything to this node.
-type vitals struct {
+// stallDetector notes when each replica last brought anything to this node.
+type stallDetector struct {
 	mu sync.Mutex
-	by map[cluster.ReplicaID]*vital
+	by map[cluster.ReplicaID]*activity
 }
 
-type vital struct {
+type activity struct {
 	// running are the streams under way here; lastSign is when anything came from
 	// the replica, or the first of them was sent.
 	running  int
@@ -57,8 +57,8 @@
 	rhythm time.Duration
 }
 
-// patience is how long the replica may bring nothing.
-func (o *vital) patience() time.Duration {
+// timeout is how long the replica may bring nothing.
+func (o *activity) timeout() time.Duration {
 	if o.fresh && o.running == 1 {
 		return stallAfterAlone
 	}
@@ -66,7 +66,7 @@
 }
 
 // note takes a sign of the replica.
-func (o *vital) note(now time.Time) {
+func (o *activity) note(now time.Time) {
 	pause := now.Sub(o.lastSign)
 	o.rhythm = time.Duration(float64(o.rhythm) * math.Exp(-float64(pause)/float64(rhythmLife)))
 	if !o.fresh {
@@ -75,15 +75,17 @@
 	o.lastSign, o.fresh, o.stalledSince = now, false, time.Time{}
 }
 
-func newVitals() *vitals { return &vitals{by: make(map[cluster.ReplicaID]*vital)} }
+func newStallDetector() *stallDetector {
+	return &stallDetector{by: make(map[cluster.ReplicaID]*activity)}
+}
 
-func (v *vitals) begin(id cluster.ReplicaID, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	one := v.by[id]
+func (d *stallDetector) begin(id cluster.ReplicaID, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	one := d.by[id]
 	if one == nil {
-		one = &vital{}
-		v.by[id] = one
+		one = &activity{}
+		d.by[id] = one
 	}
 	if one.running == 0 {
 		one.lastSign, one.fresh = now, true
@@ -91,28 +93,28 @@
 	one.running++
 }
 
-func (v *vitals) end(id cluster.ReplicaID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if one := v.by[id]; one != nil {
+func (d *stallDetector) end(id cluster.ReplicaID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if one := d.by[id]; one != nil {
 		one.running--
 	}
 }
 
 // sign notes that something came from the replica.
-func (v *vitals) sign(id cluster.ReplicaID, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if one := v.by[id]; one != nil {
+func (d *stallDetector) sign(id cluster.ReplicaID, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if one := d.by[id]; one != nil {
 		one.note(now)
 	}
 }
 
 // stalled lists the replicas that stand still.
-func (v *vitals) stalled(now time.Time) (ids []cluster.ReplicaID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for id, one := range v.by {
+func (d *stallDetector) stalled(now time.Time) (ids []cluster.ReplicaID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, one := range d.by {
 		if !one.stalledSince.IsZero() && now.Sub(one.stalledSince) < stallHolds {
 			ids = append(ids, id)
 		}
@@ -121,15 +123,15 @@
 }
 
 // review finds the replicas that have come to stand still since the last look.
-func (v *vitals) review(now time.Time) (found []cluster.ReplicaID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for id, one := range v.by {
+func (d *stallDetector) review(now time.Time) (found []cluster.ReplicaID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, one := range d.by {
 		held := !one.stalledSince.IsZero() && now.Sub(one.stalledSince) < stallHolds
 		switch {
 		case one.running == 0 && !held:
-			delete(v.by, id)
-		case one.running > 0 && !held && now.Sub(one.lastSign) > one.patience():
+			delete(d.by, id)
+		case one.running > 0 && !held && now.Sub(one.lastSign) > one.timeout():
 			one.stalledSince = now
 			found = append(found, id)
 			stallsTotal.Inc()
--- a/internal/relay/vitals_test.go
+++ b/internal/relay/stall_test.go
@@ -15,7 +15,7 @@
 func play(rhythms ...time.Duration) (falseAlarm bool, foundAfter time.Duration) {
 	const id = cluster.ReplicaID("r")
 	const streams = 10
-	v := newVitals()
+	v := newStallDetector()
 	now := time.Unix(1000, 0)
 	for range streams {
 		v.begin(id, now)
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -52,7 +52,7 @@
 	Name cluster.Service
 }
 
-// Weigh says which of the two measures placement leans to for a group.
+// Weigh says which of the two measures placement favors for a group.
 type Weigh string
 
 // The two weights; the default is WeighDowntime.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -48,10 +48,10 @@
 
 // The layout: domains of so many VMs, one a zone, and servers of the plain service.
 const (
-	domains        = 2
-	vmsPerDomain   = 8
-	plainServers   = 2
-	daemonPatience = 20 * time.Second
+	domains       = 2
+	vmsPerDomain  = 8
+	plainServers  = 2
+	daemonTimeout = 20 * time.Second
 )
 
 func newWorld(opts Options) (*World, error) {
@@ -160,7 +160,7 @@
 
 // allServed waits until every node serves everything.
 func (w *World) allServed(what string) error {
-	deadline := time.Now().Add(daemonPatience)
+	deadline := time.Now().Add(daemonTimeout)
 	for i, n := range w.nodes {
 		for try := 0; ; try++ {
 			err := w.served(n, fmt.Sprintf("%s-%d-%d", what, i, try))
@@ -168,7 +168,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s: %s does not serve after %s: %w", what, n.name, daemonPatience, err)
+				return fmt.Errorf("%s: %s does not serve after %s: %w", what, n.name, daemonTimeout, err)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
