--- a/internal/lifecycle/faults_test.go
+++ b/internal/lifecycle/faults_test.go
@@ -27,6 +27,7 @@
 	actMute     actionKind = "answers-lost"
 	actSpeak    actionKind = "answers-come"
 	actDelay    actionKind = "orders-delayed"
+	actPass     actionKind = "orders-pass"
 	actCatchUp  actionKind = "delayed-orders-done"
 )
 
@@ -60,7 +61,10 @@
 	toggle(v.cutStore, actCut, actJoined)
 	toggle(v.silent, actSilence, actHear)
 	toggle(v.mute, actMute, actSpeak)
-	toggle(v.late, actDelay, actCatchUp)
+	toggle(v.late, actDelay, actPass)
+	if len(v.queue) > 0 {
+		kinds = append(kinds, actCatchUp)
+	}
 	kinds = append(kinds, actCrash)
 	if v.runs() {
 		kinds = append(kinds, actRestart)
@@ -74,7 +78,7 @@
 // ends reports whether the action ends a fault.
 func (a action) ends() bool {
 	switch a.kind {
-	case actWait, actFresh, actThaw, actJoined, actHear, actSpeak, actCatchUp:
+	case actWait, actFresh, actThaw, actJoined, actHear, actSpeak, actPass, actCatchUp:
 		return true
 	}
 	return false
@@ -123,8 +127,8 @@
 		v.silent = a.kind == actSilence
 	case actMute, actSpeak:
 		v.mute = a.kind == actMute
-	case actDelay:
-		v.late = true
+	case actDelay, actPass:
+		v.late = a.kind == actDelay
 	case actCatchUp:
 		w.flush(v)
 	}
--- a/internal/lifecycle/vm_test.go
+++ b/internal/lifecycle/vm_test.go
@@ -32,7 +32,8 @@
 	// frozen VMs refuse connections, write no entry and keep their state.
 	frozen bool
 	// cutStore VMs write no entry; silent ones hear nothing of the holder; mute ones
-	// carry orders out and their answers are lost; late ones keep orders for later.
+	// carry orders out and their answers are lost; late ones queue orders, which may be
+	// carried out after newer ones.
 	cutStore, silent, mute, late bool
 	queue                        []Order
 	drainedAt                    time.Time
--- a/internal/lifecycle/world_test.go
+++ b/internal/lifecycle/world_test.go
@@ -295,14 +295,13 @@
 func (w *world) heal() {
 	w.stale = false
 	for _, v := range w.vms {
-		v.frozen, v.cutStore, v.silent, v.mute = false, false, false, false
+		v.frozen, v.cutStore, v.silent, v.mute, v.late = false, false, false, false, false
 		w.flush(v)
 	}
 }
 
 // flush has a VM carry out what it kept for later.
 func (w *world) flush(v *modelVM) {
-	v.late = false
 	queue := v.queue
 	v.queue = nil
 	for _, o := range queue {
