--- a/internal/grouping/commit.go
+++ b/internal/grouping/commit.go
@@ -77,9 +77,9 @@
 	zone  cluster.ZoneID
 	lease *Lease
 
-	book    *placement.Book
-	mod     map[cluster.ReplicaID]int64
-	headMod int64
+	assignments *placement.Assignments
+	mod         map[cluster.ReplicaID]int64
+	headMod     int64
 }
 
 // load reads head and table. The head is read first: if the table moves in
@@ -93,18 +93,18 @@
 	if err != nil {
 		return &CommitError{Kind: CommitFailed, Err: err}
 	}
-	book, err := placement.NewBook(c.zone, read.Grouping.Replicas)
+	assignments, err := placement.NewAssignments(c.zone, read.Grouping.Replicas)
 	if err != nil {
 		return err
 	}
-	c.book, c.mod, c.headMod = book, read.Mod, 0
+	c.assignments, c.mod, c.headMod = assignments, read.Mod, 0
 	if head != nil {
 		c.headMod = head.ModRevision
 	}
 	return nil
 }
 
-// commit writes changes, which the book has already, in one transaction and
+// commit writes changes, which the assignments have already, in one transaction and
 // notes their new revisions.
 func (c *committer) commit(ctx context.Context, changes []placement.Change) error {
 	writeID := newWriteID()
@@ -125,7 +125,7 @@
 
 func (c *committer) transaction(changes []placement.Change, writeID string) (store.Txn, error) {
 	head := store.GroupingHeadKey(c.zone)
-	value, err := json.Marshal(headRecord{WriteID: writeID, Fence: c.lease.Fence(), Digest: tableDigest(c.book.Replicas())})
+	value, err := json.Marshal(headRecord{WriteID: writeID, Fence: c.lease.Fence(), Digest: tableDigest(c.assignments.Replicas())})
 	if err != nil {
 		return store.Txn{}, errors.Wrap(err, "encode head")
 	}
--- a/internal/grouping/controller.go
+++ b/internal/grouping/controller.go
@@ -220,8 +220,8 @@
 		}
 		t.loaded = true
 	}
-	book := t.commit.book
-	t.fleet.update(list, func(vm cluster.VMID) bool { return book.HolderOf(vm) != "" }, time.Now())
+	assignments := t.commit.assignments
+	t.fleet.update(list, func(vm cluster.VMID) bool { return assignments.HolderOf(vm) != "" }, time.Now())
 	t.fleet.poll(ctx, c.due(t, set, time.Now()))
 	if err := c.place(ctx, t, set); err != nil {
 		commitsFailed.Inc()
@@ -238,7 +238,7 @@
 // place asks the policy for a plan and commits it.
 func (c *Controller) place(ctx context.Context, t *term, set *rules.Set) error {
 	now := time.Now()
-	replicas := t.commit.book.Replicas()
+	replicas := t.commit.assignments.Replicas()
 	in := placement.Input{
 		Zone: c.opts.Zone, Groups: set.Groups, Replicas: replicas,
 		VMs: t.fleet.placementVMs(replicas, now), Load: t.work(replicas, now),
@@ -260,7 +260,7 @@
 			}
 			batch = nil
 		}
-		change, err := t.commit.book.Apply(action, c.stamp(t, set, action))
+		change, err := t.commit.assignments.Apply(action, c.stamp(t, set, action))
 		if err != nil {
 			return err
 		}
--- a/internal/grouping/reconcile.go
+++ b/internal/grouping/reconcile.go
@@ -16,7 +16,7 @@
 // of life is old are asked themselves. Replicas that the zone's health checks
 // hold to be whole are not asked at all.
 func (c *Controller) due(t *term, set *rules.Set, now time.Time) []cluster.VMID {
-	replicas := t.commit.book.Replicas()
+	replicas := t.commit.assignments.Replicas()
 	want := desired(replicas, t.holds, set.Groups, t.fleet.addr)
 	byID := make(map[cluster.ReplicaID]cluster.Replica, len(replicas))
 	for _, r := range replicas {
@@ -72,7 +72,7 @@
 // must be ordered. It goes by the engines' own answers, so a lost order is sent
 // again and a VM that comes back with an old assignment is put right.
 func (c *Controller) orders(t *term, set *rules.Set) []addressedOrder {
-	want := desired(t.commit.book.Replicas(), t.holds, set.Groups, t.fleet.addr)
+	want := desired(t.commit.assignments.Replicas(), t.holds, set.Groups, t.fleet.addr)
 	ids := make([]cluster.VMID, 0, len(t.fleet.views))
 	for id := range t.fleet.views {
 		ids = append(ids, id)
@@ -122,7 +122,7 @@
 	total := make(map[cluster.GroupName]int)
 	var waiting []cluster.Replica
 	out := make(map[cluster.ReplicaID]bool)
-	for _, r := range t.commit.book.Replicas() {
+	for _, r := range t.commit.assignments.Replicas() {
 		total[r.Group]++
 		loaded, old := t.progress(r, want)
 		switch {
--- a/internal/grouping/world_test.go
+++ b/internal/grouping/world_test.go
@@ -199,7 +199,7 @@
 	w.t.Helper()
 	read, err := Read(w.t.Context(), w.store, testZone)
 	require.NoError(w.t, err)
-	_, err = placement.NewBook(testZone, read.Grouping.Replicas)
+	_, err = placement.NewAssignments(testZone, read.Grouping.Replicas)
 	require.NoError(w.t, err)
 	return read.Grouping.Replicas
 }
--- a/internal/placement/book_test.go
+++ b/internal/placement/assignments_test.go
@@ -11,13 +11,13 @@
 
 // A policy with a fault plans a VM into two replicas, or twice into one. Both
 // replicas would load over each other's weights and mix up callers' answers, so
-// the book refuses the action and stays as it was.
-func TestBookRefusesSharedVMs(t *testing.T) {
-	book, err := NewBook("z", nil)
+// Assignments refuses the action and stays as it was.
+func TestAssignmentsRefuseSharedVMs(t *testing.T) {
+	assignments, err := NewAssignments("z", nil)
 	require.NoError(t, err)
-	_, err = book.Apply(Action{Kind: Form, Group: "g", Members: []cluster.VMID{"a", "b"}}, Stamp{NewID: "r1", Fence: 3})
+	_, err = assignments.Apply(Action{Kind: Form, Group: "g", Members: []cluster.VMID{"a", "b"}}, Stamp{NewID: "r1", Fence: 3})
 	require.NoError(t, err)
-	before := book.Replicas()
+	before := assignments.Replicas()
 	bad := []struct {
 		action Action
 		id     cluster.ReplicaID
@@ -33,32 +33,32 @@
 		{Action{Kind: Wait, Replica: "r1"}, ""},
 	}
 	for _, b := range bad {
-		_, err := book.Apply(b.action, Stamp{NewID: b.id, Fence: 3})
-		_, ok := errors.Into[*BookError](err)
+		_, err := assignments.Apply(b.action, Stamp{NewID: b.id, Fence: 3})
+		_, ok := errors.Into[*AssignmentError](err)
 		require.True(t, ok, "%+v: %v", b.action, err)
-		require.Equal(t, before, book.Replicas())
-		require.Equal(t, cluster.ReplicaID("r1"), book.HolderOf("a"))
-		require.Empty(t, book.HolderOf("c"))
+		require.Equal(t, before, assignments.Replicas())
+		require.Equal(t, cluster.ReplicaID("r1"), assignments.HolderOf("a"))
+		require.Empty(t, assignments.HolderOf("c"))
 	}
 	shared := []cluster.Replica{{ID: "r1", Members: []cluster.VMID{"a"}, Serving: "a"}, {ID: "r2", Members: []cluster.VMID{"a"}, Serving: "a"}}
-	_, err = NewBook("z", shared)
+	_, err = NewAssignments("z", shared)
 	require.Error(t, err)
 }
 
-func TestBookChanges(t *testing.T) {
-	book, err := NewBook("z", nil)
+func TestAssignmentChanges(t *testing.T) {
+	assignments, err := NewAssignments("z", nil)
 	require.NoError(t, err)
-	formed, err := book.Apply(Action{Kind: Form, Group: "g", Members: []cluster.VMID{"a", "b"}}, Stamp{NewID: "r1", Model: "m", Fence: 3})
+	formed, err := assignments.Apply(Action{Kind: Form, Group: "g", Members: []cluster.VMID{"a", "b"}}, Stamp{NewID: "r1", Model: "m", Fence: 3})
 	require.NoError(t, err)
 	want := cluster.Replica{ID: "r1", Group: "g", Model: "m", Zone: "z", Generation: 1, Fence: 3, Members: []cluster.VMID{"a", "b"}, Serving: "a"}
 	require.Equal(t, Change{Replica: want}, formed)
 
-	drained, err := book.Apply(Action{Kind: Drain, Replica: "r1"}, Stamp{Fence: 4})
+	drained, err := assignments.Apply(Action{Kind: Drain, Replica: "r1"}, Stamp{Fence: 4})
 	require.NoError(t, err)
 	require.True(t, drained.Replica.Leaving)
 	require.Equal(t, int64(1), drained.Replica.Generation, "a drain reassigns no engine")
 
-	replaced, err := book.Apply(Action{Kind: Replace, Replica: "r1", Out: []cluster.VMID{"a"}, In: []cluster.VMID{"c"}}, Stamp{Fence: 4})
+	replaced, err := assignments.Apply(Action{Kind: Replace, Replica: "r1", Out: []cluster.VMID{"a"}, In: []cluster.VMID{"c"}}, Stamp{Fence: 4})
 	require.NoError(t, err)
 	require.Equal(t, []cluster.VMID{"c", "b"}, replaced.Replica.Members)
 	require.Equal(t, cluster.VMID("c"), replaced.Replica.Serving)
@@ -66,9 +66,9 @@
 	require.Equal(t, int64(2), replaced.Replica.Generation)
 	require.Equal(t, []cluster.VMID{"a", "b"}, formed.Replica.Members, "committed values are never changed")
 
-	removed, err := book.Apply(Action{Kind: BreakUp, Replica: "r1"}, Stamp{})
+	removed, err := assignments.Apply(Action{Kind: BreakUp, Replica: "r1"}, Stamp{})
 	require.NoError(t, err)
 	require.True(t, removed.Removed)
-	require.Empty(t, book.Replicas())
-	require.Empty(t, book.HolderOf("b"))
+	require.Empty(t, assignments.Replicas())
+	require.Empty(t, assignments.HolderOf("b"))
 }
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -26,16 +26,16 @@
 }
 
 // zone is a random history: VMs come, go, leave and return, streams start and
-// end, and rules change, while a policy plans and the book applies.
+// end, and rules change, while a policy plans and Assignments applies.
 type zone struct {
-	t      *rapid.T
-	policy Policy
-	groups []rules.Group
-	vms    []VM
-	book   *Book
-	load   map[cluster.ReplicaID]Load
-	now    time.Time
-	nextID int
+	t           *rapid.T
+	policy      Policy
+	groups      []rules.Group
+	vms         []VM
+	assignments *Assignments
+	load        map[cluster.ReplicaID]Load
+	now         time.Time
+	nextID      int
 }
 
 func drawGroups(t *rapid.T) []rules.Group {
@@ -74,7 +74,7 @@
 			}
 		}
 	case "load":
-		for _, r := range z.book.Replicas() {
+		for _, r := range z.assignments.Replicas() {
 			z.load[r.ID] = Load{Running: rapid.IntRange(0, 1).Draw(z.t, "running")}
 		}
 	case "rules":
@@ -85,7 +85,7 @@
 // settle plans until nothing changes and checks every action and the outcome.
 func (z *zone) settle() {
 	for range 20 {
-		in := Input{Zone: "z", Groups: z.groups, VMs: slices.Clone(z.vms), Replicas: z.book.Replicas(), Load: z.load}
+		in := Input{Zone: "z", Groups: z.groups, VMs: slices.Clone(z.vms), Replicas: z.assignments.Replicas(), Load: z.load}
 		plan := z.policy.Plan(in, z.now)
 		changed := false
 		for _, a := range plan.Actions {
@@ -111,7 +111,7 @@
 	if g := FindGroup(z.groups, a.Group); g != nil {
 		model = g.Model
 	}
-	change, err := z.book.Apply(a, Stamp{NewID: cluster.ReplicaID(fmt.Sprintf("r%d", z.nextID)), Model: model, Fence: 1})
+	change, err := z.assignments.Apply(a, Stamp{NewID: cluster.ReplicaID(fmt.Sprintf("r%d", z.nextID)), Model: model, Fence: 1})
 	require.NoError(z.t, err, "%+v", a)
 	if a.Kind == Form || a.Kind == Replace {
 		z.checkMembers(change.Replica, slices.Concat(a.Members, a.In))
@@ -121,7 +121,7 @@
 
 // checkNotCut: streams on a replica whose VMs are all up are never cut.
 func (z *zone) checkNotCut(a Action) {
-	r, ok := z.book.Replica(a.Replica)
+	r, ok := z.assignments.Replica(a.Replica)
 	require.True(z.t, ok)
 	index := indexVMs(z.vms)
 	for _, id := range r.Members {
@@ -149,10 +149,10 @@
 // checkSettled: no VM in two replicas, never more replicas than wanted, and
 // whoever serves fits the rules.
 func (z *zone) checkSettled() {
-	_, err := NewBook("z", z.book.Replicas())
+	_, err := NewAssignments("z", z.assignments.Replicas())
 	require.NoError(z.t, err)
 	count := make(map[cluster.GroupName]int)
-	for _, r := range z.book.Replicas() {
+	for _, r := range z.assignments.Replicas() {
 		if r.Leaving || brokenReason(r, indexVMs(z.vms), z.groups) == "member-missing" {
 			continue
 		}
@@ -170,7 +170,7 @@
 		t.Run(policy.Name(), func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				z := &zone{t: t, policy: policy, load: make(map[cluster.ReplicaID]Load), now: time.Unix(0, 0), groups: drawGroups(t)}
-				z.book, _ = NewBook("z", nil)
+				z.assignments, _ = NewAssignments("z", nil)
 				for i := range rapid.IntRange(1, 14).Draw(t, "vms") {
 					domain := cluster.DomainID(fmt.Sprintf("d%d", rapid.IntRange(0, 2).Draw(t, "domain")))
 					z.vms = append(z.vms, VM{ID: cluster.VMID(fmt.Sprintf("v%02d", i)), Domain: domain, Listed: true, LastSeen: z.now})
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -68,18 +68,18 @@
 	costs  Costs
 	trace  Trace
 
-	now      time.Duration
-	wakes    wakes
-	vms      []*vm
-	byID     map[cluster.VMID]*vm
-	book     *placement.Book
-	joined   map[cluster.ReplicaID]time.Duration // when the members were last changed
-	draining map[cluster.ReplicaID]time.Duration // when it stopped taking work
-	whole    map[cluster.ReplicaID]bool
-	nextLoad time.Duration
-	nextID   int
-	targets  map[cluster.GroupName]int
-	result   Result
+	now         time.Duration
+	wakes       wakes
+	vms         []*vm
+	byID        map[cluster.VMID]*vm
+	assignments *placement.Assignments
+	joined      map[cluster.ReplicaID]time.Duration // when the members were last changed
+	draining    map[cluster.ReplicaID]time.Duration // when it stopped taking work
+	whole       map[cluster.ReplicaID]bool
+	nextLoad    time.Duration
+	nextID      int
+	targets     map[cluster.GroupName]int
+	result      Result
 }
 
 // epoch is the wall time of offset zero; only differences matter.
@@ -132,7 +132,7 @@
 		s.vms = append(s.vms, v)
 		s.byID[v.ID] = v
 	}
-	s.book, _ = placement.NewBook("z", nil)
+	s.assignments, _ = placement.NewAssignments("z", nil)
 	return s
 }
 
@@ -170,7 +170,7 @@
 	}
 	have := make(map[cluster.GroupName]int)
 	busy := 0
-	for _, r := range s.book.Replicas() {
+	for _, r := range s.assignments.Replicas() {
 		if s.whole[r.ID] {
 			have[r.Group]++
 			busy += len(r.Members)
@@ -236,7 +236,7 @@
 	}
 	s.nextID++
 	id := cluster.ReplicaID(fmt.Sprintf("r%06d", s.nextID))
-	change, err := s.book.Apply(a, placement.Stamp{NewID: id, Model: s.model(a.Group), Fence: 1})
+	change, err := s.assignments.Apply(a, placement.Stamp{NewID: id, Model: s.model(a.Group), Fence: 1})
 	if err != nil {
 		return err
 	}
@@ -266,7 +266,7 @@
 // running says whether streams run on the replica: all members are up, and it
 // serves or stopped taking work a short while ago.
 func (s *sim) running(id cluster.ReplicaID) bool {
-	r, ok := s.book.Replica(id)
+	r, ok := s.assignments.Replica(id)
 	if !ok {
 		return false
 	}
@@ -283,7 +283,7 @@
 
 // load starts reading weights on members that need them, replica by replica.
 func (s *sim) load() {
-	for _, r := range s.book.Replicas() {
+	for _, r := range s.assignments.Replicas() {
 		for _, m := range r.Members {
 			s.want(s.byID[m], r.Model)
 		}
@@ -307,7 +307,7 @@
 // judge works out which replicas are whole and when others will be.
 func (s *sim) judge() {
 	clear(s.whole)
-	for _, r := range s.book.Replicas() {
+	for _, r := range s.assignments.Replicas() {
 		ready := s.joined[r.ID]
 		present := !r.Leaving
 		for _, m := range r.Members {
@@ -325,7 +325,7 @@
 
 func (s *sim) input() placement.Input {
 	in := placement.Input{
-		Zone: "z", Groups: s.groups, Replicas: s.book.Replicas(),
+		Zone: "z", Groups: s.groups, Replicas: s.assignments.Replicas(),
 		VMs: make([]placement.VM, 0, len(s.vms)), Load: make(map[cluster.ReplicaID]placement.Load),
 	}
 	now := epoch.Add(s.now)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -1,6 +1,6 @@
 // Package placement decides how the VMs of one availability zone are grouped
 // into model replicas. A Policy is pure: it gets an Input and the time and
-// returns a Plan of typed actions, each with a reason. The Book applies actions
+// returns a Plan of typed actions, each with a reason. Assignments applies actions
 // and is the one place that refuses a VM in two replicas.
 package placement
 
