lifecycle: the checker loads weights at a bounded rate and replaces VMs that are gone

Cold worlds begin without weights and with 1.25 loads a second, twelve at once, so that the rate is what binds; a crashed VM may be replaced by a new one without weights.

--- a/internal/lifecycle/faults_test.go
+++ b/internal/lifecycle/faults_test.go
@@ -17,6 +17,7 @@
 	actFresh    actionKind = "list-goes-on"
 	actCrash    actionKind = "crash"
 	actRestart  actionKind = "restart"
+	actReplace  actionKind = "replace"
 	actDrain    actionKind = "drain"
 	actFreeze   actionKind = "freeze"
 	actThaw     actionKind = "thaw"
@@ -48,7 +49,7 @@
 // vmActions are the actions that fit the VM's state.
 func vmActions(v *modelVM) (kinds []actionKind) {
 	if !v.alive {
-		return nil
+		return []actionKind{actReplace}
 	}
 	toggle := func(on bool, begin, end actionKind) {
 		if on {
@@ -78,7 +79,7 @@
 // ends reports whether the action ends a fault.
 func (a action) ends() bool {
 	switch a.kind {
-	case actWait, actFresh, actThaw, actJoined, actHear, actSpeak, actPass, actCatchUp:
+	case actWait, actReplace, actFresh, actThaw, actJoined, actHear, actSpeak, actPass, actCatchUp:
 		return true
 	}
 	return false
@@ -117,6 +118,8 @@
 		v.alive = false
 	case actRestart:
 		v.restart(w.now)
+	case actReplace:
+		v.replace(w.now)
 	case actDrain:
 		v.drainedAt = w.now
 	case actFreeze, actThaw:
@@ -218,5 +221,8 @@
 func settled(o worldOptions) *world {
 	w := newWorld(o)
 	w.runFor(20 * time.Second)
+	if o.cold {
+		w.runFor(100 * time.Second)
+	}
 	return w
 }
--- a/internal/lifecycle/vm_test.go
+++ b/internal/lifecycle/vm_test.go
@@ -76,6 +76,11 @@
 		cutStore: v.cutStore, silent: v.silent, mute: v.mute, late: v.late}
 }
 
+// replace puts a new VM without weights in the place of one that is gone.
+func (v *modelVM) replace(now time.Time) {
+	*v = modelVM{id: v.id + "n", domain: v.domain, alive: true, born: now, beatAt: now}
+}
+
 // carryOut does an order at now and returns the answer; loads counts the loads that it begins.
 func (v *modelVM) carryOut(o Order, now time.Time, loads *int) Answer {
 	if o.Fence < v.fenceSeen {
--- a/internal/lifecycle/world_test.go
+++ b/internal/lifecycle/world_test.go
@@ -68,13 +68,16 @@
 	w := &world{now: time.Unix(1000, 0), set: rules.Assemble(rules.Set{Groups: []rules.Group{group}}), free: !o.cold, fence: 1,
 		seen: make(map[cluster.VMID]fleet.Server), ready: make(map[readyKey]bool)}
 	if o.cold {
-		w.set.Weights = weights
+		w.set.Weights = rules.WeightStore{LoadsPerSecond: 1.25, LoadsAtOnce: 12}
 	}
 	for d := range o.domains {
 		for i := range o.vms {
 			at := w.now.Add(-time.Duration(i) * 250 * time.Millisecond)
 			w.vms = append(w.vms, &modelVM{id: cluster.VMID(fmt.Sprintf("vm-%02d-%02d", d, i)), domain: cluster.DomainID(fmt.Sprint("d", d)),
-				alive: true, born: w.now, beatAt: at, staged: []string{"m"}})
+				alive: true, born: w.now, beatAt: at})
+			if !o.cold {
+				w.vms[len(w.vms)-1].staged = []string{"m"}
+			}
 		}
 	}
 	w.handOver()
@@ -130,7 +133,7 @@
 		w.deliver(s)
 	}
 	for _, p := range out.ProbeMissing {
-		if v := w.find(p.ID); v.runs() && !v.silent && !v.mute {
+		if v := w.find(p.ID); v != nil && v.runs() && !v.silent && !v.mute {
 			w.next.Answering = append(w.next.Answering, v.id)
 		}
 	}
@@ -186,7 +189,7 @@
 	outcome := Answered{To: s.To, Order: s.Order, At: w.now}
 	v := w.find(s.To.ID)
 	switch {
-	case !v.alive || v.silent:
+	case v == nil || !v.alive || v.silent:
 		outcome.Err = context.DeadlineExceeded
 	case v.frozen:
 		outcome.Err = syscall.ECONNREFUSED
@@ -231,7 +234,7 @@
 	}
 	id := fleet.ReplicaID(v.member.Replica, v.member.Epoch)
 	head := w.find(v.members[0])
-	if head.alive && head.in(id) && (head.member.State == fleet.Open || head.member.State == fleet.Closing) {
+	if head != nil && head.alive && head.in(id) && (head.member.State == fleet.Open || head.member.State == fleet.Closing) {
 		w.violate("%s joins %s while %s, head %s, is %s", v.id, o.Replica, id, head.id, head.member.State)
 	}
 }
