--- /dev/null
+++ b/internal/formation/term_test.go
@@ -0,0 +1,101 @@
+package formation
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/lifecycle"
+	"github.com/fennelcourse/fennelcourse/internal/placement"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
+)
+
+// fakeOrders answers orders and probes; VMs in silent answer nothing, and those in once
+// only from the second probe on.
+type fakeOrders struct {
+	mu     sync.Mutex
+	silent map[cluster.VMID]bool
+	once   map[cluster.VMID]bool
+}
+
+func (f *fakeOrders) Send(_ context.Context, to fleet.Server, _ lifecycle.Order) (lifecycle.Answer, error) {
+	if f.silent[to.ID] {
+		return "", &SendError{VM: to.ID, Err: context.DeadlineExceeded}
+	}
+	return lifecycle.Begun, nil
+}
+
+func (f *fakeOrders) Probe(_ context.Context, vm fleet.Server) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent[vm.ID] || f.once[vm.ID] {
+		delete(f.once, vm.ID)
+		return &SendError{VM: vm.ID, Err: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+func newTestTerm(orders *fakeOrders) *term {
+	set := rules.Assemble(rules.Set{Groups: []rules.Group{{Name: "m", Model: "m", VMs: 2, Servers: "models", ColdLoad: time.Second, WarmLoad: time.Second}}})
+	return newTerm(Options{Scope: "here", Rules: func() *rules.Set { return set }, FreeLoads: func() bool { return true },
+		Orders: orders, Policy: placement.Mix{}, Log: slog.New(slog.DiscardHandler)}, 7, make(map[cluster.VMID]fleet.Server))
+}
+
+func servers(ids ...cluster.VMID) (out []fleet.Server) {
+	for _, id := range ids {
+		out = append(out, fleet.Server{ID: id, Service: "models", Slots: 1, Born: time.Unix(1, 0)})
+	}
+	return out
+}
+
+// An order without an answer must come back to the machine as such: it may still be carried out.
+func TestOutcomesOfOrdersAreReported(t *testing.T) {
+	term := newTestTerm(&fakeOrders{silent: map[cluster.VMID]bool{"b": true}})
+	now := time.Now()
+	term.step(t.Context(), fleet.List{Revision: 9, ReadAt: now, Servers: servers("a", "b")}, time.Minute, nil, now)
+	term.wait()
+	in := term.takeReports()
+	require.Len(t, in.Answered, 2)
+	for _, a := range in.Answered {
+		require.Equal(t, lifecycle.Join, a.Order.Kind)
+		require.Equal(t, a.To.ID == "b", a.Err != nil)
+	}
+	require.Empty(t, term.takeReports().Answered, "each outcome is told once")
+}
+
+// One lost probe, or a node that reaches nobody, must not make VMs count as down.
+func TestOnlyMembersSilentTwiceAreDown(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		silent, once []cluster.VMID
+		down         []cluster.VMID
+	}{
+		{name: "all answer"},
+		{name: "one probe lost", once: []cluster.VMID{"a"}},
+		{name: "nobody answers", silent: []cluster.VMID{"a", "b", "c"}},
+		{name: "one is silent", silent: []cluster.VMID{"b"}, once: []cluster.VMID{"c"}, down: []cluster.VMID{"b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			orders := &fakeOrders{silent: make(map[cluster.VMID]bool), once: make(map[cluster.VMID]bool)}
+			for _, vm := range c.silent {
+				orders.silent[vm] = true
+			}
+			for _, vm := range c.once {
+				orders.once[vm] = true
+			}
+			term := newTestTerm(orders)
+			term.probeMembers(t.Context(), lifecycle.Probing{Replica: "m/1.1", Members: servers("a", "b", "c")})
+			var down []cluster.VMID
+			for _, s := range term.takeReports().Silent {
+				down = append(down, s.ID)
+			}
+			require.Equal(t, c.down, down)
+		})
+	}
+}
--- a/internal/lifecycle/loads.go
+++ b/internal/lifecycle/loads.go
@@ -23,12 +23,9 @@
 	// spareReserve is the number of places that loads of spares leave free for the
 	// one load that makes a replica whole: one begun now holds its place for 12 to 16 s.
 	spareReserve = 2
-	// rushAfter is how long loads keep to the number at once while they are cheap;
-	// after that all that are left begin together. A load's price is set when it
-	// begins: one that begins just before the first request takes a tenth of the time
-	// of one that begins just after it, also if it shares the store with twenty others.
+	// rushAfter is how long loads keep to the number at once while they are cheap; after
+	// that all that are left begin together, since a load's price is set when it begins.
 	// Sooner, they would delay the replicas that could serve the first requests.
-	// The gain is in docs/decisions/0005-users-platform.md.
 	rushAfter = 4 * time.Second
 )
 
--- a/internal/lifecycle/loads_test.go
+++ b/internal/lifecycle/loads_test.go
@@ -66,9 +66,7 @@
 	require.Empty(t, l.until, "a load that never ends holds its place no longer")
 }
 
-// The first request comes while VMs still wait for a place at the weight store.
-// Their loads begin after it and take ten times as long: VMs that die in the first
-// half minute have no spare beside them, and callers are refused for that long.
+// Loads that begin after the first request take ten times as long: replicas that lose a VM then lack a spare.
 func TestLoadsLeftBeginTogetherBeforeTheFirstRequest(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := newLoads()
--- a/internal/lifecycle/machine_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -175,8 +175,7 @@
 	return s, order
 }
 
-// A member is still reading its weights when the others are ready. Nobody but the
-// holder looks at the members: opened now, the head would run requests without it.
+// Nobody but the holder looks at the members: opened too soon, a head would run requests without one.
 func TestOpensOnlyWhenEveryMemberIsReady(t *testing.T) {
 	s := newScene(t, 3)
 	s.step()
@@ -195,8 +194,7 @@
 	require.Equal(t, order.Epoch, open[order.Members[0]].Epoch)
 }
 
-// A member dies. Its replica's head still counts as open: a survivor that joined
-// another replica now would be in two. They are free once the head has left.
+// A member is lost and the head still open: a survivor that joined another replica would be in two.
 func TestSurvivorsWaitForTheirHead(t *testing.T) {
 	s, order := opened(t, 4)
 	s.orders.answer = "" // orders get an answer only when the test says so
@@ -218,9 +216,7 @@
 	require.Greater(t, joins[order.Members[1]].Epoch, order.Epoch)
 }
 
-// A head is gone from the list and does not answer. It may be dead, or cut off
-// from the store and serving others: each member leaves, with an answer, before
-// another replica takes it.
+// A head that is not listed and silent may serve on: each member leaves, with an answer, before it is used.
 func TestMembersOfASilentHeadLeaveOneByOne(t *testing.T) {
 	s, order := opened(t, 4)
 	head, second, third := order.Members[0], order.Members[1], order.Members[2]
@@ -243,8 +239,7 @@
 	require.Contains(t, s.orders.take(Join), third)
 }
 
-// A member is cut off from the store: the list drops it, and it answers. Its
-// replica works on and is left alone.
+// A member that the list dropped and that answers is cut off from the store: its replica works on.
 func TestReplicaOfAMemberCutOffFromTheStoreIsLeftAlone(t *testing.T) {
 	s, order := opened(t, 4)
 	s.vanish(order.Members[2])
@@ -255,8 +250,7 @@
 	require.Empty(t, s.orders.take(Join))
 }
 
-// A VM has seen a later holder's orders. This one was paused, or cut off: whatever
-// it would order now is the later one's to decide.
+// A holder that was paused or cut off must not order what is a later one's to decide.
 func TestFencedHolderStops(t *testing.T) {
 	s := newScene(t, 3)
 	s.orders.answer = Fenced
@@ -265,8 +259,7 @@
 	require.True(t, s.machine.Fenced())
 }
 
-// Epochs of a later holder are above all of an earlier one's, so that an order
-// which is carried out late can't undo what came after it.
+// An earlier holder's order that is carried out late must not undo a later one's.
 func TestEpochsRiseFromHolderToHolder(t *testing.T) {
 	first := newScene(t, 3)
 	first.step()
