fleet: entries that the store has not confirmed are not passed on

Cause: a feed node that was turned away by the store from 2.3 to 14.2 s kept an entry that had gone at 4.0 s for the grace after its return (2.5 s), as it should for itself. At 15.5 s front-praha-d-5 began to follow it, got the entry in the first batch like any other, and routed to it, though it had read from the store itself that it was gone. At 16.7 s the feed dropped it without a word to its followers: d-5 kept it until 25.5 s, when it changed its feed.

Fix: a feed passes on what the store has confirmed. Entries that lapsed while it was away are left out of the first batch, and a new reading tells followers at once that they are missing; each follower has its own grace for what it held itself. TestLapsedEntriesAreNotPassedOn failed before: 2 entries in place of 1.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -64,15 +64,15 @@
 // Wanted reports whether another node has asked for this copy lately.
 func (m *Mirror) Wanted() bool { return time.Since(time.Unix(0, m.wantedAt.Load())) < wantedFor }
 
-// Follow returns all entries below the prefixes, and a channel that gets each
-// change after them until ctx ends or the reader falls behind.
+// Follow returns all entries below the prefixes that the store has confirmed, and a
+// channel that gets each change after them until ctx ends or the reader falls behind.
 func (m *Mirror) Follow(ctx context.Context, prefixes []string) (store.WatchBatch, <-chan store.WatchBatch) {
 	changes := make(chan store.WatchBatch, followerQueue)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	first := store.WatchBatch{Revision: m.revision}
 	for key, kv := range m.entries {
-		if hasAnyPrefix(key, prefixes) {
+		if _, lapsed := m.lapsed[key]; !lapsed && hasAnyPrefix(key, prefixes) {
 			first.Events = append(first.Events, store.Event{KV: kv})
 		}
 	}
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -242,6 +242,7 @@
 		return // an answer that was overtaken
 	}
 	m.noteHeard(now)
+	m.tellDifference(fresh, revision)
 	for key, kv := range m.entries {
 		if _, there := fresh[key]; there {
 			continue
@@ -256,7 +257,6 @@
 			delete(m.lapsed, key)
 		}
 	}
-	m.tellDifference(fresh, revision)
 	m.entries, m.revision, m.loaded = fresh, revision, true
 	m.mu.Unlock()
 	m.changed(nil)
--- a/internal/fleet/mirror_test.go
+++ b/internal/fleet/mirror_test.go
@@ -208,3 +208,25 @@
 		<-done
 	})
 }
+
+// A node that comes back to the store keeps lapsed entries for a while: it must not pass them on as if the store had them.
+func TestLapsedEntriesAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follow(t)
+		lease, err := f.mem.Grant(t.Context(), 3*time.Second)
+		require.NoError(t, err)
+		f.put(t, "servers/gone", lease)
+		f.put(t, "servers/stays", 0)
+		f.run(t, func() {
+			f.mem.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(6 * time.Second)
+			f.mem.SetFaults(memstore.Faults{})
+			time.Sleep(time.Second)
+			synctest.Wait()
+			require.Len(t, f.keys(), 2, "the node itself keeps it for now")
+			first, _ := f.mirror.Follow(t.Context(), []string{"servers/"})
+			require.Len(t, first.Events, 1)
+			require.Equal(t, "servers/stays", first.Events[0].KV.Key)
+		})
+	})
+}
