--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -51,23 +51,37 @@
 		t.opts.Log.Info("probe", "replica", p.Replica, "outcome", "no member answers")
 		return
 	}
-	silent = t.silentOf(ctx, silent)
-	for _, vm := range silent {
-		t.opts.Log.Info("probe", "replica", p.Replica, "vm", vm.ID, "born", vm.Born, "outcome", "down")
+	silent = t.silentOf(ctx, serversOf(silent))
+	for _, s := range silent {
+		t.opts.Log.Info("probe", "replica", p.Replica, "vm", s.vm.ID, "born", s.vm.Born, "outcome", "down", "err", s.err.Error())
 	}
-	t.report(func(in *lifecycle.Input) { in.Silent = append(in.Silent, silent...) })
+	t.report(func(in *lifecycle.Input) { in.Silent = append(in.Silent, serversOf(silent)...) })
 }
 
 // probeMissing asks a VM that the list lacks.
 func (t *term) probeMissing(ctx context.Context, vm fleet.Server) {
-	if len(t.silentOf(ctx, []fleet.Server{vm})) > 0 {
+	if silent := t.silentOf(ctx, []fleet.Server{vm}); len(silent) > 0 {
+		t.opts.Log.Info("probe", "vm", vm.ID, "born", vm.Born, "outcome", "unlisted VM does not answer", "err", silent[0].err.Error())
 		return
 	}
 	t.report(func(in *lifecycle.Input) { in.Answering = append(in.Answering, vm.ID) })
 }
 
+// unanswered is a probe without an answer.
+type unanswered struct {
+	vm  fleet.Server
+	err error
+}
+
+func serversOf(probes []unanswered) (vms []fleet.Server) {
+	for _, p := range probes {
+		vms = append(vms, p.vm)
+	}
+	return vms
+}
+
 // silentOf probes VMs at the same time and returns those that did not answer.
-func (t *term) silentOf(ctx context.Context, vms []fleet.Server) (silent []fleet.Server) {
+func (t *term) silentOf(ctx context.Context, vms []fleet.Server) (silent []unanswered) {
 	ctx, cancel := context.WithTimeout(ctx, lifecycle.ProbeTimeout)
 	defer cancel()
 	errs := make([]error, len(vms))
@@ -79,7 +93,7 @@
 	wg.Wait()
 	for i, err := range errs {
 		if err != nil {
-			silent = append(silent, vms[i])
+			silent = append(silent, unanswered{vms[i], err})
 		}
 	}
 	return silent
--- a/internal/formation/term_test.go
+++ b/internal/formation/term_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"sync"
@@ -69,6 +70,18 @@
 	require.Empty(t, term.takeReports().Answered, "each outcome is told once")
 }
 
+// Why a VM counts as down must be in the log: a refused connection is another matter than a timeout.
+func TestWhyAProbeFailedIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	term := newTestTerm(&fakeOrders{silent: map[cluster.VMID]bool{"b": true}})
+	term.opts.Log = slog.New(slog.NewTextHandler(&out, nil))
+	term.probeMembers(t.Context(), lifecycle.Probing{Replica: "m/1.1", Members: servers("a", "b")})
+	require.Contains(t, out.String(), context.DeadlineExceeded.Error())
+	out.Reset()
+	term.probeMissing(t.Context(), servers("b")[0])
+	require.Contains(t, out.String(), context.DeadlineExceeded.Error())
+}
+
 // One lost probe, or a node that reaches nobody, must not make VMs count as down.
 func TestOnlyMembersSilentTwiceAreDown(t *testing.T) {
 	for _, c := range []struct {
