internal/httpserver: one server for both forms of the node that tracks its connections

Cause: of a request that got no answer, no log line tells which connection ended, what it was doing, or whether part of the request had been read. The line of a stop that runs out of time has running=0 and doesn't say what it waited for.

Change: internal/entry and internal/daemon serve callers with one package. It counts the bytes received since the last write on each connection. It logs how many connections are unused, receiving, answering or idle when a shutdown begins and when it runs out of time, each one that is left then, and each connection that ends with part of a request unanswered, with a counter. How connections are closed is as before: http.Server.Shutdown, and the idle timer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/gateway"
 	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/peer"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
@@ -69,7 +70,7 @@
 	capacityChanged chan struct{}
 	gateway         *gateway.Gateway
 
-	callers   listener
+	callers   *httpserver.Server
 	control   listener
 	stopping  atomic.Bool
 	tasks     sync.WaitGroup
@@ -123,8 +124,8 @@
 	n.stopTasks = stop
 	n.startTasks(tasksCtx)
 	failed := make(chan error, 2)
-	for _, l := range []listener{n.callers, n.control} {
-		go func() { failed <- l.serve() }()
+	for _, serve := range []func() error{n.callers.Serve, n.control.serve} {
+		go func() { failed <- serve() }()
 	}
 	n.log.Info("serving", "zone", n.cfg.Zone, "version", n.version, "callers", n.CallersAddr(), "control", n.ControlAddr(), "datagrams", n.transport.Addr())
 	var err error
@@ -136,7 +137,7 @@
 }
 
 // CallersAddr returns the ip:port that serves callers.
-func (n *Node) CallersAddr() string { return n.callers.socket.Addr().String() }
+func (n *Node) CallersAddr() string { return n.callers.Addr().String() }
 
 // ControlAddr returns the ip:port that serves peers and operators.
 func (n *Node) ControlAddr() string { return n.control.socket.Addr().String() }
@@ -148,10 +149,10 @@
 	n.members.Leave()
 	clock.Pause(force, n.cfg.Drain.Notice)
 	n.log.Info("stopping", "step", "finish requests")
-	err := n.callers.server.Shutdown(force)
+	err := n.callers.Shutdown(force)
 	if err != nil {
 		n.log.Error("stopping", "step", "requests aborted", "err", err.Error())
-		err = errors.Join(err, n.callers.server.Close())
+		err = errors.Join(err, n.callers.Close())
 	}
 	n.gateway.Wait()
 	n.stopTasks()
@@ -179,10 +180,11 @@
 	if n.transport != nil {
 		_ = n.transport.Close() // the process ends
 	}
-	for _, l := range []listener{n.callers, n.control} {
-		if l.socket != nil {
-			_ = l.socket.Close() // the process ends
-		}
+	if n.callers != nil {
+		_ = n.callers.Close() // the process ends
+	}
+	if n.control.socket != nil {
+		_ = n.control.socket.Close() // the process ends
 	}
 	if n.pools != nil {
 		n.pools.Close()
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -14,6 +14,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/gateway"
 	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/health"
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/openai"
 	"github.com/fennelcourse/fennelcourse/internal/peer"
@@ -152,20 +153,21 @@
 	if err != nil {
 		return err
 	}
-	n.callers.socket = socket
-	n.callers.server = n.newServer(n.callersHandler())
-	n.control.server = n.newServer(n.controlHandler())
+	n.callers = httpserver.New(socket, httpserver.Options{Name: "callers", Handler: n.callersHandler(), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, Protocols: allProtocols(), Log: n.log, ErrorLevel: slog.LevelWarn})
+	n.control.server = &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: allProtocols(),
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	if n.tls != nil {
 		n.control.server.TLSConfig = n.tls.Server(true)
 	}
 	return nil
 }
 
-func (n *Node) newServer(h http.Handler) *http.Server {
+// allProtocols returns HTTP/1 and HTTP/2, with and without TLS.
+func allProtocols() *http.Protocols {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	return protocols
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/internal/store"
@@ -25,7 +26,7 @@
 	// peers exchanges datagrams with the other nodes; it is unused on a node without an
 	// address for datagrams.
 	peers                        *regionPeers
-	callers, ready, admin, feeds *server
+	callers, ready, admin, feeds *httpserver.Server
 	stopping                     atomic.Bool
 }
 
@@ -45,19 +46,20 @@
 func (n *Node) listen() error {
 	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.Serve, Leaving: n.stopping.Load, Log: n.log})
 	for _, l := range []struct {
-		dest    **server
+		name    string
+		dest    **httpserver.Server
 		addr    string
 		handler http.Handler
 	}{
-		{&n.callers, n.cfg.Listen.Callers, handler},
-		{&n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
-		{&n.admin, n.cfg.Listen.Metrics, n.adminHandler()},
-		{&n.feeds, n.cfg.Feeds.Listen, n.feedHandler()},
+		{"callers", &n.callers, n.cfg.Listen.Callers, handler},
+		{"ready", &n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
+		{"admin", &n.admin, n.cfg.Listen.Metrics, n.adminHandler()},
+		{"feeds", &n.feeds, n.cfg.Feeds.Listen, n.feedHandler()},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		s, err := newServer(l.addr, l.handler, n.log)
+		s, err := newServer(l.name, l.addr, l.handler, n.log)
 		if err != nil {
 			return errors.Wrap(err, l.addr)
 		}
@@ -76,12 +78,12 @@
 		n.Core.Run(tasksCtx)
 	}()
 	failed := make(chan error, 4)
-	for _, s := range []*server{n.callers, n.ready, n.admin, n.feeds} {
+	for _, s := range []*httpserver.Server{n.callers, n.ready, n.admin, n.feeds} {
 		if s != nil {
-			go func() { failed <- s.serve() }()
+			go func() { failed <- s.Serve() }()
 		}
 	}
-	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "callers", n.callers.addr(), "inside", n.admin.addr(), "first_start", n.cfg.Process.FirstStart)
+	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "callers", addrOf(n.callers), "inside", addrOf(n.admin), "first_start", n.cfg.Process.FirstStart)
 	var err error
 	select {
 	case err = <-failed:
@@ -107,19 +109,19 @@
 	clock.Pause(force, n.cfg.Drain.Notice)
 	ctx, cancel := context.WithDeadline(force, began.Add(n.cfg.Process.Grace-shutdownMargin))
 	defer cancel()
-	err := n.callers.http.Shutdown(ctx)
+	err := n.callers.Shutdown(ctx)
 	if err != nil {
 		n.log.Error("stopping", "step", "requests aborted", "running", n.relay.Running(), "err", err.Error())
-		err = errors.Join(err, n.callers.http.Close())
+		err = errors.Join(err, n.callers.Close())
 	}
-	for _, s := range []*server{n.admin, n.feeds} {
+	for _, s := range []*httpserver.Server{n.admin, n.feeds} {
 		if s != nil {
-			err = errors.Join(err, s.http.Close())
+			err = errors.Join(err, s.Close())
 		}
 	}
 	n.peers.Close()
 	n.Core.Close()
-	return errors.Join(err, n.ready.http.Close())
+	return errors.Join(err, n.ready.Close())
 }
 
 // AdminAddr returns the ip:port that serves metrics and operators, or nil if the settings
@@ -128,11 +130,11 @@
 	if n.admin == nil {
 		return nil
 	}
-	return n.admin.socket.Addr()
+	return n.admin.Addr()
 }
 
 // CallersAddr returns the ip:port that serves callers.
-func (n *Node) CallersAddr() net.Addr { return n.callers.socket.Addr() }
+func (n *Node) CallersAddr() net.Addr { return n.callers.Addr() }
 
 // Reload checks the settings file and logs that nothing changes without a restart: the
 // operator's configuration comes from the store, and the platform owns the settings.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -53,8 +53,8 @@
 	n, err := New(cfg, testPlatform(t), slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(func() {
-		_ = n.callers.socket.Close()
-		_ = n.ready.socket.Close()
+		_ = n.callers.Close()
+		_ = n.ready.Close()
 	})
 	return n
 }
--- a/internal/entry/region_test.go
+++ b/internal/entry/region_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
@@ -42,8 +43,8 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		n.peers.Close()
-		for _, s := range []*server{n.callers, n.ready, n.feeds} {
-			_ = s.socket.Close()
+		for _, s := range []*httpserver.Server{n.callers, n.ready, n.feeds} {
+			_ = s.Close()
 		}
 	})
 	return n
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,82 +4,45 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/feed"
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/operator"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
-// server is an HTTP server with its socket. It closes idle connections itself, because
-// the idle timeout can change while it serves, which http.Server does not support.
-type server struct {
-	socket net.Listener
-	http   *http.Server
-	idle   atomic.Int64 // idle timeout as a time.Duration; 0 for none
-
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-// Default limits on the header of a request.
+// Limits on the header of a request.
 const (
-	defaultHeaderTimeout = 3 * time.Second
-	defaultMaxHeader     = 16 << 10
+	headerTimeout = 3 * time.Second
+	maxHeader     = 16 << 10
 )
 
-func newServer(addr string, handler http.Handler, log *slog.Logger) (*server, error) {
+func newServer(name, addr string, handler http.Handler, log *slog.Logger) (*httpserver.Server, error) {
 	socket, err := sockets.Listen(context.Background(), addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{socket: socket, timers: make(map[net.Conn]*time.Timer)}
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeader,
-		ConnState: s.connState, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
-	return s, nil
+	return httpserver.New(socket, httpserver.Options{Name: name, Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		Log: log, ErrorLevel: slog.LevelDebug}), nil
 }
 
-// addr returns the server's address, or "" for a listener that the settings do not name.
-func (s *server) addr() string {
+// addrOf returns a server's address, or "" for a listener that the settings do not name.
+func addrOf(s *httpserver.Server) string {
 	if s == nil {
 		return ""
 	}
-	return s.socket.Addr().String()
-}
-
-func (s *server) serve() error {
-	err := s.http.Serve(s.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// connState closes connections that are idle for longer than the idle timeout.
-func (s *server) connState(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if timer := s.timers[conn]; timer != nil {
-		timer.Stop()
-		delete(s.timers, conn)
-	}
-	if timeout := time.Duration(s.idle.Load()); state == http.StateIdle && timeout > 0 {
-		s.timers[conn] = time.AfterFunc(timeout, func() { _ = conn.Close() }) // the connection is idle: no request is cut
-	}
+	return s.Addr().String()
 }
 
 // applyIdleTimeout adopts the idle timeout of callers' connections from the rules.
 func (n *Node) applyIdleTimeout(set *rules.Set) {
-	n.callers.idle.Store(int64(set.Bounds.IdleTimeout))
+	n.callers.SetIdleTimeout(set.Bounds.IdleTimeout)
 }
 
 // notReadyReason returns why this node should get no calls, or "" if it is ready.
--- /dev/null
+++ b/internal/httpserver/track.go
@@ -0,0 +1,47 @@
+package httpserver
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// connState records the state that net/http reports for a connection.
+func (s *Server) connState(inner net.Conn, state http.ConnState) {
+	if c, ok := inner.(*conn); ok {
+		c.setState(state, time.Duration(s.idleTimeout.Load()))
+	}
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// logConnections logs how many connections do what.
+func (s *Server) logConnections(step string) {
+	counts := make(map[activity]int)
+	for _, c := range s.connections() {
+		what, _, _ := c.activity()
+		counts[what]++
+	}
+	s.opts.Log.Info("connections", "server", s.opts.Name, "step", step,
+		"unused", counts[unused], "receiving", counts[receiving], "answering", counts[answering], "idle", counts[idle])
+}
+
+// logEachConnection logs what each open connection is doing and for how long.
+func (s *Server) logEachConnection() {
+	for _, c := range s.connections() {
+		what, since, received := c.activity()
+		s.opts.Log.Info("connection open", "server", s.opts.Name, "remote", c.RemoteAddr().String(), "activity", what, "for", time.Since(since), "received", received)
+	}
+}
