internal/httpserver: the idle timeout never closes a connection on which a request arrives

In a trial, a request whose header was half sent when the idle timeout passed was cut: end of file, no answer, no log line of the request.

Cause: net/http reports a connection as idle until it has read the whole header of the next request. The idle timer closed the connection by that state, from another goroutine; nothing stopped it while a header arrived, and Timer.Stop does not wait for a timer that has fired.

Change: nothing closes a waiting connection from outside. The connection sets the end of its wait as read deadline beside that of net/http, and the wait ends once a byte arrives. After the deadline it reads once more what has arrived by then, as a read of package net returns nothing after its deadline. A header that never completes still ends at the header timeout, also with fewer than four bytes, for which net/http sets no deadline.

Why it works: the goroutine that reads the connection is the only one that ends it, and it does so only after a read that found nothing. Bytes in flight at that moment were not read.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,12 +1,17 @@
 package httpserver
 
 import (
+	"bytes"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
 // listener wraps accepted connections for tracking.
@@ -29,6 +34,10 @@
 }
 
 // conn is an accepted connection.
+//
+// net/http reports a connection as new or idle until it has read the whole header of a
+// request. Closing it from outside in these states can drop a request that is arriving.
+// A connection is therefore only ever ended by failing a read that found nothing.
 type conn struct {
 	net.Conn
 	server *Server
@@ -39,21 +48,63 @@
 	// received is the number of bytes read since the last write: the part of a request that
 	// has not been answered.
 	received int
-	timer    *time.Timer // closes the connection at the end of the idle timeout
-	closed   bool
+	// receivedAt is when the first of these bytes was read.
+	receivedAt time.Time
+	// readDeadline is the one that net/http has set.
+	readDeadline time.Time
+	// idleTimeout is the one in force when the connection became idle.
+	idleTimeout time.Duration
+	http2       bool
+	closed      bool
 }
 
+// http2Preface begins every HTTP/2 connection without TLS, and no HTTP/1 request.
+const http2Preface = "PRI "
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readAfterDeadline(p, err)
+	}
 	if n > 0 {
-		c.mu.Lock()
-		c.received += n
-		c.mu.Unlock()
+		c.recordReceived(p[:n])
 	}
 	return n, err
 }
 
+// readAfterDeadline reads what arrived until a deadline of this package passed, which a
+// read does not return after the deadline. If nothing arrived, it returns err.
+func (c *conn) readAfterDeadline(p []byte, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit, reason := c.waitLimit()
+	if limit.IsZero() || time.Now().Before(limit) {
+		return 0, err // net/http has set this deadline, or canceled its own read
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection, and so does the read
+	n, availableErr := sockets.ReadAvailable(c.Conn, p)
+	_ = c.applyDeadline() // net/http may read once more after an error
+	if errors.Is(availableErr, sockets.ErrNothingAvailable) {
+		c.server.opts.Log.Debug("connection closed", "server", c.server.opts.Name, "remote", c.RemoteAddr().String(), "reason", reason, "for", time.Since(c.since))
+		return 0, err
+	}
+	return n, availableErr
+}
+
+func (c *conn) recordReceived(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateNew && c.received == 0 {
+		c.http2 = bytes.HasPrefix(data, []byte(http2Preface))
+	}
+	if c.received == 0 {
+		c.receivedAt = time.Now()
+	}
+	c.received += len(data)
+	_ = c.applyDeadline() // fails only on a closed connection
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -62,6 +113,43 @@
 	return c.Conn.Write(p)
 }
 
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.applyDeadline()
+}
+
+// applyDeadline sets the earlier of the deadline of net/http and waitLimit; mu is held.
+func (c *conn) applyDeadline() error {
+	deadline := c.readDeadline
+	if limit, _ := c.waitLimit(); !limit.IsZero() && (deadline.IsZero() || limit.Before(deadline)) {
+		deadline = limit
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// waitLimit returns until when the connection may wait for a request, and why, or zero if
+// it is not waiting for one; mu is held.
+func (c *conn) waitLimit() (limit time.Time, reason string) {
+	switch {
+	case c.http2 || c.state != http.StateNew && c.state != http.StateIdle:
+		return time.Time{}, ""
+	case c.received > 0:
+		// Before the fourth byte of a request, net/http sets no deadline on a kept connection.
+		return c.receivedAt.Add(c.server.opts.ReadHeaderTimeout), "header timeout"
+	case c.state == http.StateIdle && c.idleTimeout > 0:
+		return c.since.Add(c.idleTimeout), "idle timeout"
+	}
+	return time.Time{}, ""
+}
+
 // CloseWrite closes the sending direction, where the connection has one.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -82,7 +170,6 @@
 	first := !c.closed
 	c.closed = true
 	state, since, received := c.state, c.since, c.received
-	c.stopTimer()
 	c.mu.Unlock()
 	if first {
 		c.server.forget(c)
@@ -102,19 +189,8 @@
 func (c *conn) setState(state http.ConnState, idleTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = state, time.Now()
-	c.stopTimer()
-	if state == http.StateIdle && idleTimeout > 0 && !c.closed {
-		c.timer = time.AfterFunc(idleTimeout, func() { _ = c.Close() }) // the connection is idle: no request is cut
-	}
-}
-
-// stopTimer stops the idle timer; mu is held.
-func (c *conn) stopTimer() {
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
+	c.state, c.since, c.idleTimeout = state, time.Now(), idleTimeout
+	_ = c.applyDeadline() // fails only on a closed connection
 }
 
 // activity names what a connection is doing.
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -45,3 +47,38 @@
 	}
 	return sockErr
 }
+
+// ErrNothingAvailable is returned by ReadAvailable if nothing has arrived.
+var ErrNothingAvailable = errors.New("nothing has arrived on the connection")
+
+// ReadAvailable reads what has arrived on a connection without waiting for more.
+func ReadAvailable(conn net.Conn, p []byte) (n int, err error) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, errors.Errorf("%T has no socket", conn)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		for {
+			n, readErr = unix.Read(int(fd), p)
+			if !errors.Is(readErr, unix.EINTR) {
+				return true
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, unix.EAGAIN):
+		return 0, ErrNothingAvailable
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
