internal/httpserver: a planned stop answers every request that it reads

Cause: http.Server.Shutdown. It closes connections that net/http counts as idle, which they are until the whole header of the next request has been read; and a request that is read while the shutdown is under way is dropped (conn.serve returns after readRequest). Class: a connection ended by what a library calls its state, not by what has arrived on it.

Change: the shutdown of both forms of the node waits for its HTTP/1 connections itself. Each goes on being served with "Connection: close", and ends with its answer or when nothing has arrived on it for 500 ms, by a read that finds nothing. http.Server.Shutdown only runs when HTTP/2 alone is left, where callers learn the last request from GOAWAY. fenneld of the product's own form now marks the answers during its notice too, as the other form did; that moved from platform/ to the server.

A call that is read when the notice has ended and whose deadline lies past the end of the process is refused: not run, come back at once.

Why it works: a request that has been read always reaches the handler, and a connection on which something has arrived is never ended by the shutdown. What remains is a request on its way while an idle connection closes; no byte of it is read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,6 +146,7 @@
 func (n *Node) stop(force context.Context) error {
 	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice)
 	n.stopping.Store(true)
+	n.callers.LastRequests()
 	n.members.Leave()
 	clock.Pause(force, n.cfg.Drain.Notice)
 	n.log.Info("stopping", "step", "finish requests")
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -51,9 +51,7 @@
 	// Rules returns the rules in force, and whether they are known to be the newest.
 	Rules func() (set *rules.Set, fresh bool)
 	Serve func(ctx context.Context, c *call.Call, sink call.Sink)
-	// Leaving reports whether the node is stopping.
-	Leaving func() bool
-	Log     *slog.Logger
+	Log   *slog.Logger
 }
 
 // Core is a node without its listeners: its state, its decisions and the serving of
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,7 +13,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
@@ -28,6 +30,9 @@
 	peers                        *regionPeers
 	callers, ready, admin, feeds *httpserver.Server
 	stopping                     atomic.Bool
+	// exitAt is when this process ends at the latest; nil until the shutdown takes no more
+	// calls that could still be running then.
+	exitAt atomic.Pointer[time.Time]
 }
 
 // New builds the node's components and opens its listeners. Nothing runs before Run.
@@ -44,7 +49,7 @@
 }
 
 func (n *Node) listen() error {
-	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.Serve, Leaving: n.stopping.Load, Log: n.log})
+	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, Log: n.log})
 	for _, l := range []struct {
 		name    string
 		dest    **httpserver.Server
@@ -104,10 +109,13 @@
 func (n *Node) stop(force context.Context, stopTasks func()) error {
 	began := time.Now()
 	n.stopping.Store(true)
+	n.callers.LastRequests()
 	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice)
 	stopTasks() // lets another node take over the placement lease meanwhile
 	clock.Pause(force, n.cfg.Drain.Notice)
-	ctx, cancel := context.WithDeadline(force, began.Add(n.cfg.Process.Grace-shutdownMargin))
+	exitAt := began.Add(n.cfg.Process.Grace - shutdownMargin)
+	n.exitAt.Store(&exitAt)
+	ctx, cancel := context.WithDeadline(force, exitAt)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
 	if err != nil {
@@ -124,6 +132,25 @@
 	return errors.Join(err, n.ready.Close())
 }
 
+// retryElsewhere is the retry time of a call that any other node can take at once.
+const retryElsewhere = 10 * time.Millisecond
+
+// serveCall relays a call until it ends. Once only a shutdown is left to do, it refuses a
+// call that might still be running when the process ends.
+func (n *Node) serveCall(ctx context.Context, c *call.Call, sink call.Sink) {
+	if exitAt := n.exitAt.Load(); exitAt != nil && !endsBefore(c, *exitAt) {
+		sink.Refuse(fennelerr.New(fennelerr.NotReady, "the node is stopping").WithRun(fennelerr.NotRun).WithRetryAfter(retryElsewhere))
+		return
+	}
+	n.Serve(ctx, c, sink)
+}
+
+// endsBefore reports whether the call has a deadline before t.
+func endsBefore(c *call.Call, t time.Time) bool {
+	deadline := c.EffectiveDeadline()
+	return !deadline.IsZero() && deadline.Before(t)
+}
+
 // AdminAddr returns the ip:port that serves metrics and operators, or nil if the settings
 // name none.
 func (n *Node) AdminAddr() net.Addr {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -97,6 +97,7 @@
 	defer c.mu.Unlock()
 	if c.state == http.StateNew && c.received == 0 {
 		c.http2 = bytes.HasPrefix(data, []byte(http2Preface))
+		c.server.signalChange()
 	}
 	if c.received == 0 {
 		c.receivedAt = time.Now()
@@ -144,12 +145,27 @@
 	case c.received > 0:
 		// Before the fourth byte of a request, net/http sets no deadline on a kept connection.
 		return c.receivedAt.Add(c.server.opts.ReadHeaderTimeout), "header timeout"
+	case c.server.stopping.Load():
+		return c.since.Add(c.server.opts.ShutdownIdleTimeout), "shutdown"
 	case c.state == http.StateIdle && c.idleTimeout > 0:
 		return c.since.Add(c.idleTimeout), "idle timeout"
 	}
 	return time.Time{}, ""
 }
 
+func (c *conn) isHTTP2() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.http2
+}
+
+// wake applies the deadlines of a shutdown that has begun.
+func (c *conn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.applyDeadline() // fails only on a closed connection
+}
+
 // CloseWrite closes the sending direction, where the connection has one.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -19,18 +20,21 @@
 // waitTimeout limits every wait of these tests; it is far above the usual times.
 const waitTimeout = 20 * time.Second
 
-// running is a server under test whose handler answers the request's path.
+// running is a server under test whose handler answers the request's path. A request to
+// /wait is answered only when the test releases it.
 type running struct {
 	*Server
-	t      *testing.T
-	served chan error
+	t       *testing.T
+	arrived chan struct{} // receives one value for each request to /wait
+	release chan struct{}
+	served  chan error
 }
 
 func start(t *testing.T, opts Options) *running {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	r := &running{t: t, served: make(chan error, 1)}
+	r := &running{t: t, arrived: make(chan struct{}, 1), release: make(chan struct{}), served: make(chan error, 1)}
 	opts.Name, opts.Handler, opts.Log = "test", http.HandlerFunc(r.serve), slog.New(slog.DiscardHandler)
 	if opts.ReadHeaderTimeout == 0 {
 		opts.ReadHeaderTimeout = waitTimeout
@@ -45,9 +49,39 @@
 }
 
 func (r *running) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/wait" {
+		r.arrived <- struct{}{}
+		<-r.release
+	}
 	_, _ = io.WriteString(w, req.URL.Path) // the caller may be gone
 }
 
+// shutdown starts a shutdown that takes until the test calls finish, because a request is
+// in progress meanwhile. finish returns the result of Shutdown.
+func (r *running) shutdown() (finish func() error) {
+	r.t.Helper()
+	waiting := r.dial()
+	waiting.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-r.arrived
+	result := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	go func() { result <- r.Shutdown(ctx) }()
+	require.Eventually(r.t, func() bool { // the listener is closed
+		probe, err := net.Dial("tcp", r.Addr().String())
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	}, waitTimeout, time.Millisecond)
+	return func() error {
+		defer cancel()
+		close(r.release)
+		waiting.requireAnswer("/wait")
+		require.NoError(r.t, waiting.Close())
+		return <-result
+	}
+}
+
 // client is one connection of a caller.
 type client struct {
 	t *testing.T
@@ -103,15 +137,59 @@
 	return res
 }
 
+func TestRequestOnUnusedConnectionIsAnsweredDuringShutdown(t *testing.T) {
+	r := start(t, Options{ShutdownIdleTimeout: waitTimeout})
+	unused := r.dial()
+	finish := r.shutdown()
+	unused.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.True(t, unused.requireAnswer("/a").Close)
+	require.NoError(t, finish())
+}
+
+func TestRequestWhoseHeaderArrivesAcrossShutdownIsAnswered(t *testing.T) {
+	r := start(t, Options{})
+	fresh, kept := r.dial(), r.dial()
+	kept.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	kept.requireAnswer("/a")
+	for _, c := range []*client{fresh, kept} {
+		c.send("GET /b HTTP/1.1\r\n")
+		r.awaitActivity(c, receiving)
+	}
+	finish := r.shutdown()
+	for _, c := range []*client{fresh, kept} {
+		c.send("Host: h\r\n\r\n")
+		require.True(t, c.requireAnswer("/b").Close)
+	}
+	require.NoError(t, finish())
+}
+
+func TestShutdownClosesUnusedAndIdleConnectionsSoon(t *testing.T) {
+	r := start(t, Options{})
+	unused, idleConn := r.dial(), r.dial()
+	idleConn.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	idleConn.requireAnswer("/a")
+	r.awaitActivity(idleConn, idle)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	require.NoError(t, r.Shutdown(ctx))
+	require.Less(t, time.Since(began), 2*time.Second)
+	for _, c := range []*client{unused, idleConn} {
+		_, err := c.in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
 // The deadline has passed when the read is made, which then returns no bytes by itself.
 func TestRequestThatArrivesAsWaitEndsIsRead(t *testing.T) {
 	for name, prepare := range map[string]func(*Server){
+		"shutdown":     func(s *Server) { s.stopping.Store(true) },
 		"idle timeout": func(s *Server) { s.SetIdleTimeout(time.Nanosecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			s := New(socket, Options{Log: slog.New(slog.DiscardHandler)})
+			s := New(socket, Options{Log: slog.New(slog.DiscardHandler), ShutdownIdleTimeout: time.Nanosecond})
 			defer s.Close()
 			caller, err := net.Dial("tcp", s.Addr().String())
 			require.NoError(t, err)
@@ -150,6 +228,32 @@
 	}
 }
 
+func TestShutdownAnswersHTTP2Requests(t *testing.T) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	r := start(t, Options{Protocols: protocols})
+	only2 := &http.Protocols{}
+	only2.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: only2}
+	defer transport.CloseIdleConnections()
+	answer := make(chan error, 1)
+	go func() {
+		res, err := (&http.Client{Transport: transport}).Get("http://" + r.Addr().String() + "/wait")
+		if err == nil {
+			err = res.Body.Close()
+		}
+		answer <- err
+	}()
+	<-r.arrived
+	result := make(chan error, 1)
+	go func() { result <- r.Shutdown(t.Context()) }()
+	require.Eventually(t, func() bool { return r.stopping.Load() }, waitTimeout, time.Millisecond)
+	close(r.release)
+	require.NoError(t, <-answer)
+	require.NoError(t, <-result)
+}
+
 func TestIdleTimeoutSparesConnectionOnWhichRequestArrives(t *testing.T) {
 	const timeout = 100 * time.Millisecond
 	r := start(t, Options{})
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,5 +1,6 @@
-// Package httpserver runs an HTTP server whose connections it tracks: a shutdown logs what
-// each of them waits for.
+// Package httpserver runs an HTTP server that ends a connection only while no part of a
+// request has arrived on it. http.Server.Shutdown closes connections on which a request is
+// arriving, and drops requests that it reads while it is under way.
 package httpserver
 
 import (
@@ -25,6 +26,9 @@
 	// IdleTimeout limits how long a connection may wait for its next request; 0 for no limit.
 	// SetIdleTimeout can set a shorter limit later.
 	IdleTimeout time.Duration
+	// ShutdownIdleTimeout is how long a connection must have waited for a request to be closed
+	// by a shutdown; 0 for the default.
+	ShutdownIdleTimeout time.Duration
 	// MaxHeaderBytes limits the header of a request; 0 for the default of net/http.
 	MaxHeaderBytes int
 	// Protocols are the protocols to serve; nil for HTTP/1.
@@ -34,6 +38,10 @@
 	ErrorLevel slog.Level
 }
 
+// DefaultShutdownIdleTimeout exceeds the time in which a caller sends a request on a
+// connection that it has opened for it, or on which it has just had an answer.
+const DefaultShutdownIdleTimeout = 500 * time.Millisecond
+
 // Server is an HTTP server with its socket. All methods are safe for concurrent use.
 type Server struct {
 	socket net.Listener
@@ -41,7 +49,10 @@
 	http   *http.Server
 	// idleTimeout is a time.Duration; 0 for none.
 	idleTimeout atomic.Int64
-	stopping    atomic.Bool
+	// last is true once every answer ends its connection, stopping once the listener closes.
+	last, stopping atomic.Bool
+	// changed holds a token while awaitHTTP1 has not seen the last change of conns.
+	changed chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -49,9 +60,12 @@
 
 // New returns a server that will accept connections from the socket, which it owns.
 func New(socket net.Listener, opts Options) *Server {
-	s := &Server{socket: socket, opts: opts, conns: make(map[*conn]struct{})}
+	if opts.ShutdownIdleTimeout == 0 {
+		opts.ShutdownIdleTimeout = DefaultShutdownIdleTimeout
+	}
+	s := &Server{socket: socket, opts: opts, changed: make(chan struct{}, 1), conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
-		Handler: opts.Handler, ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
+		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
 		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
 	}
 	return s
@@ -67,31 +81,64 @@
 // Serve accepts and serves connections until Shutdown or Close.
 func (s *Server) Serve() error {
 	err := s.http.Serve(listener{s.socket, s})
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.stopping.Load() {
 		return nil
 	}
 	return err
 }
 
-// Shutdown stops accepting connections and waits until all requests have been answered or
-// ctx ends. It returns the error of ctx if connections are left then.
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.last.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.opts.Handler.ServeHTTP(w, r)
+}
+
+// LastRequests makes every answer from now on end its connection, so that callers open no
+// request on a connection that a shutdown is about to close.
+func (s *Server) LastRequests() { s.last.Store(true) }
+
+// Shutdown stops accepting connections and answers what arrives on the open ones. Each ends
+// with its next answer, or when nothing arrives on it. Shutdown returns when all have ended,
+// or with the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.LastRequests()
 	s.stopping.Store(true)
 	s.logConnections("shutdown")
-	err := s.http.Shutdown(ctx)
-	if err != nil {
+	err := s.closeSocket()
+	for _, c := range s.connections() {
+		c.wake()
+	}
+	if waitErr := s.awaitHTTP1(ctx); waitErr != nil {
 		s.logConnections("shutdown timed out")
 		s.logEachConnection()
+		return errors.Join(err, waitErr)
 	}
-	return err
+	return errors.Join(err, s.http.Shutdown(ctx)) // of HTTP/2 connections, which learn their last request from the server
+}
+
+// awaitHTTP1 waits until no HTTP/1 connection is left.
+func (s *Server) awaitHTTP1(ctx context.Context) error {
+	for s.hasHTTP1() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.changed:
+		}
+	}
+	return nil
 }
 
 // Close closes the listener and all connections, also those with requests in progress.
 func (s *Server) Close() error {
 	s.stopping.Store(true)
-	err := s.http.Close()
-	if closeErr := s.socket.Close(); !errors.Is(closeErr, net.ErrClosed) { // Serve may not have run
-		err = errors.Join(err, closeErr)
+	return errors.Join(s.http.Close(), s.closeSocket())
+}
+
+// closeSocket closes the listener, which may be closed already.
+func (s *Server) closeSocket() error {
+	if err := s.socket.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
 	}
-	return err
+	return nil
 }
--- a/internal/httpserver/track.go
+++ b/internal/httpserver/track.go
@@ -19,6 +19,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.signalChange()
+}
+
+func (s *Server) signalChange() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) hasHTTP1() bool {
+	return slices.ContainsFunc(s.connections(), func(c *conn) bool { return !c.isHTTP2() })
 }
 
 func (s *Server) connections() []*conn {
