internal/entry: a stopping node follows the server list and the configuration until its requests are done

What callers saw: requests of a node's last seconds were decided by what it knew at SIGTERM. A key or route accepted since then was refused; a replica that had lost a member, or a server that had left, was still chosen.

Cause: one context ended all background tasks at SIGTERM, to let another node take over the placement lease, while requests go on for up to 7.3 s.

Evidence: TestStoppingNodeFollowsConfiguration on the code before: stop_test.go:55: Condition never satisfied (the version that accepts the caller's key never comes into force).

Change: the placement lease and the record of outages, which other nodes take over, end at SIGTERM as before.

Why it works: nothing that a request reads stands still while requests run.

Tests of entry, platform, httpserver, soak and player with the race detector pass.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -61,11 +61,16 @@
 	platform Platform
 	log      *slog.Logger
 
-	mirror      *fleet.Mirror
-	feed        *feed.Follower
-	rules       atomic.Pointer[rules.Set]
-	serverList  atomic.Pointer[fleet.List]
-	leaseHeld   atomic.Bool
+	mirror     *fleet.Mirror
+	feed       *feed.Follower
+	rules      atomic.Pointer[rules.Set]
+	serverList atomic.Pointer[fleet.List]
+	leaseHeld  atomic.Bool
+	// handover ends once other nodes take over this node's tasks for the region.
+	handover context.Context
+	// HandOver ends the tasks that another node can take over: the placement lease and the
+	// record of outages. Calls are served as before.
+	HandOver    context.CancelFunc
 	requestSeen atomic.Bool
 	// onRules is called with each set of rules that comes into force.
 	onRules func(*rules.Set)
@@ -119,6 +124,7 @@
 		opts.Policies.Place = placement.Mix{}
 	}
 	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
+	n.handover, n.HandOver = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL})
 	n.relay = relay.New(relay.Options{
@@ -158,8 +164,14 @@
 
 // Run runs the node's background tasks until ctx ends.
 func (n *Core) Run(ctx context.Context) {
+	regionCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(n.handover, stop)()
 	var tasks sync.WaitGroup
-	for _, run := range []func(context.Context){n.mirror.Run, n.control.Run, n.relay.Run, n.sweepLoop, n.strandedLoop, n.outages.run} {
+	for _, run := range []func(context.Context){n.control.Run, n.strandedLoop, n.outages.run} {
+		tasks.Go(func() { run(regionCtx) })
+	}
+	for _, run := range []func(context.Context){n.mirror.Run, n.relay.Run, n.sweepLoop} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Wait()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,7 +111,7 @@
 	n.stopping.Store(true)
 	n.callers.LastRequests()
 	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice)
-	stopTasks() // lets another node take over the placement lease meanwhile
+	n.HandOver()
 	clock.Pause(force, n.cfg.Drain.Notice)
 	exitAt := began.Add(n.cfg.Process.Grace - shutdownMargin)
 	n.exitAt.Store(&exitAt)
@@ -122,6 +122,7 @@
 		n.log.Error("stopping", "step", "requests aborted", "running", n.relay.Running(), "err", err.Error())
 		err = errors.Join(err, n.callers.Close())
 	}
+	stopTasks()
 	for _, s := range []*httpserver.Server{n.admin, n.feeds} {
 		if s != nil {
 			err = errors.Join(err, s.Close())
