--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 )
@@ -163,6 +165,37 @@
 	require.NoError(t, finish())
 }
 
+func TestShutdownUnderLoadDropsNoRequestThatWasRead(t *testing.T) {
+	for range 10 {
+		r := start(t, Options{ShutdownIdleTimeout: time.Millisecond})
+		unanswered := unansweredStopping.Get()
+		var callers sync.WaitGroup
+		for range 32 {
+			c := r.dial()
+			callers.Go(func() {
+				for {
+					if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						return
+					}
+					res, err := http.ReadResponse(c.in, nil)
+					if err != nil {
+						return
+					}
+					_, err = io.Copy(io.Discard, res.Body)
+					if !assert.NoError(t, err) || res.Close {
+						return
+					}
+				}
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		require.NoError(t, r.Shutdown(ctx))
+		cancel()
+		callers.Wait()
+		require.Equal(t, unanswered, unansweredStopping.Get())
+	}
+}
+
 func TestShutdownClosesUnusedAndIdleConnectionsSoon(t *testing.T) {
 	r := start(t, Options{})
 	unused, idleConn := r.dial(), r.dial()
