internal/httpserver: a shutdown knows of every connection that was accepted

What callers saw: a request on a connection accepted as the shutdown began could still be read whole and dropped; and the shutdown of a server without connections failed now and then, so that the process logged an error and ended with exit code 1.

Cause: the shutdown counted its connections while Serve could still add one. With none left to wait for, http.Server.Shutdown ran and dropped the request of the late one. It also closed the listener a second time.

Change: the shutdown closes the listener, waits until Serve has returned, and then looks at the connections. Closing the listener twice is no error.

Why it works: after Serve has returned nothing adds a connection.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -33,6 +33,9 @@
 	return c, nil
 }
 
+// Close implements net.Listener. Both Shutdown and net/http close the listener.
+func (l listener) Close() error { return l.server.closeSocket() }
+
 // conn is an accepted connection.
 //
 // net/http reports a connection as new or idle until it has read the whole header of a
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -36,6 +36,11 @@
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return startOn(t, socket, opts)
+}
+
+func startOn(t *testing.T, socket net.Listener, opts Options) *running {
+	t.Helper()
 	r := &running{t: t, arrived: make(chan struct{}, 1), release: make(chan struct{}), served: make(chan error, 1)}
 	opts.Name, opts.Handler, opts.Log = "test", http.HandlerFunc(r.serve), slog.New(slog.DiscardHandler)
 	if opts.ReadHeaderTimeout == 0 {
@@ -165,6 +170,50 @@
 	require.NoError(t, finish())
 }
 
+// lateListener returns a connection some time after it was accepted.
+type lateListener struct {
+	net.Listener
+	accepted chan struct{}
+	release  chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.release
+	}
+	return c, err
+}
+
+func TestShutdownAnswersRequestOnConnectionBeingAccepted(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	late := lateListener{socket, make(chan struct{}), make(chan struct{})}
+	r := startOn(t, late, Options{})
+	conn, err := net.Dial("tcp", r.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	c := &client{t, conn, bufio.NewReader(conn)}
+	c.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-late.accepted
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() { result <- r.Shutdown(ctx) }()
+	require.Eventually(t, r.stopping.Load, waitTimeout, time.Millisecond)
+	close(late.release)
+	c.requireAnswer("/a")
+	require.NoError(t, <-result)
+}
+
+func TestShutdownWithoutConnectionsSucceeds(t *testing.T) {
+	for range 300 {
+		r := start(t, Options{})
+		require.NoError(t, r.Shutdown(t.Context()))
+	}
+}
+
 func TestShutdownUnderLoadDropsNoRequestThatWasRead(t *testing.T) {
 	for range 10 {
 		r := start(t, Options{ShutdownIdleTimeout: time.Millisecond})
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -51,11 +51,13 @@
 	idleTimeout atomic.Int64
 	// last is true once every answer ends its connection, stopping once the listener closes.
 	last, stopping atomic.Bool
-	// changed holds a token while awaitHTTP1 has not seen the last change of conns.
+	// changed wakes awaitHTTP1, its only receiver, after a change of conns.
 	changed chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// serving is closed when Serve accepts no more connections; nil before Serve.
+	serving chan struct{}
 }
 
 // New returns a server that will accept connections from the socket, which it owns.
@@ -80,6 +82,11 @@
 
 // Serve accepts and serves connections until Shutdown or Close.
 func (s *Server) Serve() error {
+	done := make(chan struct{})
+	defer close(done)
+	s.mu.Lock()
+	s.serving = done
+	s.mu.Unlock()
 	err := s.http.Serve(listener{s.socket, s})
 	if s.stopping.Load() {
 		return nil
@@ -98,7 +105,7 @@
 // request on a connection that a shutdown is about to close.
 func (s *Server) LastRequests() { s.last.Store(true) }
 
-// Shutdown stops accepting connections and answers what arrives on the open ones. Each ends
+// Shutdown, which is called at most once, stops accepting connections and answers what arrives on the open ones. Each ends
 // with its next answer, or when nothing arrives on it. Shutdown returns when all have ended,
 // or with the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -106,6 +113,7 @@
 	s.stopping.Store(true)
 	s.logConnections("shutdown")
 	err := s.closeSocket()
+	s.awaitLastAccept()
 	for _, c := range s.connections() {
 		c.wake()
 	}
@@ -117,6 +125,16 @@
 	return errors.Join(err, s.http.Shutdown(ctx)) // of HTTP/2 connections, which learn their last request from the server
 }
 
+// awaitLastAccept waits until no connection can be added any more.
+func (s *Server) awaitLastAccept() {
+	s.mu.Lock()
+	serving := s.serving
+	s.mu.Unlock()
+	if serving != nil {
+		<-serving
+	}
+}
+
 // awaitHTTP1 waits until no HTTP/1 connection is left.
 func (s *Server) awaitHTTP1(ctx context.Context) error {
 	for s.hasHTTP1() {
