internal/daemon, cmd/fennel-standin: operators' requests and the stand-ins end like callers' requests

Change: both use internal/httpserver, which serves TLS now. The control server finishes requests for at most a second; watches of peers last longer and are asked of another node. In internal/entry the inner servers only serve reads and watches, which are repeated; they are closed as before.

Measured: internal/e2e (163 s), daemon, httpserver (HTTP/1 and 2, with and without TLS), ctl and the stand-in's tests with the race detector: pass.

--- a/cmd/fennel-standin/serve.go
+++ b/cmd/fennel-standin/serve.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 )
 
 const (
@@ -24,9 +26,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	srv := httpserver.New(ln, httpserver.Options{Name: "standin", Handler: h, ReadHeaderTimeout: readHeaderTimeout, Log: log})
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- srv.Serve(ln) }()
+	go func() { serveErr <- srv.Serve() }()
 	log.Info("listening", "addr", ln.Addr().String())
 	select {
 	case err := <-serveErr:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,26 +69,13 @@
 	capacityChanged chan struct{}
 	gateway         *gateway.Gateway
 
-	callers   *httpserver.Server
-	control   listener
-	stopping  atomic.Bool
-	tasks     sync.WaitGroup
-	stopTasks context.CancelFunc
-}
-
-// listener is one HTTP server with its socket.
-type listener struct {
-	socket net.Listener
-	server *http.Server
-}
-
-// serve accepts connections until the server is closed. http.Server.Serve would silently
-// speak plain HTTP even with a TLSConfig, and anyone could read and replace the rules.
-func (l listener) serve() error {
-	if l.server.TLSConfig != nil {
-		return l.server.ServeTLS(l.socket, "", "") // the certificate comes from TLSConfig
-	}
-	return l.server.Serve(l.socket)
+	callers *httpserver.Server
+	control *httpserver.Server
+	// controlSocket is open before control exists, as peers need its address.
+	controlSocket net.Listener
+	stopping      atomic.Bool
+	tasks         sync.WaitGroup
+	stopTasks     context.CancelFunc
 }
 
 // New builds the node's components and opens its sockets. Nothing runs before Run.
@@ -124,7 +110,7 @@
 	n.stopTasks = stop
 	n.startTasks(tasksCtx)
 	failed := make(chan error, 2)
-	for _, serve := range []func() error{n.callers.Serve, n.control.serve} {
+	for _, serve := range []func() error{n.callers.Serve, n.control.Serve} {
 		go func() { failed <- serve() }()
 	}
 	n.log.Info("serving", "zone", n.cfg.Zone, "version", n.version, "callers", n.CallersAddr(), "control", n.ControlAddr(), "datagrams", n.transport.Addr())
@@ -140,7 +126,7 @@
 func (n *Node) CallersAddr() string { return n.callers.Addr().String() }
 
 // ControlAddr returns the ip:port that serves peers and operators.
-func (n *Node) ControlAddr() string { return n.control.socket.Addr().String() }
+func (n *Node) ControlAddr() string { return n.controlSocket.Addr().String() }
 
 // stop shuts the node down gracefully, as Run describes.
 func (n *Node) stop(force context.Context) error {
@@ -159,12 +145,26 @@
 	n.stopTasks()
 	n.tasks.Wait()
 	n.closeClaims(force)
-	err = errors.Join(err, n.control.server.Close())
+	n.stopControl(force)
 	n.closeSockets()
 	n.log.Info("stopped")
 	return err
 }
 
+// controlStopTimeout bounds how long a graceful shutdown waits for requests of operators and
+// peers. Peers wait longer than that for changes, and ask another node when cut.
+const controlStopTimeout = time.Second
+
+// stopControl finishes the requests of operators, who otherwise could not tell whether a
+// change was made.
+func (n *Node) stopControl(force context.Context) {
+	ctx, cancel := context.WithTimeout(force, controlStopTimeout)
+	defer cancel()
+	if err := n.control.Shutdown(ctx); err != nil {
+		n.log.Info("stopping", "step", "control requests aborted", "err", err.Error())
+	}
+}
+
 // claimsCloseTimeout bounds how long a graceful shutdown waits for the store.
 const claimsCloseTimeout = 10 * time.Second
 
@@ -181,11 +181,13 @@
 	if n.transport != nil {
 		_ = n.transport.Close() // the process ends
 	}
-	if n.callers != nil {
-		_ = n.callers.Close() // the process ends
+	if n.controlSocket != nil {
+		_ = n.controlSocket.Close() // the process ends
 	}
-	if n.control.socket != nil {
-		_ = n.control.socket.Close() // the process ends
+	for _, s := range []*httpserver.Server{n.callers, n.control} {
+		if s != nil {
+			_ = s.Close() // the process ends
+		}
 	}
 	if n.pools != nil {
 		n.pools.Close()
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -62,7 +63,7 @@
 	if n.transport, err = wire.Listen(wire.Options{Addr: n.cfg.Listen.Datagrams, Keys: ring, System: n.cfg.Peers.System, Log: n.log}); err != nil {
 		return err
 	}
-	if n.control.socket, err = net.Listen("tcp", n.cfg.Listen.Control); err != nil {
+	if n.controlSocket, err = net.Listen("tcp", n.cfg.Listen.Control); err != nil {
 		return err
 	}
 	if !n.cfg.TLS.Off {
@@ -155,11 +156,12 @@
 	}
 	n.callers = httpserver.New(socket, httpserver.Options{Name: "callers", Handler: n.callersHandler(), ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: idleTimeout, Protocols: allProtocols(), Log: n.log, ErrorLevel: slog.LevelWarn})
-	n.control.server = &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: allProtocols(),
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	var tlsConfig *tls.Config
 	if n.tls != nil {
-		n.control.server.TLSConfig = n.tls.Server(true)
+		tlsConfig = n.tls.Server(true)
 	}
+	n.control = httpserver.New(n.controlSocket, httpserver.Options{Name: "control", Handler: n.controlHandler(), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, Protocols: allProtocols(), TLSConfig: tlsConfig, Log: n.log, ErrorLevel: slog.LevelWarn})
 	return nil
 }
 
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -156,6 +156,13 @@
 	return time.Time{}, ""
 }
 
+func (c *conn) setHTTP2() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http2 = true
+	c.server.signalChange()
+}
+
 func (c *conn) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
 	"testing"
@@ -310,30 +312,48 @@
 	}
 }
 
-func TestShutdownAnswersHTTP2Requests(t *testing.T) {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	r := start(t, Options{Protocols: protocols})
-	only2 := &http.Protocols{}
-	only2.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: only2}
-	defer transport.CloseIdleConnections()
-	answer := make(chan error, 1)
-	go func() {
-		res, err := (&http.Client{Transport: transport}).Get("http://" + r.Addr().String() + "/wait")
-		if err == nil {
-			err = res.Body.Close()
-		}
-		answer <- err
-	}()
-	<-r.arrived
-	result := make(chan error, 1)
-	go func() { result <- r.Shutdown(t.Context()) }()
-	require.Eventually(t, func() bool { return r.stopping.Load() }, waitTimeout, time.Millisecond)
-	close(r.release)
-	require.NoError(t, <-answer)
-	require.NoError(t, <-result)
+func TestShutdownAnswersRequestsInProgress(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	trusted := certified.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
+	for _, c := range []struct {
+		name, scheme string
+		http2        bool
+	}{{"http1", "http", false}, {"http2", "http", true}, {"http1 with TLS", "https", false}, {"http2 with TLS", "https", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			opts := Options{Protocols: &http.Protocols{}}
+			opts.Protocols.SetHTTP1(true)
+			opts.Protocols.SetHTTP2(true)
+			opts.Protocols.SetUnencryptedHTTP2(true)
+			if c.scheme == "https" {
+				opts.TLSConfig = &tls.Config{Certificates: certified.TLS.Certificates}
+			}
+			r := start(t, opts)
+			spoken := &http.Protocols{}
+			spoken.SetHTTP1(!c.http2)
+			spoken.SetHTTP2(c.http2)
+			spoken.SetUnencryptedHTTP2(c.http2)
+			transport := &http.Transport{Protocols: spoken, TLSClientConfig: &tls.Config{RootCAs: trusted}}
+			defer transport.CloseIdleConnections()
+			answer := make(chan error, 1)
+			go func() {
+				res, err := (&http.Client{Transport: transport}).Get(c.scheme + "://" + r.Addr().String() + "/wait")
+				if err == nil {
+					err = res.Body.Close()
+				}
+				answer <- err
+			}()
+			<-r.arrived
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			result := make(chan error, 1)
+			go func() { result <- r.Shutdown(ctx) }()
+			require.Eventually(t, r.stopping.Load, waitTimeout, time.Millisecond)
+			close(r.release)
+			require.NoError(t, <-answer)
+			require.NoError(t, <-result)
+		})
+	}
 }
 
 func TestIdleTimeoutSparesConnectionOnWhichRequestArrives(t *testing.T) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -33,6 +34,8 @@
 	MaxHeaderBytes int
 	// Protocols are the protocols to serve; nil for HTTP/1.
 	Protocols *http.Protocols
+	// TLSConfig has the certificate; nil for no TLS.
+	TLSConfig *tls.Config
 	Log       *slog.Logger
 	// ErrorLevel is the level of net/http's own messages, such as failed handshakes.
 	ErrorLevel slog.Level
@@ -68,7 +71,7 @@
 	s := &Server{socket: socket, opts: opts, changed: make(chan struct{}, 1), conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
-		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
+		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, TLSConfig: opts.TLSConfig, ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
 	}
 	return s
 }
@@ -82,12 +85,17 @@
 
 // Serve accepts and serves connections until Shutdown or Close.
 func (s *Server) Serve() error {
+	// http.Server.Serve speaks plain HTTP even with a TLSConfig.
+	serve := s.http.Serve
+	if s.opts.TLSConfig != nil {
+		serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
+	}
 	done := make(chan struct{})
 	defer close(done)
 	s.mu.Lock()
 	s.serving = done
 	s.mu.Unlock()
-	err := s.http.Serve(listener{s.socket, s})
+	err := serve(listener{s.socket, s})
 	if s.stopping.Load() {
 		return nil
 	}
--- a/internal/httpserver/track.go
+++ b/internal/httpserver/track.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
@@ -10,6 +11,12 @@
 
 // connState records the state that net/http reports for a connection.
 func (s *Server) connState(inner net.Conn, state http.ConnState) {
+	if secured, ok := inner.(*tls.Conn); ok {
+		inner = secured.NetConn()
+		if secured.ConnectionState().NegotiatedProtocol == "h2" {
+			inner.(*conn).setHTTP2()
+		}
+	}
 	if c, ok := inner.(*conn); ok {
 		c.setState(state, time.Duration(s.idleTimeout.Load()))
 	}
