internal/httpserver: an answer that begins after SIGTERM ends its connection, also if its request came before

What callers saw: an answer to a request sent before SIGTERM looked as if its connection could be used again, up to the end of the process; the connection was closed soon after, at times on the caller's next request.

Cause: "Connection: close" was decided when the handler began, the answer was written seconds later. net/http, whose shutdown no longer runs first, decides when it writes the header.

Evidence: TestRequestWhoseHeaderArrivesAcrossShutdownIsAnswered, which now looks at the answer of the request in progress, on the code before: "the caller would use the connection again" (Close is false).

Change: the writer that the handler gets adds the header with the first byte.

--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -85,8 +85,7 @@
 	return func() error {
 		defer cancel()
 		close(r.release)
-		waiting.requireAnswer("/wait")
-		require.NoError(r.t, waiting.Close())
+		require.True(r.t, waiting.requireAnswer("/wait").Close, "the caller would use the connection again")
 		return <-result
 	}
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -103,10 +103,9 @@
 }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.last.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	s.opts.Handler.ServeHTTP(w, r)
+	res := &response{ResponseWriter: w, last: &s.last}
+	s.opts.Handler.ServeHTTP(res, r)
+	res.begin() // an empty answer begins after its handler
 }
 
 // LastRequests makes every answer from now on end its connection, so that callers open no
