internal/httpserver: the time for a header counts from its first byte, and one rule ends every wait

A request begun on a connection shortly before it had been open for the header timeout was cut: opened at 0, first bytes at 2.9 s, the rest at 3.1 s, end of file at 3.0 s. On the product's own form the idle timeout could pass over bytes that had arrived.

Cause: net/http counts the header timeout of a new connection from the accept, and its deadlines, where they came first, skipped the last read.

Evidence, on the code before: TestHeaderTimeoutOfNewConnectionCountsFromItsFirstByte: unexpected EOF TestRequestThatArrivesAsWaitEndsIsRead/idle_timeout: timed out after 40 s (the latter with the idle timeout of the options, which fenneld's own form uses and the package left to net/http: the read never ended)

Change: while an HTTP/1 connection waits for a request, the package's limit is the only deadline: header timeout from the first byte, else shutdown, unused or idle timeout. Deadlines of net/http apply while a request is answered.

Tests: TestRequestWhoseHeaderArrivesAcrossShutdownIsAnswered shuts down with an idle limit of 1 ms, as with 500 ms it passed without the rule it is for (a mutant of the review). Limits of 100 ms are now seconds: one test failed once in 40 runs on one core beside 20 busy loops.

Measured: the package's tests, twice, with the race detector.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -53,7 +53,7 @@
 	received int
 	// receivedAt is when the first of these bytes was read.
 	receivedAt time.Time
-	// readDeadline is the one that net/http has set.
+	// readDeadline is the one that net/http has set. It applies while a request is answered.
 	readDeadline time.Time
 	// idleTimeout is the one in force when the connection became idle.
 	idleTimeout time.Duration
@@ -81,8 +81,8 @@
 func (c *conn) readAfterDeadline(p []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit, reason := c.waitLimit()
-	if limit.IsZero() || time.Now().Before(limit) {
+	limit, reason, waiting := c.waitLimit()
+	if !waiting || limit.IsZero() || time.Now().Before(limit) {
 		return 0, err // net/http has set this deadline, or canceled its own read
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection, and so does the read
@@ -130,30 +130,38 @@
 	return c.applyDeadline()
 }
 
-// applyDeadline sets the earlier of the deadline of net/http and waitLimit; mu is held.
+// applyDeadline sets the deadline in force; mu is held. While the connection waits for a
+// request it is waitLimit alone: net/http counts the time for a header from the accept.
 func (c *conn) applyDeadline() error {
-	deadline := c.readDeadline
-	if limit, _ := c.waitLimit(); !limit.IsZero() && (deadline.IsZero() || limit.Before(deadline)) {
-		deadline = limit
+	if limit, _, waiting := c.waitLimit(); waiting {
+		return c.Conn.SetReadDeadline(limit)
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-// waitLimit returns until when the connection may wait for a request, and why, or zero if
-// it is not waiting for one; mu is held.
-func (c *conn) waitLimit() (limit time.Time, reason string) {
+// waitLimit reports whether the connection waits for a request, and if so until when and
+// why; limit is zero for no limit. mu is held.
+func (c *conn) waitLimit() (limit time.Time, reason string, waiting bool) {
+	opts := &c.server.opts
 	switch {
 	case c.http2 || c.state != http.StateNew && c.state != http.StateIdle:
-		return time.Time{}, ""
+		return time.Time{}, "", false
 	case c.received > 0:
-		// Before the fourth byte of a request, net/http sets no deadline on a kept connection.
-		return c.receivedAt.Add(c.server.opts.ReadHeaderTimeout), "header timeout"
+		return after(c.receivedAt, opts.ReadHeaderTimeout), "header timeout", true
 	case c.server.stopping.Load():
-		return c.since.Add(c.server.opts.ShutdownIdleTimeout), "shutdown"
-	case c.state == http.StateIdle && c.idleTimeout > 0:
-		return c.since.Add(c.idleTimeout), "idle timeout"
+		return after(c.since, opts.ShutdownIdleTimeout), "shutdown", true
+	case c.state == http.StateNew:
+		return after(c.since, opts.ReadHeaderTimeout), "unused", true
 	}
-	return time.Time{}, ""
+	return after(c.since, c.idleTimeout), "idle timeout", true
+}
+
+// after returns the end of a timeout, or zero if there is none.
+func after(begin time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return begin.Add(timeout)
 }
 
 func (c *conn) setHTTP2() {
@@ -216,6 +224,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since, c.idleTimeout = state, time.Now(), idleTimeout
+	if state == http.StateIdle {
+		c.receivedAt = c.since // of a request whose first bytes came before the answer was complete
+	}
 	_ = c.applyDeadline() // fails only on a closed connection
 }
 
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -155,7 +155,7 @@
 }
 
 func TestRequestWhoseHeaderArrivesAcrossShutdownIsAnswered(t *testing.T) {
-	r := start(t, Options{})
+	r := start(t, Options{ShutdownIdleTimeout: time.Millisecond})
 	fresh, kept := r.dial(), r.dial()
 	kept.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	kept.requireAnswer("/a")
@@ -267,12 +267,12 @@
 func TestRequestThatArrivesAsWaitEndsIsRead(t *testing.T) {
 	for name, prepare := range map[string]func(*Server){
 		"shutdown":     func(s *Server) { s.stopping.Store(true) },
-		"idle timeout": func(s *Server) { s.SetIdleTimeout(time.Nanosecond) },
+		"idle timeout": func(*Server) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			socket, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			s := New(socket, Options{Log: slog.New(slog.DiscardHandler), ShutdownIdleTimeout: time.Nanosecond})
+			s := New(socket, Options{Log: slog.New(slog.DiscardHandler), ShutdownIdleTimeout: time.Nanosecond, IdleTimeout: time.Nanosecond})
 			defer s.Close()
 			caller, err := net.Dial("tcp", s.Addr().String())
 			require.NoError(t, err)
@@ -301,7 +301,7 @@
 
 func TestHeaderThatNeverCompletesEndsItsConnection(t *testing.T) {
 	for _, sent := range []string{"G", "GET /b HTTP/1.1\r\n"} {
-		r := start(t, Options{ReadHeaderTimeout: 100 * time.Millisecond})
+		r := start(t, Options{ReadHeaderTimeout: time.Second})
 		c := r.dial()
 		c.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 		c.requireAnswer("/a")
@@ -311,6 +311,18 @@
 	}
 }
 
+func TestHeaderTimeoutOfNewConnectionCountsFromItsFirstByte(t *testing.T) {
+	const limit = 2 * time.Second
+	r := start(t, Options{ReadHeaderTimeout: limit})
+	c, unused := r.dial(), r.dial()
+	time.Sleep(limit / 2)
+	c.send("GET /a HTTP/1.1\r\n")
+	_, err := unused.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the limit has passed since both were opened")
+	c.send("Host: h\r\n\r\n")
+	c.requireAnswer("/a")
+}
+
 func TestShutdownAnswersRequestsInProgress(t *testing.T) {
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
 	defer certified.Close()
@@ -356,7 +368,7 @@
 }
 
 func TestIdleTimeoutSparesConnectionOnWhichRequestArrives(t *testing.T) {
-	const timeout = 100 * time.Millisecond
+	const timeout = time.Second
 	r := start(t, Options{})
 	r.SetIdleTimeout(timeout)
 	c := r.dial()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,7 +25,7 @@
 	// header, and the time that a new connection may wait for its first byte.
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout limits how long a connection may wait for its next request; 0 for no limit.
-	// SetIdleTimeout can set a shorter limit later.
+	// SetIdleTimeout changes it for HTTP/1.
 	IdleTimeout time.Duration
 	// ShutdownIdleTimeout is how long a connection must have waited for a request to be closed
 	// by a shutdown; 0 for the default.
@@ -69,6 +69,7 @@
 		opts.ShutdownIdleTimeout = DefaultShutdownIdleTimeout
 	}
 	s := &Server{socket: socket, opts: opts, changed: make(chan struct{}, 1), conns: make(map[*conn]struct{})}
+	s.SetIdleTimeout(opts.IdleTimeout)
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
 		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, TLSConfig: opts.TLSConfig, ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
