internal/entry: a call still running when the process must end gets an answer

Cause: at the end of its time the stop closed the connections. Nothing told the calls, which took the closed connection for a caller that left.

Change: 200 ms before its time runs out, the stop cancels the calls with a cause of their own. One that was not sent is refused, not run; one that may have run gets 502; a stream that has begun is broken off, and the log says why. The same 200 ms are the margin for calls that are still taken after the notice.

Why it works: the answer is written while the connection is open, and the connection ends with it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
@@ -33,11 +34,15 @@
 	// exitAt is when this process ends at the latest; nil until the shutdown takes no more
 	// calls that could still be running then.
 	exitAt atomic.Pointer[time.Time]
+	// exiting ends shortly before the process does; endCalls ends it.
+	exiting  context.Context
+	endCalls context.CancelFunc
 }
 
 // New builds the node's components and opens its listeners. Nothing runs before Run.
 func New(cfg *settings.Settings, p Platform, log *slog.Logger) (*Node, error) {
 	n := &Node{}
+	n.exiting, n.endCalls = context.WithCancel(context.Background())
 	opts := CoreOptions{OnRules: n.applyIdleTimeout, Log: log}
 	if cfg.Listen.Datagrams != "" {
 		opts.OnDatagramKey = func(entries map[string]store.KV) { n.peers.keyChanged(entries) }
@@ -104,6 +109,9 @@
 // so that the process exits before the platform kills it.
 const shutdownMargin = 700 * time.Millisecond
 
+// answerMargin is the time in which the calls still running at the end are answered.
+const answerMargin = 200 * time.Millisecond
+
 // stop shuts the node down gracefully: it reports not ready, still accepts requests until
 // the load balancer has noticed, and then finishes every request.
 func (n *Node) stop(force context.Context, stopTasks func()) error {
@@ -115,6 +123,7 @@
 	clock.Pause(force, n.cfg.Drain.Notice)
 	exitAt := began.Add(n.cfg.Process.Grace - shutdownMargin)
 	n.exitAt.Store(&exitAt)
+	defer time.AfterFunc(time.Until(exitAt.Add(-answerMargin)), n.endCalls).Stop()
 	ctx, cancel := context.WithDeadline(force, exitAt)
 	defer cancel()
 	err := n.callers.Shutdown(ctx)
@@ -139,13 +148,26 @@
 // serveCall relays a call until it ends. Once only a shutdown is left to do, it refuses a
 // call that might still be running when the process ends.
 func (n *Node) serveCall(ctx context.Context, c *call.Call, sink call.Sink) {
-	if exitAt := n.exitAt.Load(); exitAt != nil && !endsBefore(c, *exitAt) {
+	if exitAt := n.exitAt.Load(); exitAt != nil && !endsBefore(c, exitAt.Add(-answerMargin)) {
 		sink.Refuse(fennelerr.New(fennelerr.NotReady, "the node is stopping").WithRun(fennelerr.NotRun).WithRetryAfter(retryElsewhere))
 		return
 	}
+	ctx, cancel := n.untilExit(ctx)
+	defer cancel()
 	n.Serve(ctx, c, sink)
 }
 
+// untilExit returns a context that ends with ctx, or with relay.ErrStopping shortly before the
+// process ends.
+func (n *Node) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(n.exiting, func() { cancel(relay.ErrStopping) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
 // endsBefore reports whether the call has a deadline before t.
 func endsBefore(c *call.Call, t time.Time) bool {
 	deadline := c.EffectiveDeadline()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
@@ -46,11 +49,13 @@
 	}
 }
 
-func newTestNode(t *testing.T) *Node {
+func newTestNode(t *testing.T) *Node { return newTestNodeOn(t, testPlatform(t)) }
+
+func newTestNodeOn(t *testing.T, p Platform) *Node {
 	t.Helper()
 	cfg, err := settings.Parse([]byte("node: n\nzone: z\nregion: r\nlisten: {callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\"}\nplatform: {driver: managed, address: \"127.0.0.1:1\"}\n"))
 	require.NoError(t, err)
-	n, err := New(cfg, testPlatform(t), slog.New(slog.DiscardHandler))
+	n, err := New(cfg, p, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		_ = n.callers.Close()
@@ -89,6 +94,40 @@
 	require.Equal(t, "stopping", n.notReadyReason())
 }
 
+func TestPlannedStopAnswersCallsThatWouldOutlastTheProcess(t *testing.T) {
+	var n *Node
+	arrived := make(chan struct{})
+	p := testPlatform(t)
+	p.NewHandler = func(HandlerOptions) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := n.untilExit(r.Context())
+			defer cancel()
+			close(arrived)
+			<-ctx.Done()
+			_, _ = io.WriteString(w, context.Cause(ctx).Error())
+		})
+	}
+	n = newTestNodeOn(t, p)
+	n.cfg.Drain.Notice, n.cfg.Process.Grace = time.Millisecond, shutdownMargin+3*answerMargin
+	served := make(chan error, 1)
+	go func() { served <- n.callers.Serve() }()
+	answer := make(chan string, 1)
+	go func() {
+		res, err := http.Get("http://" + n.CallersAddr().String())
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		answer <- string(body)
+	}()
+	<-arrived
+	require.NoError(t, n.stop(t.Context(), func() {}))
+	require.Equal(t, relay.ErrStopping.Error(), <-answer)
+	require.NoError(t, <-served)
+}
+
 // Draining servers of a plain service and replicas that are not healthy take no calls. A
 // replica that served before continues while only a member other than its head is
 // missing from the list.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -192,6 +192,35 @@
 	})
 }
 
+// The node exits while a server is silent: the caller is still there and must get an answer.
+func TestCallStillRunningWhenNodeStopsIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		failure error
+		code    fennelerr.Code
+		run     fennelerr.RunState
+	}{
+		"may have run": {&relay.BrokenError{Reason: "no answer"}, fennelerr.BackendFailed, fennelerr.Unknown},
+		"not sent":     {&relay.NotRunError{}, fennelerr.NotReady, fennelerr.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+					<-ctx.Done()
+					return nil, c.failure
+				}
+				f := newFixture(t, 10, ab, handlers{"a": silent, "b": respondWith(200)})
+				ctx, cancel := context.WithCancelCause(t.Context())
+				time.AfterFunc(50*time.Millisecond, func() { cancel(relay.ErrStopping) })
+				got := f.serve(ctx, unsafeTerms)
+				require.NotNil(t, got.refused)
+				require.Equal(t, c.code, got.refused.Code)
+				require.Equal(t, c.run, got.refused.Run)
+				require.Len(t, f.backend.sent(), 1)
+			})
+		})
+	}
+}
+
 // When every replica is full, a call must be refused at once, with NotRun and a retry time,
 // instead of being queued until its answer is late.
 func TestCallIsRefusedImmediatelyIfReplicasAreFull(t *testing.T) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -163,7 +163,7 @@
 }
 
 // Classify implements recovery.Call.
-func (s *session) Classify(_ context.Context, err error) recovery.Failure {
+func (s *session) Classify(ctx context.Context, err error) recovery.Failure {
 	notRun, isNotRun := errors.Into[*NotRunError](err)
 	delivered := !isNotRun || notRun.Received
 	if delivered && !errors.Is(err, errReplicaLost) {
@@ -176,7 +176,7 @@
 		MayHaveRun: s.mayHaveRun, Repeatable: s.call.Route.Policy.Idempotent(),
 		// Any replica can continue a stream after the id of its last piece.
 		ResponseStarted: s.started, CanContinue: true,
-		Attempts: s.sent, MaxAttempts: s.call.Route.Policy.MaxAttempts, OutOfTime: s.remaining < minAttemptTime,
+		Attempts: s.sent, MaxAttempts: s.call.Route.Policy.MaxAttempts, OutOfTime: s.remaining < minAttemptTime || stopping(ctx),
 		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, time.Now()) },
 	}
 	if isNotRun {
@@ -190,12 +190,15 @@
 const minAttemptTime = 40 * time.Millisecond
 
 // Apply implements recovery.Call.
-func (s *session) Apply(_ context.Context, d recovery.Decision, err error) error {
+func (s *session) Apply(ctx context.Context, d recovery.Decision, err error) error {
 	s.r.opts.Log.Info("recovery decision", "request", s.call.ID, "next", d.Step, "reason", d.Reason, "sent", s.sent, "held", time.Since(s.call.ReceivedAt), "left", s.remaining)
 	if d.Step != recovery.GiveUp {
 		return nil
 	}
 	s.finish(err, func() *fennelerr.Error {
+		if stopping(ctx) {
+			return fennelerr.Wrap(err, fennelerr.NotReady, "the node is stopping")
+		}
 		return fennelerr.Wrap(err, fennelerr.Overloaded, "%s", d.Reason).WithRetryAfter(s.r.advisor.refuse(s.group, time.Now()))
 	})
 	return err
@@ -240,9 +243,16 @@
 // takes 0.2 to 1.6 s for joining and 0.3 s for opening.
 const retryAfterNoReplica = time.Second
 
-// callerLeft reports whether the caller disconnected, as opposed to its deadline passing.
+// ErrStopping is the cause of a canceled context whose node is about to exit. The caller is
+// still connected and gets an answer.
+var ErrStopping = errors.New("the node is stopping")
+
+func stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
+// callerLeft reports whether the caller disconnected, as opposed to its deadline passing or
+// the node stopping.
 func callerLeft(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) && !stopping(ctx)
 }
 
 var (
