internal/settings: a notice must leave time for the requests

A notice as long as the grace period would leave a planned stop no time: every request that runs when it ends would be cut. Such settings are refused with the field's name. The settings are those of the managed form; the other has no grace period.

TestNoticeThatTakesTheWholeGracePeriodIsInvalid: without the check no error.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -123,6 +123,9 @@
 			c.reject(f.field, f.value.String(), wantDuration)
 		}
 	}
+	if s.Drain.Notice >= s.Process.Grace {
+		c.reject("drain.notice", s.Drain.Notice.String(), "less than process.grace, "+s.Process.Grace.String())
+	}
 	c.level(s.Log)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -91,6 +91,14 @@
 	}
 }
 
+func TestNoticeThatTakesTheWholeGracePeriodIsInvalid(t *testing.T) {
+	const file = "node: n\nzone: z\nregion: r\nlisten: {callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\"}\nplatform: {driver: managed, address: \"127.0.0.1:1\"}\nprocess: {grace: 8s}\n"
+	_, err := settings.Parse([]byte(file + "drain: {notice: 7s}\n"))
+	require.NoError(t, err)
+	_, err = settings.Parse([]byte(file + "drain: {notice: 8s}\n"))
+	require.ErrorContains(t, err, "drain.notice")
+}
+
 // Guards against secrets in error messages. A YAML error next to a key's secret is
 // printed on the terminal and, on a reload, logged; it must not quote the secret.
 func TestErrorsOmitSecrets(t *testing.T) {
