internal/httpserver: the count of unanswered connections names its server

The counter was one for all servers of the process, so that watches cut on the inner ones at each stop looked like callers' requests. The line of a wait that ended is called so, apart from that of an unanswered connection.

internal/e2e: the test of the planned stop also looks at an answer of the notice, as no test failed without Connection: close there (a mutant of the review), and begins on connections that the node has accepted.

--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -18,18 +18,19 @@
 func TestPlannedStopAnswersRequestWhoseHeaderArrivesAcrossNotice(t *testing.T) {
 	s, _ := smallSystem(t)
 	n := s.nodes[0]
-	conn, err := net.Dial("tcp", n.callers)
-	require.NoError(t, err)
-	defer conn.Close()
-	require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n", engine.ChatPath, n.callers)
+	idle, late := dialNode(t, n), dialNode(t, n)
+	require.False(t, idle.get().Close)
+	require.False(t, late.get().Close)
+	_, err := fmt.Fprintf(late, "POST %s HTTP/1.1\r\nHost: %s\r\n", engine.ChatPath, n.callers)
 	require.NoError(t, err)
 	n.signal(syscall.SIGTERM)
+	n.await(`msg=stopping .*step=unready`)
+	require.True(t, idle.get().Close, "the caller would use the connection again")
 	n.await(`msg=connections .*step=shutdown`)
 	body := chatBody(8, true)
-	_, err = fmt.Fprintf(conn, "Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", token, len(body), body)
+	_, err = fmt.Fprintf(late, "Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", token, len(body), body)
 	require.NoError(t, err)
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	res, err := http.ReadResponse(late.in, nil)
 	require.NoError(t, err, "no answer")
 	defer res.Body.Close()
 	answer, err := io.ReadAll(res.Body)
@@ -41,3 +42,32 @@
 	<-n.done
 	require.Zero(t, n.cmd.ProcessState.ExitCode())
 }
+
+// connection is a caller's connection to a node.
+type connection struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func dialNode(t *testing.T, n *node) *connection {
+	t.Helper()
+	conn, err := net.Dial("tcp", n.callers)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	return &connection{conn, t, bufio.NewReader(conn)}
+}
+
+// get requests a page of the node and reads the answer.
+func (c *connection) get() *http.Response {
+	c.t.Helper()
+	_, err := io.WriteString(c, "GET /livez HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(c.t, err)
+	res, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(c.t, err)
+	return res
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
@@ -89,7 +88,7 @@
 	n, availableErr := sockets.ReadAvailable(c.Conn, p)
 	_ = c.applyDeadline() // net/http may read once more after an error
 	if errors.Is(availableErr, sockets.ErrNothingAvailable) {
-		c.server.opts.Log.Debug("connection closed", "server", c.server.opts.Name, "remote", c.RemoteAddr().String(), "reason", reason, "for", time.Since(c.since))
+		c.server.opts.Log.Debug("wait ended", "server", c.server.opts.Name, "remote", c.RemoteAddr().String(), "reason", reason, "for", time.Since(c.since))
 		return 0, err
 	}
 	return n, availableErr
@@ -192,11 +191,6 @@
 	return nil
 }
 
-var (
-	unansweredServing  = metrics.NewCounter(`fennel_connections_closed_unanswered_total{while="serving"}`)
-	unansweredStopping = metrics.NewCounter(`fennel_connections_closed_unanswered_total{while="stopping"}`)
-)
-
 // Close implements net.Conn. It logs a connection that ends after part of a request arrived
 // and before any of its answer was sent.
 func (c *conn) Close() error {
@@ -208,11 +202,7 @@
 	if first {
 		c.server.forget(c)
 		if received > 0 {
-			counter := unansweredServing
-			if c.server.stopping.Load() {
-				counter = unansweredStopping
-			}
-			counter.Inc()
+			c.server.unanswered(c.server.stopping.Load()).Inc()
 			c.server.opts.Log.Info("connection closed unanswered", "server", c.server.opts.Name, "remote", c.RemoteAddr().String(), "state", state,
 				"for", time.Since(since), "received", received, "stopping", c.server.stopping.Load())
 		}
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -218,7 +218,7 @@
 func TestShutdownUnderLoadDropsNoRequestThatWasRead(t *testing.T) {
 	for range 10 {
 		r := start(t, Options{ShutdownIdleTimeout: time.Millisecond})
-		unanswered := unansweredStopping.Get()
+		unanswered := r.unanswered(true).Get()
 		var callers sync.WaitGroup
 		for range 32 {
 			c := r.dial()
@@ -242,7 +242,7 @@
 		require.NoError(t, r.Shutdown(ctx))
 		cancel()
 		callers.Wait()
-		require.Equal(t, unanswered, unansweredStopping.Get())
+		require.Equal(t, unanswered, r.unanswered(true).Get())
 	}
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -52,8 +52,10 @@
 	http   *http.Server
 	// idleTimeout is a time.Duration; 0 for none.
 	idleTimeout atomic.Int64
-	// last is true once every answer ends its connection, stopping once the listener closes.
-	last, stopping atomic.Bool
+	// last is true once every answer ends its connection.
+	last atomic.Bool
+	// stopping is true once the listener closes.
+	stopping atomic.Bool
 	// changed wakes awaitHTTP1, its only receiver, after a change of conns.
 	changed chan struct{}
 
--- a/internal/httpserver/track.go
+++ b/internal/httpserver/track.go
@@ -2,11 +2,14 @@
 
 import (
 	"crypto/tls"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // connState records the state that net/http reports for a connection.
@@ -46,6 +49,16 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
+// unanswered counts connections that ended after part of a request had been read and before
+// any of its answer was sent.
+func (s *Server) unanswered(stopping bool) *metrics.Counter {
+	while := "serving"
+	if stopping {
+		while = "stopping"
+	}
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`fennel_connections_closed_unanswered_total{server=%q,while=%q}`, s.opts.Name, while))
+}
+
 // logConnections logs how many connections do what.
 func (s *Server) logConnections(step string) {
 	counts := make(map[activity]int)
