suspect: log who was on the replica, since when, and crashes that are not counted

The log could not tell apart why a retry's crash gave no verdict (docs/incidents/poison-third-replica.md): it named neither the other suspects nor since when they ran there, nor the age of the crash, and a crash that is no evidence left no line.

"suspect evaluated" now has crash, age, awaited, suspects_in_crash, suspects_running and running_for. New lines: "retry alone started" with the replica, "retry alone reported by another node", "crash reported by another node", "crash not counted". The entries of retries on a replica keep since when they are known; no decision reads it.

go test -race -count=1 ./internal/suspect: green.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -46,15 +46,21 @@
 type crashShard struct {
 	mu      sync.Mutex
 	crashes []*crash // oldest first
-	// retries holds, by replica, the suspects that run there on this or another node,
-	// each with the time at which the entry expires.
-	retries map[cluster.ReplicaID]map[key]time.Time
+	// retries holds, by replica, the suspects that run there on this or another node.
+	retries map[cluster.ReplicaID]map[key]retryOnReplica
 	// freeSince is when the last suspect left a replica. turnsStart is when the nodes'
 	// turns last restarted.
 	freeSince  map[cluster.ReplicaID]time.Time
 	turnsStart time.Time
 }
 
+// retryOnReplica is a suspect's run on a replica.
+type retryOnReplica struct {
+	// knownSince is when this node started the run or first received a report of it.
+	knownSince time.Time
+	expiresAt  time.Time
+}
+
 // recordLocal finds or adds the crash that ended a run of this node; began is the start
 // of the run. A run that began after a known crash of the replica belongs to a later
 // crash. If it began within deadReplicaGrace of the crash, it reached the dead replica
@@ -132,10 +138,10 @@
 
 // retriesOn returns the suspects whose retries on a replica are not known to have
 // ended.
-func (s *crashShard) retriesOn(replica cluster.ReplicaID) []key {
+func (s *crashShard) retriesOn(replica cluster.ReplicaID) map[key]retryOnReplica {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.retries[replica]))
+	return maps.Clone(s.retries[replica])
 }
 
 // removeKey removes a cleared fingerprint from a crash, so that it is no longer sent to
@@ -170,14 +176,21 @@
 	return s.find(id, replica, generation, at) == nil
 }
 
-// startRetry records that a suspect runs on a replica, until a time.
-func (s *crashShard) startRetry(replica cluster.ReplicaID, k key, until time.Time) {
+// startRetry records that a suspect runs on a replica. It reports whether that was not
+// known.
+func (s *crashShard) startRetry(replica cluster.ReplicaID, k key, now, expiresAt time.Time) (isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.retries[replica] == nil {
-		s.retries[replica] = make(map[key]time.Time)
+		s.retries[replica] = make(map[key]retryOnReplica)
+	}
+	run, known := s.retries[replica][k]
+	if !known {
+		run.knownSince = now
 	}
-	s.retries[replica][k] = until
+	run.expiresAt = expiresAt
+	s.retries[replica][k] = run
+	return !known
 }
 
 // endRetry records that a suspect no longer runs on a replica.
@@ -210,11 +223,11 @@
 func (s *crashShard) freeDuration(replica cluster.ReplicaID, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for k, until := range s.retries[replica] {
-		if now.Before(until) {
+	for k, run := range s.retries[replica] {
+		if now.Before(run.expiresAt) {
 			return -1
 		}
-		s.removeRetry(replica, k, until)
+		s.removeRetry(replica, k, run.expiresAt)
 	}
 	return now.Sub(later(s.freeSince[replica], s.turnsStart))
 }
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -205,6 +205,10 @@
 			r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing)
 		})
 	}
+	if len(added) > 0 {
+		t.log.Info("crash reported by another node", "replica", replica, "generation", m.Generation, "crash", c.id,
+			"age", now.Sub(c.at), "fingerprints", added)
+	}
 	return len(added) > 0
 }
 
@@ -229,7 +233,9 @@
 		current = r.retry.node == report.node && r.retry.replica == report.replica && !r.crashedSince(report)
 	})
 	if current && report.started {
-		t.crashShard(report.replica).startRetry(report.replica, k, at.Add(t.timing.RunnerTTL))
+		if t.crashShard(report.replica).startRetry(report.replica, k, now, at.Add(t.timing.RunnerTTL)) {
+			t.log.Info("retry alone reported by another node", "fingerprint", k, "runner", report.node, "replica", report.replica, "age", now.Sub(at))
+		}
 	}
 	return changed
 }
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -90,7 +90,7 @@
 	}
 	for i := range shardCount {
 		t.byKey[i].records = make(map[key]*record)
-		t.byReplica[i].retries = make(map[cluster.ReplicaID]map[key]time.Time)
+		t.byReplica[i].retries = make(map[cluster.ReplicaID]map[key]retryOnReplica)
 		t.byReplica[i].freeSince = make(map[cluster.ReplicaID]time.Time)
 	}
 	return t
@@ -132,7 +132,8 @@
 
 func (t *Tracker) startRetry(k key, replica cluster.ReplicaID) {
 	now := t.now()
-	t.crashShard(replica).startRetry(replica, k, now.Add(maxRetryDuration))
+	t.crashShard(replica).startRetry(replica, k, now, now.Add(maxRetryDuration))
+	t.log.Info("retry alone started", "fingerprint", k, "replica", replica)
 	t.update(k, func(r *record) {
 		r.retry = retry{node: t.node, reportedAt: now, started: true, replica: replica}
 		r.sends = sendStats{}
@@ -155,6 +156,7 @@
 	now := t.now()
 	c := t.crashShard(replica).recordLocal(replica, generation, k, began, now, rand.Uint64())
 	if c == nil {
+		t.log.Info("crash not counted", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone)
 		t.retryAbandoned(k)
 		return
 	}
@@ -173,10 +175,10 @@
 		return
 	}
 	if t.peers() == 0 {
-		t.decideVerdict(k, c.id, replica)
+		t.decideVerdict(k, c.id, replica, now)
 		return
 	}
-	time.AfterFunc(t.timing.VerdictDelay, func() { t.decideVerdict(k, c.id, replica) })
+	time.AfterFunc(t.timing.VerdictDelay, func() { t.decideVerdict(k, c.id, replica, now) })
 }
 
 // restartTurns restarts the nodes' turns on all replicas, because several nodes now
@@ -189,21 +191,33 @@
 
 // decideVerdict decides on a crash during a run alone. It inspects the other
 // fingerprints in flight on the replica, holding one lock at a time.
-func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID) {
-	otherSuspect := false
+func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID, at time.Time) {
 	shard := t.crashShard(replica)
-	for _, other := range append(shard.keysOf(crashID), shard.retriesOn(replica)...) {
+	var inFlight []key
+	for _, other := range shard.keysOf(crashID) {
 		if other != k && t.hasOtherEvidence(other, crashID) {
-			otherSuspect = true
+			inFlight = append(inFlight, other)
 		}
 	}
-	quarantine := false
+	var running []key
+	var runningFor []time.Duration
+	for other, run := range shard.retriesOn(replica) {
+		if other != k && t.hasOtherEvidence(other, crashID) {
+			running = append(running, other)
+			runningFor = append(runningFor, t.now().Sub(run.knownSince))
+		}
+	}
+	otherSuspect := len(inFlight)+len(running) > 0
+	quarantine, awaited := false, false
 	var crashes int
 	t.update(k, func(r *record) {
+		awaited = r.phase == awaitingVerdict
 		quarantine = r.decideVerdict(crashID, otherSuspect, t.now(), t.timing)
 		crashes = len(r.evidence)
 	})
-	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crashes", crashes, "inconclusive", otherSuspect)
+	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crash", crashID, "age", t.now().Sub(at),
+		"crashes", crashes, "awaited", awaited, "inconclusive", otherSuspect,
+		"suspects_in_crash", inFlight, "suspects_running", running, "running_for", runningFor)
 	if quarantine {
 		metricQuarantined.Inc()
 	}
