suspect: no suspect is retried on a replica that has just crashed

What callers saw: a poison request killed a third replica although its second crash had been caused by it alone, and the callers of that replica waited for a repeat.

Cause: the verdict asks 2 s after a crash which suspects run on the replica, in place of those that ran when it crashed.

Change: MayRetryOn is false for deadReplicaGrace (5 s) after the last known crash of the replica, and the nodes' turns there begin after that. A suspect that is known to run on the replica at the verdict was then there when it crashed. The same rule closes a second hole: a crash within that time is no evidence (rule 7), so that a retry there could kill the replica that had formed again and leave no trace. An alternative, the start of the run in SuspectMark, needs a new wire field and leaves the second hole open.

Cost: a group whose only replica crashed retries its suspects 5 s after the crash even if the replica is back sooner.

TestPoisonRequestUsuallyCrashesTwoReplicas has one row more; no existing row or bound changed.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -32,7 +32,9 @@
 	// detect it; a connection that has gone silent takes some time to fail.
 	crashWindow = time.Minute
 	// deadReplicaGrace is how long after a crash requests may still be routed to the
-	// dead replica.
+	// dead replica. Suspects are not retried there in this time: a crash would be no
+	// evidence, and the verdict on the last crash could not tell them from the suspects
+	// that were in flight in it.
 	deadReplicaGrace = 5 * time.Second
 	// sameCrashTolerance is the maximum difference between the times that two nodes
 	// report for the same crash.
@@ -77,7 +79,7 @@
 			c.add(k)
 			return c
 		}
-		if began.Sub(c.at) <= deadReplicaGrace {
+		if began.Sub(c.at) < deadReplicaGrace {
 			return nil
 		}
 	}
@@ -219,7 +221,8 @@
 }
 
 // freeDuration returns how long the replica has been without a known suspect since
-// turns last restarted; it is negative while one runs.
+// turns last restarted and deadReplicaGrace after its last crash ended; it is negative
+// while a suspect runs there or before that.
 func (s *crashShard) freeDuration(replica cluster.ReplicaID, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -229,5 +232,11 @@
 		}
 		s.removeRetry(replica, k, run.expiresAt)
 	}
-	return now.Sub(later(s.freeSince[replica], s.turnsStart))
+	since := later(s.freeSince[replica], s.turnsStart)
+	for _, c := range s.crashes {
+		if c.replica == replica {
+			since = later(since, c.at.Add(deadReplicaGrace))
+		}
+	}
+	return now.Sub(since)
 }
--- a/internal/suspect/sim_test.go
+++ b/internal/suspect/sim_test.go
@@ -1,6 +1,7 @@
 package suspect_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -44,7 +45,9 @@
 	poisonCallers int
 	// partitioned blocks datagrams between the first and the second half of the nodes.
 	partitioned bool
-	length      time.Duration
+	// downFor is how long a crashed replica takes to come back; zero means 10 s.
+	downFor time.Duration
+	length  time.Duration
 }
 
 type outcome struct {
@@ -286,7 +289,7 @@
 	}
 }
 
-// kill crashes one generation of a replica. The next generation starts 10 s later.
+// kill crashes one generation of a replica. The next generation starts after downFor.
 func (s *sim) kill(r *fakeReplica, died chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -299,7 +302,7 @@
 	if s.firstKill.IsZero() {
 		s.firstKill = time.Now()
 	}
-	time.AfterFunc(10*time.Second, func() {
+	time.AfterFunc(cmp.Or(s.downFor, 10*time.Second), func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		r.down, r.crash = false, make(chan struct{})
--- a/internal/suspect/tracker_test.go
+++ b/internal/suspect/tracker_test.go
@@ -68,8 +68,8 @@
 	}
 	slices.Sort(known)
 	n := len(known)
-	t.Logf("nodes=%d replicas=%d loss=%v callers=%d cut=%v kills=%v innocents_refused=%v known_median=%v known_p90=%v known_worst=%v",
-		sc.nodes, sc.replicas, sc.loss, sc.poisonCallers, sc.partitioned, kills, refused, known[n/2], known[n*9/10], known[n-1])
+	t.Logf("nodes=%d replicas=%d loss=%v callers=%d cut=%v down_for=%v kills=%v innocents_refused=%v known_median=%v known_p90=%v known_worst=%v",
+		sc.nodes, sc.replicas, sc.loss, sc.poisonCallers, sc.partitioned, sc.downFor, kills, refused, known[n/2], known[n*9/10], known[n-1])
 }
 
 // The goal is two crashes. A third replica crashes only if two suspects share one,
@@ -86,6 +86,7 @@
 		{scenario{nodes: 4, replicas: 12, loss: 0.3}, 5},
 		{scenario{nodes: 8, replicas: 50, loss: 0.3}, 5},
 		{scenario{nodes: 8, replicas: 4, length: 15 * time.Second}, 2},
+		{scenario{nodes: 4, replicas: 8, downFor: time.Second, length: 15 * time.Second}, 10},
 	} {
 		c.poisonCallers, c.length = 1, max(c.length, 12*time.Second)
 		over := 0
--- /dev/null
+++ b/internal/suspect/verdict_test.go
@@ -0,0 +1,89 @@
+package suspect_test
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
+)
+
+// retryPoll is the interval at which the gateway tries to get a replica for a retry.
+const retryPoll = 50 * time.Millisecond
+
+func newPeers(names ...cluster.NodeID) (peers []*suspect.Tracker) {
+	for _, name := range names {
+		peers = append(peers, suspect.New(suspect.Options{
+			Node: name, Peers: func() int { return len(names) - 1 }, Log: slog.New(slog.DiscardHandler),
+		}))
+	}
+	return peers
+}
+
+// exchange delivers a section of each tracker to all others.
+func exchange(peers ...*suspect.Tracker) {
+	for i, from := range peers {
+		section := from.Section(1000)
+		d := &wirepb.Datagram{Crashes: section.Crashes, Suspects: section.Suspects, Quarantines: section.Quarantines}
+		for j, to := range peers {
+			if i != j {
+				to.Receive(membership.Member{}, d)
+			}
+		}
+	}
+}
+
+// beginRetry starts a retry as soon as the tracker allows one on the replica.
+func beginRetry(t *testing.T, tr *suspect.Tracker, fp suspect.Fingerprint, replica cluster.ReplicaID) (end func(suspect.Outcome)) {
+	t.Helper()
+	admitAlone(t, tr, fp)
+	for !tr.MayRetryOn(replica) {
+		time.Sleep(retryPoll)
+	}
+	return tr.Begin(fp, replica, 1, true)
+}
+
+// Before the verdict the crashed replica forms again, and another node retries an innocent suspect.
+func TestSuspectOnReformedReplicaDoesNotBlockVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers, innocent := newPeers("node-a", "node-b"), fingerprint(2)
+		a, b := peers[0], peers[1]
+		a.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
+		b.Begin(innocent, "replica-1", 1, false)(suspect.Crashed)
+		exchange(peers...)
+		end := beginRetry(t, a, poison, "replica-2")
+		exchange(peers...)
+		end(suspect.Crashed)
+		exchange(peers...)
+		time.Sleep(suspect.DefaultVerdictDelay / 2)
+		endInnocent := beginRetry(t, b, innocent, "replica-2")
+		exchange(peers...)
+		_, err := a.Admit(t.Context(), poison)
+		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), "no verdict, the request would crash a third replica: %v", err)
+		endInnocent(suspect.Finished)
+		exchange(peers...)
+		for _, tr := range peers {
+			alone, err := tr.Admit(t.Context(), innocent)
+			require.NoError(t, err)
+			require.False(t, alone)
+		}
+	})
+}
+
+// A retry on a replica that has just crashed could kill it again without a verdict.
+func TestRetryIsNotPlacedWhereACrashIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTracker(0)
+		tr.Begin(poison, "replica-1", 1, false)(suspect.Crashed)
+		beginRetry(t, tr, poison, "replica-1")(suspect.Crashed)
+		_, err := tr.Admit(t.Context(), poison)
+		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), "no verdict, the request would crash the replica again: %v", err)
+	})
+}
