suspect: a late verdict is postponed, not dropped

What callers saw: a node whose process got no processor for some seconds after a poison request's second crash gave no verdict; the request ran again and killed a third replica.

Cause: the phase awaitingVerdict lapsed 3 s after the crash by the record's own clock, and the evaluation itself first moved the record on. A verdict that was more than 1 s late was always dropped, whatever it would have been.

Change: a record leaves awaitingVerdict by its verdict only (or when it expires after 10 minutes). A verdict that is more than 1 s late waits VerdictDelay again: reports that arrived in the meantime may not have been read, and an innocent request that shared the crash must not be quarantined. TestLateVerdictWaitsForReports was green before, since the verdict was dropped; it fails when the late verdict is decided at once.

No existing test changed.

--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -120,14 +120,10 @@
 	if now.Before(r.until) {
 		return
 	}
-	switch r.phase {
-	case quarantined:
+	if r.phase == quarantined {
 		r.phase = suspected
 		r.until = r.until.Add(t.ProbationFor)
 		r.evidence = nil
-	case awaitingVerdict:
-		r.phase = suspected
-		r.until = now.Add(t.SuspectFor)
 	}
 }
 
@@ -163,18 +159,16 @@
 	return true
 }
 
-// awaitVerdict handles a crash during a run alone.
+// awaitVerdict handles a crash during a run alone. Only a verdict or the expiry of the
+// record ends the phase: a request must not run again because a verdict is late.
 func (r *record) awaitVerdict(now time.Time, t Timing) {
 	r.retry = retry{}
 	if r.phase == suspected {
 		r.phase = awaitingVerdict
-		r.until = now.Add(t.VerdictDelay + verdictSlack)
+		r.until = now.Add(t.SuspectFor)
 	}
 }
 
-// verdictSlack keeps requests waiting until the verdict has been decided.
-const verdictSlack = time.Second
-
 // hasOtherEvidence reports whether the fingerprint is quarantined, on probation or was
 // in flight in another crash.
 func (r *record) hasOtherEvidence(crashID uint64) bool {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -178,7 +178,24 @@
 		t.decideVerdict(k, c.id, replica, now)
 		return
 	}
-	time.AfterFunc(t.timing.VerdictDelay, func() { t.decideVerdict(k, c.id, replica, now) })
+	t.scheduleVerdict(k, c.id, replica, now)
+}
+
+// maxVerdictLateness is how late a verdict may be decided. A process that got no
+// processor for longer may not have received the reports that the verdict waits for.
+const maxVerdictLateness = time.Second
+
+// scheduleVerdict decides the verdict after VerdictDelay, or waits again if it is late.
+func (t *Tracker) scheduleVerdict(k key, crashID uint64, replica cluster.ReplicaID, crashedAt time.Time) {
+	due := t.now().Add(t.timing.VerdictDelay)
+	time.AfterFunc(t.timing.VerdictDelay, func() {
+		if late := t.now().Sub(due); late > maxVerdictLateness {
+			t.log.Warn("verdict postponed", "fingerprint", k, "replica", replica, "crash", crashID, "late", late)
+			t.scheduleVerdict(k, crashID, replica, crashedAt)
+			return
+		}
+		t.decideVerdict(k, crashID, replica, crashedAt)
+	})
 }
 
 // restartTurns restarts the nodes' turns on all replicas, because several nodes now
@@ -191,7 +208,7 @@
 
 // decideVerdict decides on a crash during a run alone. It inspects the other
 // fingerprints in flight on the replica, holding one lock at a time.
-func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID, at time.Time) {
+func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID, crashedAt time.Time) {
 	shard := t.crashShard(replica)
 	var inFlight []key
 	for _, other := range shard.keysOf(crashID) {
@@ -215,7 +232,7 @@
 		quarantine = r.decideVerdict(crashID, otherSuspect, t.now(), t.timing)
 		crashes = len(r.evidence)
 	})
-	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crash", crashID, "age", t.now().Sub(at),
+	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crash", crashID, "age", t.now().Sub(crashedAt),
 		"crashes", crashes, "awaited", awaited, "inconclusive", otherSuspect,
 		"suspects_in_crash", inFlight, "suspects_running", running, "running_for", runningFor)
 	if quarantine {
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,3 +88,43 @@
 		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), "no verdict, the request would crash the replica again: %v", err)
 	})
 }
+
+// pausedTracker returns a tracker with one peer and a func that lets the tracker's clock pass
+// without its timers, as for a process that gets no processor.
+func pausedTracker() (tr *suspect.Tracker, pause func(time.Duration)) {
+	var paused atomic.Int64
+	tr = suspect.New(suspect.Options{
+		Node: "node-a", Peers: func() int { return 1 }, Log: slog.New(slog.DiscardHandler),
+		Clock: func() time.Time { return time.Now().Add(time.Duration(paused.Load())) },
+	})
+	return tr, func(d time.Duration) { paused.Add(int64(d)) }
+}
+
+// The node gets no processor until long after its verdict was due.
+func TestLateVerdictIsNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, pause := pausedTracker()
+		quarantine(t, tr, poison)
+		pause(suspect.DefaultVerdictDelay * 2)
+		_, err := tr.Admit(t.Context(), poison)
+		require.True(t, fennelerr.Is(err, fennelerr.Quarantined), "no verdict, the request would crash a third replica: %v", err)
+	})
+}
+
+// A report that the node could not receive before its verdict was due must count, or an innocent is refused.
+func TestLateVerdictWaitsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, pause := pausedTracker()
+		other := fingerprint(2)
+		receiveCrash(tr, 1, "replica-1", poison, other)
+		admitAlone(t, tr, poison)
+		tr.Begin(poison, "replica-2", 1, true)(suspect.Crashed)
+		pause(suspect.DefaultVerdictDelay * 2)
+		time.Sleep(suspect.DefaultVerdictDelay)
+		synctest.Wait()
+		age := (suspect.DefaultVerdictDelay * 3).Milliseconds()
+		tr.Receive(membership.Member{}, &wirepb.Datagram{Crashes: []*wirepb.CrashMark{
+			{CrashId: 2, Replica: "replica-2", Generation: 1, AgeMs: age, Fingerprints: other[:8]}}})
+		admitAlone(t, tr, poison)
+	})
+}
