suspect: turns begin anew when a node hears of further suspects of a crash

What callers saw: two suspects of one crash were retried on the same replica at the same moment. Its next crash could be put to neither of them, and the poison request killed a third replica.

Cause: a node begins its turns when it detects a crash itself or first hears of it. A node that detects the crash later, first in turn, has its claim confirmed when the second turn of the earlier one begins: 200 ms late (RetryTurn less ClaimDelay) is enough. The earlier node had received the report of the late node's suspects and did not wait for that node's turn. Seen from the late node, the second crash comes 0.3 s after the first and the suspects' marks spread later than the retry.

Change: a report that makes further requests suspects restarts the turns, as the first report of the crash does. One that brings nothing new, or only cleared fingerprints, does not: TestClearedSuspectReportedAgainDoesNotRestartTurns was green before and fails if every added fingerprint restarts them.

What it does not cover: a report of a retry that takes longer than a turn, as when the budget for extra heartbeats is used up.

No existing test changed.

--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -196,15 +196,17 @@
 		k, _ := parseKey(b)
 		keys = append(keys, k)
 	}
-	if t.crashShard(replica).isNew(m.CrashId, replica, m.Generation, at) {
-		t.restartTurns(now)
-	}
+	newSuspects := t.crashShard(replica).isNew(m.CrashId, replica, m.Generation, at)
 	c, added := t.crashShard(replica).recordRemote(m.CrashId, replica, m.Generation, at, keys)
 	for _, k := range added {
 		t.upsert(k, func(r *record) {
-			r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing)
+			newSuspects = r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing) || newSuspects
 		})
 	}
+	if newSuspects {
+		// A node that detects the crash later than others begins its own turns then.
+		t.restartTurns(now)
+	}
 	if len(added) > 0 {
 		t.log.Info("crash reported by another node", "replica", replica, "generation", m.Generation, "crash", c.id,
 			"age", now.Sub(c.at), "fingerprints", added)
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -128,3 +128,42 @@
 		admitAlone(t, tr, poison)
 	})
 }
+
+// The first node in turn detects a crash 200 ms later than the second, which then retries at the same moment.
+func TestTurnsDoNotOverlapAfterLateDetection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var peers []*suspect.Tracker
+		for rank, name := range []cluster.NodeID{"node-a", "node-b"} {
+			peers = append(peers, suspect.New(suspect.Options{
+				Node: name, Peers: func() int { return 1 }, Rank: func(string) int { return rank }, Log: slog.New(slog.DiscardHandler),
+			}))
+		}
+		first, second, innocent := peers[0], peers[1], fingerprint(2)
+		endPoison := first.Begin(poison, "replica-1", 1, false)
+		second.Begin(innocent, "replica-1", 1, false)(suspect.Crashed)
+		exchange(peers...)
+		time.Sleep(suspect.DefaultRetryTurn - suspect.DefaultClaimDelay)
+		endPoison(suspect.Crashed)
+		exchange(peers...)
+		admitAlone(t, first, poison)
+		require.True(t, first.MayRetryOn("replica-2"))
+		require.False(t, second.MayRetryOn("replica-2"), "the first node's turn, and no report of its retry yet")
+		time.Sleep(suspect.DefaultClaimDelay)
+		require.True(t, second.MayRetryOn("replica-2"))
+	})
+}
+
+// A fingerprint that is reported again after it was cleared must not hold up the nodes' turns.
+func TestClearedSuspectReportedAgainDoesNotRestartTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := suspect.New(suspect.Options{
+			Node: "node-b", Rank: func(string) int { return 1 }, Log: slog.New(slog.DiscardHandler),
+		})
+		receiveCrash(tr, 1, "replica-1", poison, fingerprint(2))
+		admitAlone(t, tr, poison)
+		tr.Begin(poison, "replica-2", 1, true)(suspect.Finished)
+		time.Sleep(suspect.DefaultRetryTurn)
+		receiveCrash(tr, 1, "replica-1", poison, fingerprint(2))
+		require.True(t, tr.MayRetryOn("replica-3"))
+	})
+}
