--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -90,7 +90,7 @@
 	}
 	for i := range shardCount {
 		t.byKey[i].records = make(map[key]*record)
-		t.byReplica[i].retries = make(map[cluster.ReplicaID]map[key]time.Time)
+		t.byReplica[i].retries = make(map[cluster.ReplicaID]map[key]retryOnReplica)
 		t.byReplica[i].freeSince = make(map[cluster.ReplicaID]time.Time)
 	}
 	return t
@@ -132,7 +132,8 @@
 
 func (t *Tracker) startRetry(k key, replica cluster.ReplicaID) {
 	now := t.now()
-	t.crashShard(replica).startRetry(replica, k, now.Add(maxRetryDuration))
+	t.crashShard(replica).startRetry(replica, k, now, now.Add(maxRetryDuration))
+	t.log.Info("retry alone started", "fingerprint", k, "replica", replica)
 	t.update(k, func(r *record) {
 		r.retry = retry{node: t.node, reportedAt: now, started: true, replica: replica}
 		r.sends = sendStats{}
@@ -140,9 +141,9 @@
 	t.triggerHeartbeat()
 }
 
-// MayRetryOn reports whether this node may now run a suspect alone on the replica: no
-// suspect is known to run there, and the nodes ranked before this one for the replica
-// have had their turn. Without turns, all nodes would choose at the same moment, after
+// MayRetryOn reports whether this node may now run a suspect alone on the replica: it
+// has not crashed within deadReplicaGrace, no suspect is known to run there, and the
+// nodes ranked before this one for the replica have had their turn. Without turns, all nodes would choose at the same moment, after
 // a crash or when a replica becomes free, and run two suspects on one replica; a crash
 // would then not show which of them caused it.
 func (t *Tracker) MayRetryOn(replica cluster.ReplicaID) bool {
@@ -155,6 +156,7 @@
 	now := t.now()
 	c := t.crashShard(replica).recordLocal(replica, generation, k, began, now, rand.Uint64())
 	if c == nil {
+		t.log.Info("crash not counted", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone)
 		t.retryAbandoned(k)
 		return
 	}
@@ -173,10 +175,27 @@
 		return
 	}
 	if t.peers() == 0 {
-		t.decideVerdict(k, c.id, replica)
+		t.decideVerdict(k, c.id, replica, now)
 		return
 	}
-	time.AfterFunc(t.timing.VerdictDelay, func() { t.decideVerdict(k, c.id, replica) })
+	t.scheduleVerdict(k, c.id, replica, now)
+}
+
+// maxVerdictLateness is how late a verdict may be decided. A process that got no
+// processor for longer may not have received the reports that the verdict waits for.
+const maxVerdictLateness = time.Second
+
+// scheduleVerdict decides the verdict after VerdictDelay, or waits again if it is late.
+func (t *Tracker) scheduleVerdict(k key, crashID uint64, replica cluster.ReplicaID, crashedAt time.Time) {
+	due := t.now().Add(t.timing.VerdictDelay)
+	time.AfterFunc(t.timing.VerdictDelay, func() {
+		if late := t.now().Sub(due); late > maxVerdictLateness {
+			t.log.Warn("verdict postponed", "fingerprint", k, "replica", replica, "crash", crashID, "late", late)
+			t.scheduleVerdict(k, crashID, replica, crashedAt)
+			return
+		}
+		t.decideVerdict(k, crashID, replica, crashedAt)
+	})
 }
 
 // restartTurns restarts the nodes' turns on all replicas, because several nodes now
@@ -189,21 +208,33 @@
 
 // decideVerdict decides on a crash during a run alone. It inspects the other
 // fingerprints in flight on the replica, holding one lock at a time.
-func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID) {
-	otherSuspect := false
+func (t *Tracker) decideVerdict(k key, crashID uint64, replica cluster.ReplicaID, crashedAt time.Time) {
 	shard := t.crashShard(replica)
-	for _, other := range append(shard.keysOf(crashID), shard.retriesOn(replica)...) {
+	var inFlight []key
+	for _, other := range shard.keysOf(crashID) {
+		if other != k && t.hasOtherEvidence(other, crashID) {
+			inFlight = append(inFlight, other)
+		}
+	}
+	var running []key
+	var runningFor []time.Duration
+	for other, run := range shard.retriesOn(replica) {
 		if other != k && t.hasOtherEvidence(other, crashID) {
-			otherSuspect = true
+			running = append(running, other)
+			runningFor = append(runningFor, t.now().Sub(run.knownSince))
 		}
 	}
-	quarantine := false
+	otherSuspect := len(inFlight)+len(running) > 0
+	quarantine, awaited := false, false
 	var crashes int
 	t.update(k, func(r *record) {
+		awaited = r.phase == awaitingVerdict
 		quarantine = r.decideVerdict(crashID, otherSuspect, t.now(), t.timing)
 		crashes = len(r.evidence)
 	})
-	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crashes", crashes, "inconclusive", otherSuspect)
+	t.log.Warn("suspect evaluated", "fingerprint", k, "quarantined", quarantine, "replica", replica, "crash", crashID, "age", t.now().Sub(crashedAt),
+		"crashes", crashes, "awaited", awaited, "inconclusive", otherSuspect,
+		"suspects_in_crash", inFlight, "suspects_running", running, "running_for", runningFor)
 	if quarantine {
 		metricQuarantined.Inc()
 	}
