--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -66,11 +66,9 @@
 	rules      atomic.Pointer[rules.Set]
 	serverList atomic.Pointer[fleet.List]
 	leaseHeld  atomic.Bool
-	// handover ends once other nodes take over this node's tasks for the region.
-	handover context.Context
-	// HandOver ends the tasks that another node can take over: the placement lease and the
-	// record of outages. Calls are served as before.
-	HandOver    context.CancelFunc
+	// handover ends when other nodes are to take over this node's tasks for the region.
+	handover    context.Context
+	endHandover context.CancelFunc
 	requestSeen atomic.Bool
 	// onRules is called with each set of rules that comes into force.
 	onRules func(*rules.Set)
@@ -124,7 +122,7 @@
 		opts.Policies.Place = placement.Mix{}
 	}
 	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), serving: make(map[cluster.ReplicaID]bool)}
-	n.handover, n.HandOver = context.WithCancel(context.Background())
+	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL})
 	n.relay = relay.New(relay.Options{
@@ -177,6 +175,10 @@
 	tasks.Wait()
 }
 
+// HandOver ends the tasks that another node can take over: the placement lease and the
+// record of outages. Calls are served as before.
+func (n *Core) HandOver() { n.endHandover() }
+
 // Close closes the connections that Run and Serve left open.
 func (n *Core) Close() {
 	if n.feed != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,10 +31,10 @@
 	peers                        *regionPeers
 	callers, ready, admin, feeds *httpserver.Server
 	stopping                     atomic.Bool
-	// exitAt is when this process ends at the latest; nil until the shutdown takes no more
-	// calls that could still be running then.
+	// exitAt is when the process ends at the latest. It is nil until the notice has passed;
+	// from then on calls that could still be running at exitAt are refused.
 	exitAt atomic.Pointer[time.Time]
-	// exiting ends shortly before the process does; endCalls ends it.
+	// exiting ends shortly before the process does, and ends the calls still running; endCalls ends it.
 	exiting  context.Context
 	endCalls context.CancelFunc
 }
@@ -121,16 +121,7 @@
 	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice)
 	n.HandOver()
 	clock.Pause(force, n.cfg.Drain.Notice)
-	exitAt := began.Add(n.cfg.Process.Grace - shutdownMargin)
-	n.exitAt.Store(&exitAt)
-	defer time.AfterFunc(time.Until(exitAt.Add(-answerMargin)), n.endCalls).Stop()
-	ctx, cancel := context.WithDeadline(force, exitAt)
-	defer cancel()
-	err := n.callers.Shutdown(ctx)
-	if err != nil {
-		n.log.Error("stopping", "step", "requests aborted", "running", n.relay.Running(), "err", err.Error())
-		err = errors.Join(err, n.callers.Close())
-	}
+	err := n.finishCalls(force, began.Add(n.cfg.Process.Grace-shutdownMargin))
 	stopTasks()
 	for _, s := range []*httpserver.Server{n.admin, n.feeds} {
 		if s != nil {
@@ -142,11 +133,26 @@
 	return errors.Join(err, n.ready.Close())
 }
 
+// finishCalls stops accepting connections and waits until all calls have ended, which
+// happens before exitAt.
+func (n *Node) finishCalls(force context.Context, exitAt time.Time) error {
+	n.exitAt.Store(&exitAt)
+	defer time.AfterFunc(time.Until(exitAt.Add(-answerMargin)), n.endCalls).Stop()
+	ctx, cancel := context.WithDeadline(force, exitAt)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	if err != nil {
+		n.log.Error("stopping", "step", "requests aborted", "running", n.relay.Running(), "err", err.Error())
+		err = errors.Join(err, n.callers.Close())
+	}
+	return err
+}
+
 // retryElsewhere is the retry time of a call that any other node can take at once.
 const retryElsewhere = 10 * time.Millisecond
 
-// serveCall relays a call until it ends. Once only a shutdown is left to do, it refuses a
-// call that might still be running when the process ends.
+// serveCall relays a call until it ends. After the notice it refuses a call that might still
+// be running when the process ends.
 func (n *Node) serveCall(ctx context.Context, c *call.Call, sink call.Sink) {
 	if exitAt := n.exitAt.Load(); exitAt != nil && !endsBefore(c, exitAt.Add(-answerMargin)) {
 		sink.Refuse(fennelerr.New(fennelerr.NotReady, "the node is stopping").WithRun(fennelerr.NotRun).WithRetryAfter(retryElsewhere))
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -39,7 +39,7 @@
 //
 // net/http reports a connection as new or idle until it has read the whole header of a
 // request. Closing it from outside in these states can drop a request that is arriving.
-// A connection is therefore only ever ended by failing a read that found nothing.
+// Limits on waiting therefore end a connection by failing a read that found nothing.
 type conn struct {
 	net.Conn
 	server *Server
@@ -99,6 +99,8 @@
 	defer c.mu.Unlock()
 	if c.state == http.StateNew && c.received == 0 {
 		c.http2 = bytes.HasPrefix(data, []byte(http2Preface))
+	}
+	if c.http2 {
 		c.server.signalChange()
 	}
 	if c.received == 0 {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,7 +18,7 @@
 
 // Options configure a Server.
 type Options struct {
-	// Name is the server's name in log lines.
+	// Name is the server's name in log lines and metrics.
 	Name    string
 	Handler http.Handler
 	// ReadHeaderTimeout limits the time from the first byte of a request to the end of its
@@ -74,7 +74,8 @@
 	s.SetIdleTimeout(opts.IdleTimeout)
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
-		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, TLSConfig: opts.TLSConfig, ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
+		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, TLSConfig: opts.TLSConfig,
+		ConnState: s.connState, ErrorLog: slog.NewLogLogger(opts.Log.Handler(), opts.ErrorLevel),
 	}
 	return s
 }
@@ -115,9 +116,9 @@
 // request on a connection that a shutdown is about to close.
 func (s *Server) LastRequests() { s.last.Store(true) }
 
-// Shutdown, which is called at most once, stops accepting connections and answers what arrives on the open ones. Each ends
+// Shutdown stops accepting connections and answers what arrives on the open ones. Each ends
 // with its next answer, or when nothing arrives on it. Shutdown returns when all have ended,
-// or with the error of ctx.
+// or with the error of ctx. It is called at most once.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.LastRequests()
 	s.stopping.Store(true)
@@ -132,7 +133,8 @@
 		s.logEachConnection()
 		return errors.Join(err, waitErr)
 	}
-	return errors.Join(err, s.http.Shutdown(ctx)) // of HTTP/2 connections, which learn their last request from the server
+	// Only HTTP/2 is left, where the server says which requests it no longer takes.
+	return errors.Join(err, s.http.Shutdown(ctx))
 }
 
 // awaitLastAccept waits until no connection can be added any more.
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -141,11 +141,11 @@
 	t.triggerHeartbeat()
 }
 
-// MayRetryOn reports whether this node may now run a suspect alone on the replica: it
-// has not crashed within deadReplicaGrace, no suspect is known to run there, and the
-// nodes ranked before this one for the replica have had their turn. Without turns, all nodes would choose at the same moment, after
-// a crash or when a replica becomes free, and run two suspects on one replica; a crash
-// would then not show which of them caused it.
+// MayRetryOn reports whether this node may now run a suspect alone on the replica: the
+// replica has not crashed within deadReplicaGrace, no suspect is known to run there, and
+// the nodes ranked before this one for the replica have had their turn. Without turns, all
+// nodes would choose at the same moment, after a crash or when a replica becomes free, and
+// run two suspects on one replica; a crash would then not show which of them caused it.
 func (t *Tracker) MayRetryOn(replica cluster.ReplicaID) bool {
 	turn := time.Duration(t.rank("retry/"+string(replica))) * t.timing.RetryTurn
 	return t.crashShard(replica).freeDuration(replica, t.now()) >= turn
