Nothing is sent into an evacuated zone, and cold servers take no requests

Change: a view of the store holds the evacuated zones, and fleet.List carries them, so that routing, retries, resumed streams, orders, probes and placement see the same. Replicas of an evacuated zone take no requests and stay as they are: no order or probe is sent, none is broken up, no VM loads weights or moves to another model because of it. Their downtime is recorded with the cause "evacuated". With all zones evacuated every request is refused at once.

A server whose entry says that it is cold takes no requests until it is not. For the time in which servers may be cold after an evacuation (cold_start_s) the same holds for all servers of the zone, as their entries may be older than that. So the bound holds at any number of nodes, each by itself.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -43,6 +43,9 @@
 	// ConfigKey is the key of the operator's configuration; DecodeConfig parses it.
 	ConfigKey    string
 	DecodeConfig func(store.KV) (*rules.Set, error)
+	// EvacuationsPrefix is the key prefix of the operator's evacuations, each followed by
+	// the name of a zone; empty if the platform has none.
+	EvacuationsPrefix string
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
 }
@@ -78,11 +81,14 @@
 	// broadcast sends a section to all other nodes at once; may be nil.
 	broadcast func(membership.Section)
 
-	// servingMu serialises updates that follow from changes of the server list and the
-	// rules. It guards serving and pendingChanges.
+	// servingMu serialises updates that follow from changes of the server list, the evacuated
+	// zones and the rules. It guards the fields down to reopenedAt.
 	servingMu      sync.Mutex
 	serving        map[cluster.ReplicaID]bool
 	pendingChanges servingChanges
+	evacuated      []cluster.ZoneID
+	// reopenedAt is when the evacuation of a zone ended.
+	reopenedAt map[cluster.ZoneID]time.Time
 
 	// work measures the work that arrives by model; peerCount returns the number of other
 	// live nodes and is nil while the node knows none.
@@ -132,7 +138,8 @@
 	if opts.Policies.Place == nil {
 		opts.Policies.Place = placement.Mix{}
 	}
-	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool)}
+	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
+		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL})
@@ -145,6 +152,9 @@
 	leaseKey, datagramKey := store.PlacementLeaseKey(scope), store.DatagramKey(scope)
 	n.servers = fleet.NewTracker(p.DecodeServer, log)
 	views := []fleet.View{{Prefix: p.ConfigKey, OnChange: n.configChanged}}
+	if p.EvacuationsPrefix != "" { // before the servers, so that none of an evacuated zone is used
+		views = append(views, fleet.View{Prefix: p.EvacuationsPrefix, OnChange: n.evacuationsChanged})
+	}
 	views = append(views,
 		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged},
 		fleet.View{Prefix: leaseKey, OnChange: func(c fleet.Change) {
@@ -324,10 +334,10 @@
 	}
 }
 
-// publishList publishes the list of servers as of the revision.
+// publishList publishes the list of servers and the evacuated zones as of the revision.
 func (n *Core) publishList(revision int64, changed bool) {
 	list := n.servers.List()
-	list.Revision = revision
+	list.Revision, list.Evacuated = revision, n.currentEvacuated()
 	previous := n.serverList.Load()
 	switch {
 	case previous == nil:
--- a/internal/entry/derive.go
+++ b/internal/entry/derive.go
@@ -109,6 +109,10 @@
 	if lostMember(id, replicas) {
 		return causeMemberLost
 	}
+	at := slices.IndexFunc(replicas, func(r fleet.Replica) bool { return r.ID() == id })
+	if at >= 0 && slices.Contains(n.evacuated, replicas[at].Members[0].Zone) {
+		return causeEvacuated
+	}
 	return causeEnded
 }
 
@@ -175,6 +179,8 @@
 // as a replica of its own. The caller holds n.servingMu.
 func (n *Core) routingEntries(list fleet.List, replicas []fleet.Replica, servers []fleet.Server, set *rules.Set) []routing.Entry {
 	out := routingEntries(replicas, servers, set, n.serving)
+	out = slices.DeleteFunc(out, func(e routing.Entry) bool { return list.IsEvacuated(e.Replica.Zone) })
+	n.limitCold(out, list, set)
 	return out
 }
 
--- a/internal/entry/outages.go
+++ b/internal/entry/outages.go
@@ -20,6 +20,7 @@
 const (
 	causeMemberLost ledger.Cause = "member-lost"
 	causeEnded      ledger.Cause = "ended"
+	causeEvacuated  ledger.Cause = "evacuated"
 	causeUnassigned ledger.Cause = "unassigned"
 	causeNoWeights  ledger.Cause = "no-weights"
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,8 @@
 	Model string
 	// Membership is nil for a VM that belongs to no replica.
 	Membership *Membership
+	// ColdUntil is when the server stops being cold, by this node's clock; zero if it is not.
+	ColdUntil time.Time
 }
 
 // Equal reports whether two entries describe the same state of the same server.
@@ -72,12 +74,19 @@
 	if s.Draining != o.Draining || !s.StartedAt.Equal(o.StartedAt) || s.Model != o.Model || !slices.Equal(s.Staged, o.Staged) {
 		return false
 	}
+	if s.ColdUntil.Sub(o.ColdUntil).Abs() > coldTolerance {
+		return false
+	}
 	if s.Membership == nil || o.Membership == nil {
 		return s.Membership == o.Membership
 	}
 	return *s.Membership == *o.Membership
 }
 
+// coldTolerance is the largest difference between two computations of the same ColdUntil. A cold
+// server writes its remaining time with each heartbeat, which arrives with a varying delay.
+const coldTolerance = 500 * time.Millisecond
+
 // IsMemberOf reports whether the server says that it is a member of the replica.
 func (s Server) IsMemberOf(id cluster.ReplicaID) bool {
 	return s.Membership != nil && s.Membership.ID() == id
@@ -86,14 +95,19 @@
 // List is a snapshot of all servers, ordered by ID, at a store revision.
 type List struct {
 	Revision int64
-	// Version increases with each change of Servers; zero if unknown. Lists built by
+	// Version increases with each change of Servers or Evacuated; zero if unknown. Lists built by
 	// the same process with the same Version have the same contents.
 	Version int64
 	// ReadAt is the local time at which the list was last confirmed.
 	ReadAt  time.Time
 	Servers []Server
+	// Evacuated holds the zones to whose servers nothing may be sent.
+	Evacuated []cluster.ZoneID
 }
 
+// IsEvacuated reports whether nothing may be sent to the servers of the zone.
+func (l List) IsEvacuated(zone cluster.ZoneID) bool { return slices.Contains(l.Evacuated, zone) }
+
 // SameServers reports whether two lists have the same contents, whatever their revisions.
 func (l List) SameServers(o List) bool { return slices.EqualFunc(l.Servers, o.Servers, Server.Equal) }
 
--- a/internal/lifecycle/liveness.go
+++ b/internal/lifecycle/liveness.go
@@ -47,7 +47,7 @@
 	for i := range replicas {
 		r := &replicas[i]
 		id := r.ID()
-		if _, probed := m.stallProbedAt[id]; !stalled[id] || probed || !r.Serves() {
+		if _, probed := m.stallProbedAt[id]; !stalled[id] || probed || !r.Serves() || slices.Contains(m.evacuated, r.Members[0].Zone) {
 			continue
 		}
 		m.stallProbedAt[id] = now
@@ -79,6 +79,9 @@
 }
 
 func (m *Machine) probeUnlistedVM(s fleet.Server, now time.Time) {
+	if slices.Contains(m.evacuated, s.Zone) {
+		return
+	}
 	p := m.unlistedVMs[s.ID]
 	if p != nil && now.Sub(p.probedAt) <= probeInterval {
 		return
--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -68,6 +69,8 @@
 	inFlight       map[cluster.VMID]bool
 	fenced         bool
 	unmeteredLoads bool
+	// evacuated holds the evacuated zones of the current list.
+	evacuated []cluster.ZoneID
 	// formingByVM maps each VM to the replica that it is being formed into.
 	formingByVM map[cluster.VMID]*formingReplica
 	quiescence  quiescence
@@ -92,7 +95,7 @@
 		return m.out
 	}
 	m.quiescence = quiescence{}
-	m.unmeteredLoads = in.UnmeteredLoads
+	m.unmeteredLoads, m.evacuated = in.UnmeteredLoads, in.List.Evacuated
 	m.indexForming()
 	m.logVMChanges(in.List, in.Now)
 	m.handleOrderResults(in)
@@ -147,7 +150,8 @@
 	for i := range in.List.Servers {
 		if s := &in.List.Servers[i]; engineServices[s.Service] {
 			input.VMs = append(input.VMs, placement.VM{ID: s.ID, Domain: s.Domain, Zone: s.Zone, Service: s.Service, Listed: true,
-				Leaving: s.Draining, LastSeen: in.List.ReadAt, DownSince: m.downSince(s, in.Now), Model: s.Model, Staged: s.Staged, Loading: m.stagingModel(s.ID)})
+				Leaving: s.Draining, LastSeen: in.List.ReadAt, DownSince: m.downSince(s, in.Now), Model: s.Model, Staged: s.Staged, Loading: m.stagingModel(s.ID),
+				Evacuated: in.List.IsEvacuated(s.Zone)})
 		}
 	}
 	for i := range replicas {
@@ -221,9 +225,10 @@
 	}
 }
 
-// send queues an order and returns true, unless another order to the VM is in progress.
+// send queues an order and returns true, unless another order to the VM is in progress or its zone
+// is evacuated.
 func (m *Machine) send(to fleet.Server, order Order) bool {
-	if m.inFlight[to.ID] {
+	if m.inFlight[to.ID] || slices.Contains(m.evacuated, to.Zone) {
 		return false
 	}
 	m.inFlight[to.ID] = true
--- a/internal/lifecycle/machine_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -72,6 +72,8 @@
 	now     time.Time
 	// next collects the machine's next input.
 	next Input
+	// evacuated holds the evacuated zones.
+	evacuated []cluster.ZoneID
 }
 
 var fixtureRules = rules.Assemble(rules.Set{Groups: []rules.Group{{Name: "m", Model: "m", VMs: 3, SameDomain: true, Servers: "models", ColdLoad: time.Second, WarmLoad: time.Second}}})
@@ -94,7 +96,7 @@
 	}
 	in := f.next
 	in.Now, in.Rules, in.UnmeteredLoads, in.LeaseRemaining = f.now, fixtureRules, true, time.Hour
-	in.List = fleet.List{Revision: 1 << 40, ReadAt: f.now, Servers: f.servers}
+	in.List = fleet.List{Revision: 1 << 40, ReadAt: f.now, Servers: f.servers, Evacuated: f.evacuated}
 	f.next = Input{}
 	out := f.machine.Step(in)
 	for _, o := range out.SendOrders {
--- a/internal/placement/mix.go
+++ b/internal/placement/mix.go
@@ -68,6 +68,8 @@
 	actions []Action
 	// move is the domain that moves to another group, or nil.
 	move *move
+	// evacuating is true if any VM is evacuated.
+	evacuating bool
 	// preloading holds the VMs for which this plan has ordered a preload.
 	preloading map[cluster.VMID]bool
 }
@@ -94,6 +96,7 @@
 	for i := range in.VMs {
 		vm := &in.VMs[i]
 		m.vms[vm.ID] = vm
+		m.evacuating = m.evacuating || vm.Evacuated
 		if assigned[vm.ID] || !vm.Usable() {
 			continue
 		}
@@ -111,6 +114,9 @@
 // removed, and counts the others as serving.
 func (m *mixPlan) breakUp() {
 	for _, r := range m.in.Replicas {
+		if m.isEvacuated(r) {
+			continue
+		}
 		g := FindGroup(m.in.Groups, r.Group)
 		if g == nil {
 			m.add(Action{Kind: BreakUp, Replica: r.ID, Reason: "no-rule"})
@@ -124,6 +130,15 @@
 	}
 }
 
+// isEvacuated reports whether nothing may be sent to the replica's members. The replica stays as
+// it is and does not serve.
+func (m *mixPlan) isEvacuated(r cluster.Replica) bool {
+	return slices.ContainsFunc(r.Members, func(id cluster.VMID) bool {
+		vm, known := m.vms[id]
+		return known && vm.Evacuated
+	})
+}
+
 // lossReason returns why the replica cannot continue, or "".
 func (m *mixPlan) lossReason(r cluster.Replica) string {
 	reason := ""
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -76,10 +76,11 @@
 	return missing
 }
 
-// chooseMove returns the domain to move, or nil.
+// chooseMove returns the domain to move, or nil. While a zone is evacuated its replicas are only
+// absent, and no VM moves to replace them.
 func (m *mixPlan) chooseMove() *move {
 	to := m.busiestGroup()
-	if m.in.Work == nil || m.in.CheapLoads || to == nil || m.utilization(to, 0) < minUtilization {
+	if m.in.Work == nil || m.in.CheapLoads || m.evacuating || to == nil || m.utilization(to, 0) < minUtilization {
 		return nil
 	}
 	var best *movableDomain
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -36,12 +36,14 @@
 	Zone cluster.ZoneID
 	// Service is the backend service that the VM runs; matched against a group's Servers.
 	Service cluster.Service
+	// Evacuated is true for a VM to which nothing may be sent at present.
+	Evacuated bool
 }
 
 // Usable reports whether the VM can become a member of a replica: it is listed,
-// answers and is not leaving.
+// answers, is not leaving and not evacuated.
 func (v VM) Usable() bool {
-	return v.Listed && !v.Leaving && !v.LastSeen.IsZero() && v.DownSince.IsZero()
+	return v.Listed && !v.Leaving && !v.Evacuated && !v.LastSeen.IsZero() && v.DownSince.IsZero()
 }
 
 // Unavailable reports whether a replica with this member cannot serve: the VM is
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -16,8 +16,9 @@
 	replica cluster.Replica
 	addr    string
 	// slots is the batch size as listed; 0 if only load reports give it.
-	slots   int
-	removed bool
+	slots     int
+	coldUntil time.Time
+	removed   bool
 	// healthyGeneration is the generation confirmed by the health check; 0 for none.
 	healthyGeneration int64
 
@@ -55,6 +56,9 @@
 		e.healthyGeneration != 0 && e.healthyGeneration == e.replica.Generation
 }
 
+// cold reports whether the replica's server is still cold.
+func (e *entry) cold(now time.Time) bool { return now.Before(e.coldUntil) }
+
 // inFlight estimates the requests running and waiting on the replica. meanRemote is the
 // group's mean remote load per unit of capacity.
 //
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -29,6 +29,8 @@
 	Trial bool
 	// Suspects is the number of this node's suspect requests running on the replica.
 	Suspects int
+	// Cold is true while the replica takes no requests because its server has just started.
+	Cold bool
 
 	entry *entry
 }
@@ -54,7 +56,8 @@
 type Pick struct {
 	Candidate Candidate
 	Found     bool
-	// Full is true if no replica was found and at least one was ruled out only by Limit.
+	// Full is true if no replica was found and at least one was ruled out only by Limit or
+	// because it is cold.
 	Full       bool
 	Reason     string
 	Considered int
@@ -90,7 +93,7 @@
 	start := rnd.IntN(n)
 	for i := range n {
 		c := v.At((start + i) % n)
-		if c.Healthy && !slices.Contains(req.Exclude, c.ID) {
+		if c.Healthy && !c.Cold && !slices.Contains(req.Exclude, c.ID) {
 			return Pick{Candidate: c, Found: true, Reason: ReasonRandom, Considered: 1}
 		}
 	}
@@ -204,7 +207,7 @@
 	if !c.Healthy || slices.Contains(sel.req.Exclude, c.ID) {
 		return
 	}
-	if sel.req.Limit.exceeded(c) {
+	if c.Cold || sel.req.Limit.exceeded(c) {
 		sel.full = true
 		return
 	}
@@ -262,7 +265,7 @@
 	out := Pick{Reason: ReasonAlone, Considered: v.Len()}
 	for i := range v.Len() {
 		c := v.At(i)
-		if !c.Healthy || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
+		if !c.Healthy || c.Cold || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
 			continue
 		}
 		if req.MayRetryOn != nil && !req.MayRetryOn(c.ID) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -81,6 +81,9 @@
 	Addr string
 	// Slots is the batch size of the replica as listed; 0 if it is not listed.
 	Slots int
+	// ColdUntil is until when the replica takes no requests because its server is cold; may
+	// be zero.
+	ColdUntil time.Time
 }
 
 // Table holds the replicas of all groups and their load. All methods are safe for
@@ -204,7 +207,7 @@
 		e.speed = speed{}
 		e.report = loadReport{}
 	}
-	e.replica, e.addr, e.slots = in.Replica, in.Addr, in.Slots
+	e.replica, e.addr, e.slots, e.coldUntil = in.Replica, in.Addr, in.Slots, in.ColdUntil
 	return regroup
 }
 
--- a/internal/rules/policy.go
+++ b/internal/rules/policy.go
@@ -114,6 +114,15 @@
 	return &set
 }
 
+// Service returns the declaration of a service, or nil.
+func (s *Set) Service(name cluster.Service) *ServiceDecl {
+	at := slices.IndexFunc(s.Services, func(d ServiceDecl) bool { return d.Name == name })
+	if at < 0 {
+		return nil
+	}
+	return &s.Services[at]
+}
+
 // MatchHost returns the host's route with the longest prefix of path, or nil.
 func (s *Set) MatchHost(host, path string) *Route {
 	for _, r := range s.index.hosts[host] {
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -50,6 +50,11 @@
 type ServiceDecl struct {
 	Origin
 	Name cluster.Service
+	// ColdTime is how long a server of the service stays cold after it has become so, and
+	// ColdRate the number of requests per second that all nodes together may send to it
+	// meanwhile; 0 means no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Weigh selects which of two measures placement favors for a group.
