internal/relay: the attempt's log line has the request's fingerprint

An attempt's id changes each time its caller comes back, so no line connected the returns of one request, and none of the three hypotheses could be told from the others. The fingerprint (team, path and body, as in the product's own form, now one function in internal/suspect) is on each attempt's line.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -11,6 +11,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/claims"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // serveModel handles a completion request.
@@ -65,7 +66,7 @@
 			WithField("path").WithRun(fennelerr.NotRun)
 	}
 	return &session{g: g, c: c, modelCall: modelCall, path: r.URL.Path, body: body, route: route, run: fennelerr.NotRun, started: now,
-		fp: fingerprintOf(c.team.Name, r.URL.Path, body)}, deadline, nil
+		fp: suspect.FingerprintOf(c.team.Name, r.URL.Path, body)}, deadline, nil
 }
 
 // runSession acquires a slot and runs the session while holding it.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"crypto/sha256"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,9 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
-	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // readBody reads a request body of at most limit bytes.
@@ -26,19 +23,6 @@
 	return body, nil
 }
 
-// fingerprintOf returns a hash of the team, path and body that identifies a request.
-func fingerprintOf(team cluster.TeamID, path string, body []byte) suspect.Fingerprint {
-	h := sha256.New()
-	h.Write([]byte(team))
-	h.Write([]byte{0})
-	h.Write([]byte(path))
-	h.Write([]byte{0})
-	h.Write(body)
-	var fp suspect.Fingerprint
-	copy(fp[:], h.Sum(nil))
-	return fp
-}
-
 // firstTokenDeadline returns when the caller stops waiting for the first token. fallback is
 // the time from now if the caller sets no limit.
 func firstTokenDeadline(r *http.Request, now time.Time, fallback time.Duration) (time.Time, error) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -15,6 +15,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // session is a call in progress. It implements recovery.Call and reports the final
@@ -26,6 +27,8 @@
 	service cluster.Service
 	group   cluster.GroupName
 	end     time.Time
+	// fingerprint identifies the request over all of its caller's attempts.
+	fingerprint suspect.Fingerprint
 
 	// sent counts the backend servers that received the call.
 	sent int
@@ -59,7 +62,7 @@
 // Serve handles the call until it is answered or given up. ctx ends when the caller
 // disconnects.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
-	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter}
+	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter, fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body)}
 	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
 	s.group = GroupOf(s.service, c.Model)
 	r.opts.Budget.RecordCall(s.service, c.ReceivedAt)
@@ -306,7 +309,7 @@
 		outcome = err.Error()
 	}
 	terms, choice := s.call.Route.Policy, a.choice
-	fields := []any{"request", s.call.ID, "route", terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
+	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
 		"reason", choice.Reason, "considered", choice.Considered, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -9,17 +9,36 @@
 package suspect
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
 	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 )
 
 // Fingerprint identifies a request by its team, path and body.
 type Fingerprint [16]byte
 
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(team cluster.TeamID, path string, body []byte) Fingerprint {
+	h := sha256.New()
+	h.Write([]byte(team))
+	h.Write([]byte{0})
+	h.Write([]byte(path))
+	h.Write([]byte{0})
+	h.Write(body)
+	var fp Fingerprint
+	copy(fp[:], h.Sum(nil))
+	return fp
+}
+
 // String returns the fingerprint in hex, as it appears in logs.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Short returns the part of the fingerprint that nodes exchange, in hex.
+func (f Fingerprint) Short() string { return f.key().String() }
+
 // Outcome is how a run on a replica ended.
 type Outcome int
 
