Requests that crash servers are retried alone and refused on all nodes of the managed platform

Callers saw servers end one after the other: a request that crashes each server that runs it came back 6 to 10 times after the third crash and ended 13 to 19 servers, whose other callers got 502 or were refused for seconds.

Cause: the product tracks such requests (internal/suspect), but only its own front used it. The node on the managed platform had no record of what ran on a server that crashed, neither within a call nor between calls nor between nodes. The class: a safeguard built for one form of the node and missing in the other, as they share the decision code below it but not the one above.

Change: internal/relay asks the same tracker before each attempt, runs a suspect on a replica without other suspects, and reports how it ended. A crash is told from a cut, a reset, a planned end and a wrong answer by one connection attempt to a server that is listed and not leaving. Marks travel in the region's datagrams; a verdict is also written to the store, so that it outlasts a restart of all nodes and reaches one that hears no datagrams. The refusal is 429, not run.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -142,6 +142,18 @@
 	s.idle[c.peer] = append(s.idle[c.peer], c)
 }
 
+// Refuses reports whether a connection to the peer's address is refused. It returns false if the
+// address does not respond until ctx ends.
+func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
+	dialsTotal.Inc()
+	conn, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Addr)
+	if err != nil {
+		return isRefused(err)
+	}
+	_ = conn.Close() // only opened to see whether it is accepted
+	return false
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() { p.Sweep(func(Peer) bool { return false }, time.Time{}) }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -23,6 +23,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 	"github.com/fennelcourse/fennelcourse/internal/workload"
 )
 
@@ -95,11 +96,14 @@
 	work      *workload.Meter
 	peerCount atomic.Pointer[func() int]
 
-	table   *routing.Table
-	pool    *conns.Pool
-	relay   *relay.Relay
-	control *formation.Controller
-	outages *outageRecorder
+	table *routing.Table
+	pool  *conns.Pool
+	relay *relay.Relay
+	// suspects tracks the requests that crash servers; quarantines stores those found.
+	suspects    *suspect.Tracker
+	quarantines *quarantineWriter
+	control     *formation.Controller
+	outages     *outageRecorder
 }
 
 // defaultRouting samples enough replicas to compare all replicas of a model in a
@@ -122,6 +126,12 @@
 	OnDatagramKey func(fleet.Change)
 	// Broadcast sends a section to all other nodes at once; may be nil.
 	Broadcast func(membership.Section)
+	// TriggerHeartbeat requests an early heartbeat to the other nodes; may be nil. It must
+	// not block.
+	TriggerHeartbeat func()
+	// Rank returns this node's rank among the live nodes for a key, as membership defines it;
+	// nil means 0.
+	Rank func(key string) int
 	// SinceBoot is the clock that measures the placement lease while the VM is suspended;
 	// nil means clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -143,12 +153,16 @@
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL})
+	scope := cluster.ZoneID(cfg.Region)
+	n.quarantines = newQuarantineWriter(p.Store, scope, cfg.Node, log)
+	n.suspects = suspect.New(suspect.Options{Node: cfg.Node, TriggerHeartbeat: opts.TriggerHeartbeat, Peers: n.livePeers, Rank: opts.Rank,
+		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime}, Log: log})
 	n.relay = relay.New(relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
+		Suspects: n.suspects, Leaving: n.isLeaving,
 		OnStall: n.onStall,
 		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window, Nodes: cfg.Retries.Nodes}),
 	})
-	scope := cluster.ZoneID(cfg.Region)
 	leaseKey, datagramKey := store.PlacementLeaseKey(scope), store.DatagramKey(scope)
 	n.servers = fleet.NewTracker(p.DecodeServer, log)
 	views := []fleet.View{{Prefix: p.ConfigKey, OnChange: n.configChanged}}
@@ -156,6 +170,7 @@
 		views = append(views, fleet.View{Prefix: p.EvacuationsPrefix, OnChange: n.evacuationsChanged})
 	}
 	views = append(views,
+		fleet.View{Prefix: store.QuarantinesPrefix(scope), OnChange: n.quarantinesChanged},
 		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged},
 		fleet.View{Prefix: leaseKey, OnChange: func(c fleet.Change) {
 			if len(c.Written)+len(c.Removed) > 0 {
@@ -196,7 +211,7 @@
 	for _, run := range []func(context.Context){n.control.Run, n.strandedLoop, n.outages.run} {
 		tasks.Go(func() { run(regionCtx) })
 	}
-	for _, run := range []func(context.Context){n.mirror.Run, n.relay.Run, n.sweepLoop} {
+	for _, run := range []func(context.Context){n.mirror.Run, n.relay.Run, n.sweepLoop, n.quarantines.run} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Wait()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,8 @@
 	if cfg.Listen.Datagrams != "" {
 		opts.OnDatagramKey = func(c fleet.Change) { n.peers.keyChanged(c) }
 		opts.Broadcast = func(section membership.Section) { n.peers.broadcast(section) }
+		opts.Rank = func(key string) int { return n.peers.rank(key) }
+		opts.TriggerHeartbeat = func() { n.peers.triggerHeartbeat() }
 	}
 	n.Core = NewCore(cfg, p, opts)
 	n.peers = newRegionPeers(n.Core, cfg, log)
--- a/internal/entry/loadreport.go
+++ b/internal/entry/loadreport.go
@@ -66,15 +66,19 @@
 
 // totalWork estimates the work that arrives at all nodes; nil if too little is known.
 func (n *Core) totalWork() workload.Rates {
-	peers := 0
+	return n.work.Total(n.livePeers(), time.Now())
+}
+
+// livePeers returns the number of other live nodes that this node knows.
+func (n *Core) livePeers() int {
 	if count := n.peerCount.Load(); count != nil {
-		peers = (*count)()
+		return (*count)()
 	}
-	return n.work.Total(peers, time.Now())
+	return 0
 }
 
-// setPeers sets the function that returns the number of other live nodes.
-func (n *Core) setPeers(count func() int) { n.peerCount.Store(&count) }
+// SetPeers sets the function that returns the number of other live nodes.
+func (n *Core) SetPeers(count func() int) { n.peerCount.Store(&count) }
 
 // replicaHash identifies a replica in four bytes. On a collision, two replicas share one
 // count; for a hundred replicas the probability is about one in a million.
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,9 +42,10 @@
 	stopMembers context.CancelFunc
 	membersDone chan struct{}
 	currentKey  string
+	broadcasts  *rate.Limiter
+
 	// members is nil while no membership service runs.
-	members    *membership.Service
-	broadcasts *rate.Limiter
+	members atomic.Pointer[membership.Service]
 }
 
 // datagramKeySize is the length of the datagram key in bytes.
@@ -131,15 +133,17 @@
 	}
 	members := membership.New(membership.Options{
 		Node: r.cfg.Node, Zone: cluster.ZoneID(r.cfg.Region), Seeds: r.seeds(), PeerAddr: r.cfg.Feeds.Listen, Transport: transport, Log: r.log,
-		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Source: r.core.LoadReport, Budget: gossipBudget, TTL: loadReportTTL},
+		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Sources: []membership.Source{r.core.UrgentSuspectReport, r.core.LoadReport}, Budget: gossipBudget, TTL: loadReportTTL},
 	})
+	members.AddSource(r.core.SuspectReport)
 	members.AddSource(r.core.LoadReport)
 	members.OnDatagram(func(from membership.Member, d *wirepb.Datagram) {
 		r.core.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, WorkIDs: d.WorkIds, WorkRates: d.WorkRates})
 		r.core.ReceiveStallReport(from.Node, membership.Section{StalledIDs: d.StalledIds, WorkingIDs: d.WorkingIds})
+		r.core.ReceiveSuspectReport(d)
 	})
-	r.members = members
-	r.core.setPeers(members.Peers)
+	r.members.Store(members)
+	r.core.SetPeers(members.Peers)
 	ctx, r.stopMembers = context.WithCancel(ctx)
 	done := make(chan struct{})
 	r.membersDone = done
@@ -176,17 +180,16 @@
 	if r.stopMembers == nil {
 		return
 	}
+	r.members.Store(nil)
 	r.stopMembers()
 	<-r.membersDone
-	r.stopMembers, r.members = nil, nil
+	r.stopMembers = nil
 }
 
 // broadcast sends the section to all other nodes at once, unless the rate limit is
 // reached or no membership service runs.
 func (r *regionPeers) broadcast(section membership.Section) {
-	r.mu.Lock()
-	members := r.members
-	r.mu.Unlock()
+	members := r.members.Load()
 	if members == nil || !r.broadcasts.Allow() {
 		r.log.Debug("broadcast dropped", "stalled", len(section.StalledIDs), "working", len(section.WorkingIDs))
 		return
@@ -194,6 +197,21 @@
 	members.Broadcast(section)
 }
 
+// rank returns this node's rank for a key; 0 while no membership service runs.
+func (r *regionPeers) rank(key string) int {
+	if members := r.members.Load(); members != nil {
+		return members.Rank(key)
+	}
+	return 0
+}
+
+// triggerHeartbeat requests an early heartbeat if a membership service runs.
+func (r *regionPeers) triggerHeartbeat() {
+	if members := r.members.Load(); members != nil {
+		members.TriggerHeartbeat()
+	}
+}
+
 // Close ends the exchange for good.
 func (r *regionPeers) Close() {
 	r.cancel()
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -10,14 +10,15 @@
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
 
-// Gossip configures datagrams that carry one source's state to the peers of the zone
+// Gossip configures datagrams that carry the state of some sources to the peers of the zone
 // between heartbeats.
 //
 // A node's load on a replica changes within a few hundred milliseconds. Nodes that learn
 // each other's load only once a second overload the same replica, so gossip is sent as
 // often as its bandwidth budget allows.
 type Gossip struct {
-	Source Source
+	// Sources are called in this order, and each gets an equal part of the space that is left.
+	Sources []Source
 	// Budget is in bytes per second, including IP and UDP headers. With fewer peers, each
 	// one receives gossip more often.
 	Budget int
@@ -111,7 +112,7 @@
 		s.mu.Unlock()
 		pause := gossipIdleInterval
 		if len(send.Addrs) > 0 {
-			fill(send.Datagram, send.Limit, []Source{s.gossip.Source}, s.log)
+			fill(send.Datagram, send.Limit, s.gossip.Sources, s.log)
 			s.transmit(send)
 			pause = s.gossip.interval(proto.Size(send.Datagram))
 		}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -137,7 +137,7 @@
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	defer s.background.Wait()
-	if s.gossip.Source != nil {
+	if len(s.gossip.Sources) > 0 {
 		s.background.Go(func() { s.sendGossip(ctx) })
 	}
 	var lastExtra time.Time
--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -11,6 +11,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
@@ -45,6 +46,15 @@
 	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Load: &load, Body: body}, nil
 }
 
+// Refuses implements relay.Backend.
+func (b *backend) Refuses(_ context.Context, p conns.Peer) bool {
+	time.Sleep(roundTrip)
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	v := b.w.vms[p.Server]
+	return v != nil && v.crashed && b.w.reaches(b.zone, v.entry.Zone)
+}
+
 // resumeOffset returns the number of the last piece that the caller already has, 0 if it
 // has none.
 func resumeOffset(id string) int {
@@ -60,9 +70,13 @@
 func (b *backend) reach(ctx context.Context, a relay.Attempt) (*vm, error) {
 	b.w.mu.Lock()
 	v := b.w.vms[a.Peer.Server]
-	up := v != nil && !v.dead && b.w.reaches(b.zone, v.entry.Zone)
+	reachable := v != nil && b.w.reaches(b.zone, v.entry.Zone)
+	refused := reachable && v.crashed
 	b.w.mu.Unlock()
-	if up {
+	switch {
+	case refused:
+		return nil, &relay.NotRunError{Reason: "connection refused", Err: errors.New("VM has crashed")}
+	case reachable && !v.dead:
 		return v, nil
 	}
 	select {
@@ -95,6 +109,10 @@
 	ans := &answer{pieces: make(chan struct{}, tokens/w.scenario.Engine.StepsPerPass+1), failed: make(chan struct{})}
 	h.replica.Add(job)
 	h.jobs[job] = ans
+	if isCrashRequest(a.Call) {
+		w.crashDeliveries = append(w.crashDeliveries, time.Now())
+		time.AfterFunc(crashDelay, func() { w.crash(v, h) })
+	}
 	if !h.running {
 		h.running = true
 		go v.runPasses(h)
@@ -143,7 +161,7 @@
 		}
 		return nil
 	case <-r.answer.failed:
-		return &relay.BrokenError{Reason: "the replica abandoned the request", Err: io.ErrUnexpectedEOF}
+		return &relay.BrokenError{Reason: "the replica abandoned the request", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
 	case <-r.ctx.Done():
 		r.cancelJob()
 		return &relay.BrokenError{Reason: "no answer", Err: r.ctx.Err()}
--- a/internal/player/callers.go
+++ b/internal/player/callers.go
@@ -48,6 +48,8 @@
 	// longest time between two consecutive pieces.
 	FirstPiece, MaxGap time.Duration
 	Attempts           int
+	// Quarantined is set if the call was refused as one that crashes servers.
+	Quarantined bool
 	// Work is the time of a replica that the call takes, computed from the engine's figures.
 	Work time.Duration
 }
@@ -127,7 +129,7 @@
 	resume := ""
 	for try := range 2 {
 		result.Attempts = try + 1
-		s := c.attempt(n, k, fmt.Sprintf("%s-%d", id, try), sent, prompt, answer, hint, resume)
+		s := c.attempt(n, k, fmt.Sprintf("%s-%d", id, try), "/"+id, nil, sent, prompt, answer, hint, resume)
 		result.recordAttempt(s, k)
 		if s.ended {
 			break
@@ -136,6 +138,7 @@
 		switch {
 		case s.refused != nil:
 			result.Outcome = Refused
+			result.Quarantined = s.refused.Code == fennelerr.Quarantined
 			time.Sleep(min(s.refused.RetryAfter, remaining/retryWaitDivisor))
 		case s.pieces > 0:
 			resume = fmt.Sprint(s.pieces)
@@ -165,7 +168,7 @@
 
 // attempt sends the call to a node once, resuming after the piece named by resume if it is
 // set.
-func (c *callers) attempt(n *node, k *CallKind, id string, sent time.Time, prompt, answer, hint int, resume string) *sink {
+func (c *callers) attempt(n *node, k *CallKind, id, uri string, body []byte, sent time.Time, prompt, answer, hint int, resume string) *sink {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := &sink{sent: sent, timeout: max(minTimeout, timeoutTargets*k.Target, timeoutGaps*k.TargetGap)}
@@ -176,7 +179,7 @@
 	route := c.routes[k.Name]
 	c.mu.Unlock()
 	now := time.Now()
-	n.serve(ctx, &call.Call{ID: id, Route: route, RulesRevision: 1, Model: k.Model, PromptTokens: prompt, MaxOutputTokens: int(k.Answer.Max), OutputTokensHint: hint,
+	n.serve(ctx, &call.Call{ID: id, URI: uri, Body: body, Route: route, RulesRevision: 1, Model: k.Model, PromptTokens: prompt, MaxOutputTokens: int(k.Answer.Max), OutputTokensHint: hint,
 		Priority: k.Priority, ReceivedAt: now, Deadline: sent.Add(k.Deadline), ResumeAfter: resume}, s)
 	return s
 }
--- /dev/null
+++ b/internal/player/crash_test.go
@@ -0,0 +1,33 @@
+package player_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/player"
+)
+
+// Guards against a request that crashes one server after the other, returning through all
+// nodes, and against a refusal of those that happened to run beside it.
+func TestCrashRequestIsRefusedAndOthersAreServed(t *testing.T) {
+	for _, name := range []string{"overload", "few-large-many-small"} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				s := load(t, name)
+				s.Bursts, s.Length = nil, 20*time.Second
+				s.Faults = []player.Fault{{Kind: player.CrashRequests, Model: "small", At: 3 * time.Second, Duration: 15 * time.Second}}
+				res := simulate(t, s, player.Options{Seed: seed + 1})
+				require.NotEmpty(t, res.Crashes)
+				require.LessOrEqual(t, len(res.CrashDeliveries), 3+3, "three crashes and three retries")
+				for _, c := range res.Calls {
+					require.False(t, c.Quarantined, "%+v", c)
+					require.NotEqual(t, player.Failed, c.Outcome, "%+v", c)
+				}
+			})
+		}
+	}
+}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -45,6 +45,8 @@
 		}
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{Down: true})
+	case CrashRequests:
+		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
 	}
 }
 
--- a/internal/player/gossip.go
+++ b/internal/player/gossip.go
@@ -4,9 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/entry"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
 
 const (
@@ -44,6 +48,8 @@
 		return
 	}
 	receiver.ReceiveLoadReport(from.id, sender.LoadReport(maxReportBytes))
+	report := sender.UrgentSuspectReport(maxReportBytes)
+	receiver.ReceiveSuspectReport(&wirepb.Datagram{Crashes: report.Crashes, Quarantines: report.Quarantines, Suspects: report.Suspects})
 }
 
 // broadcast delivers a section to all nodes that the sender reaches.
@@ -61,3 +67,14 @@
 	defer n.mu.Unlock()
 	return n.core
 }
+
+// rank returns the node's rank among all nodes for a key.
+func (n *node) rank(key string) (rank int) {
+	weight := func(id cluster.NodeID) uint64 { return xxhash.Sum64String(key + "/" + string(id)) }
+	for _, other := range n.sys.nodes {
+		if weight(other.id) > weight(n.id) {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -21,6 +21,9 @@
 	Violations []string
 	// ModelLoads is the number of model loads that VMs started.
 	ModelLoads int
+	// CrashDeliveries and Crashes are when requests that crash servers reached one, and when
+	// they crashed it.
+	CrashDeliveries, Crashes []time.Time
 }
 
 // VMSample counts the VMs by state at one moment.
@@ -76,6 +79,7 @@
 	slices.SortFunc(r.Calls, func(a, b CallResult) int { return int(a.SentAt - b.SentAt) })
 	r.Violations = sys.world.violations
 	r.ModelLoads = sys.world.loads
+	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
 
 // KindSummary summarizes the calls of one kind, or of all kinds. OnTime, Late, Refused and
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -117,7 +117,8 @@
 // VMs. DomainOutage silences a whole domain for a time. SlowVMs slows VMs down for a time.
 // PartitionZone separates a zone from all others and from the store for a time.
 // RestartNodes kills nodes at once and restarts them after a second. StoreDown makes the
-// store unavailable for a time.
+// store unavailable for a time. CrashRequests has a request to the model sent again and again
+// that crashes the head of each replica that runs it.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -126,6 +127,7 @@
 	PartitionZone FaultKind = "cut-zone"
 	RestartNodes  FaultKind = "restart-nodes"
 	StoreDown     FaultKind = "store-down"
+	CrashRequests FaultKind = "crash-requests"
 )
 
 // Fault is a fault injected at a time after the first call.
--- a/internal/player/vm.go
+++ b/internal/player/vm.go
@@ -17,9 +17,11 @@
 
 // vm is a simulated VM. All fields are guarded by world.mu.
 type vm struct {
-	w       *world
-	entry   fleet.Server
-	dead    bool
+	w     *world
+	entry fleet.Server
+	dead  bool
+	// crashed is set while the VM runs without its server process.
+	crashed bool
 	slow    float64
 	epoch   int64
 	members []cluster.VMID
--- a/internal/player/world.go
+++ b/internal/player/world.go
@@ -45,6 +45,9 @@
 	violations []string
 	loads      int
 	startedAt  time.Time
+	// crashDeliveries and crashes are when requests that crash servers reached one, and when
+	// they crashed it.
+	crashDeliveries, crashes []time.Time
 
 	heartbeats sync.WaitGroup
 	cancel     context.CancelFunc
@@ -202,7 +205,7 @@
 
 // revive restarts a silenced VM. Models staged on its host are kept.
 func (w *world) revive(v *vm) {
-	v.dead, v.head, v.members, v.model, v.loaded = false, nil, nil, "", ""
+	v.dead, v.crashed, v.head, v.members, v.model, v.loaded = false, false, nil, nil, "", ""
 	v.entry.Membership, v.entry.Model, v.entry.StartedAt = nil, "", time.Now()
 	v.epoch = 0
 	v.orderSeq++
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,6 +30,8 @@
 	idleTimer            *time.Timer
 	// load is the load reported by the server; nil if it reported none.
 	load *Load
+	// crashed is set if the attempt failed because its server crashed.
+	crashed bool
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
 	lastActivity atomic.Int64
 }
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -50,6 +50,9 @@
 // Backend sends attempts. Send fails with a *NotRunError or a *BrokenError.
 type Backend interface {
 	Send(ctx context.Context, a Attempt) (*Reply, error)
+	// Refuses reports whether the peer's address refuses connections: its process has ended.
+	// A peer that does not respond is not known to have ended.
+	Refuses(ctx context.Context, p conns.Peer) bool
 }
 
 // NotRunError reports that an attempt did not run the call and never will.
@@ -80,7 +83,9 @@
 // answer.
 type BrokenError struct {
 	Reason string
-	Err    error
+	// ConnectionLost is true if the connection ended before the answer was complete.
+	ConnectionLost bool
+	Err            error
 }
 
 // Error implements error.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // Router chooses replicas and counts the requests running on them.
@@ -22,13 +23,28 @@
 	ReportLoad(id cluster.ReplicaID, load engine.Load, receivedAt time.Time)
 }
 
+// Suspects tracks the requests that crash backend servers. *suspect.Tracker implements it.
+type Suspects interface {
+	// Admit returns an error for a quarantined request. If it returns alone set, the request
+	// must run on a replica without other suspects.
+	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	// MayRetryOn reports whether this node may now run a suspect on the replica.
+	MayRetryOn(replica cluster.ReplicaID) bool
+	// Begin records the start of a run. The returned func ends it.
+	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Outcome))
+}
+
 // Options are the dependencies of a Relay. All are required except OnStall and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
 	Budget  *Budget
 	// Peer returns the process that serves a replica, or false if it is not listed.
-	Peer func(choice routing.Choice) (conns.Peer, bool)
+	Peer     func(choice routing.Choice) (conns.Peer, bool)
+	Suspects Suspects
+	// Leaving reports whether the process has announced that it leaves, or is not listed any
+	// more. Its end is then no crash.
+	Leaving func(p conns.Peer) bool
 	// OnStall is called with the replicas that this node's requests show to be stalled,
 	// and with whether other replicas work; may be nil.
 	OnStall func(ids []cluster.ReplicaID, othersWork bool)
@@ -64,6 +80,7 @@
 	stalls  *stallDetector
 	advisor *retryAdvisor
 	limits  *concurrencyLimits
+	crashes *crashDetector
 	// running holds the attempts by replica, to cancel them when the replica fails.
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
@@ -74,7 +91,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
+	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), crashes: newCrashDetector(opts), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
 // errReplicaLost cancels attempts on a replica that lost a member.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
@@ -47,6 +48,8 @@
 	// succeeds.
 	failedAnswer *storedAnswer
 	attempts     int
+	// alone is set if the current attempt must run on a replica without other suspects.
+	alone bool
 	// lastPieceAt is when the caller was last sent a piece, and maxGap the longest time
 	// between two pieces.
 	lastPieceAt time.Time
@@ -84,11 +87,14 @@
 }
 
 // Choose implements recovery.Call.
-func (s *session) Choose(context.Context) error {
+func (s *session) Choose(ctx context.Context) error {
 	s.attempts++
 	s.remaining = time.Until(s.end)
+	if err := s.admit(ctx); err != nil {
+		return err
+	}
 	for {
-		choice, err := s.chooseReplica()
+		choice, err := s.awaitReplica(ctx)
 		if err != nil {
 			s.failNoReplica(err)
 			return err
@@ -103,10 +109,57 @@
 	}
 }
 
+const (
+	// alonePollInterval is how often a suspect tries to get a replica.
+	alonePollInterval = 50 * time.Millisecond
+	// maxAloneWait limits the wait for such a replica. Callers give up on a stream after two
+	// seconds without a piece.
+	maxAloneWait = 2 * time.Second
+)
+
+// awaitReplica chooses a replica. A suspect waits for one that runs no other suspect and that
+// it is this node's turn to use.
+func (s *session) awaitReplica(ctx context.Context) (routing.Choice, error) {
+	waitEnd := time.Now().Add(maxAloneWait)
+	if latest := s.end.Add(-minAttemptTime); !s.end.IsZero() && latest.Before(waitEnd) {
+		waitEnd = latest
+	}
+	for {
+		choice, err := s.chooseReplica()
+		if err == nil || !s.alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
+			return choice, err
+		}
+		clock.Pause(ctx, alonePollInterval)
+		if ctx.Err() != nil {
+			return choice, err
+		}
+	}
+}
+
+// admit refuses a request that crashes servers.
+func (s *session) admit(ctx context.Context) error {
+	alone, err := s.r.opts.Suspects.Admit(ctx, s.fingerprint)
+	s.alone = alone
+	if err == nil {
+		return nil
+	}
+	s.r.opts.Log.Info("request quarantined", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "sent", s.sent)
+	s.finish(err, func() *fennelerr.Error {
+		if refusal, ok := errors.Into[*fennelerr.Error](err); ok {
+			return refusal
+		}
+		return fennelerr.Wrap(err, fennelerr.Overloaded, "not admitted")
+	})
+	return err
+}
+
 // Attempt implements recovery.Call.
 func (s *session) Attempt(ctx context.Context) error {
 	a := newAttempt(ctx, s, s.choice, s.peer)
+	endRun := s.r.opts.Suspects.Begin(s.fingerprint, s.choice.Replica.ID, s.choice.Replica.Generation, s.alone)
 	result, err := a.run()
+	a.crashed = s.r.crashes.crashed(ctx, s.peer, err)
+	endRun(suspectOutcome(result, a.crashed))
 	if result.OK {
 		s.r.advisor.recordCompleted(s.group, time.Now())
 	}
@@ -115,6 +168,16 @@
 	return err
 }
 
+func suspectOutcome(result routing.Result, crashed bool) suspect.Outcome {
+	switch {
+	case crashed:
+		return suspect.Crashed
+	case result.OK:
+		return suspect.Finished
+	}
+	return suspect.Abandoned
+}
+
 // endChoice ends the count of a request on its replica.
 func (s *session) endChoice(choice routing.Choice, result routing.Result) {
 	s.r.opts.Router.End(choice, result)
@@ -161,7 +224,7 @@
 }
 
 func (s *session) chooseAnyReplica() (routing.Choice, error) {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit()}
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
 	if stalled := s.r.stalls.stalled(time.Now()); len(stalled) > 0 {
 		req.Exclude = append(stalled, s.exclude...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
@@ -311,7 +374,7 @@
 	terms, choice := s.call.Route.Policy, a.choice
 	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
-		"reason", choice.Reason, "considered", choice.Considered, "waited", a.started.Sub(s.call.ReceivedAt),
+		"reason", choice.Reason, "considered", choice.Considered, "alone", s.alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
 	if s.streams() {
 		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.maxGap, "pause_target", terms.TargetGap)
@@ -319,7 +382,7 @@
 	if a.load != nil {
 		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
 	}
-	s.r.opts.Log.Info("attempt", append(fields, "outcome", outcome)...)
+	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.crashed, "outcome", outcome)...)
 }
 
 // streams reports whether the answer is a stream of pieces.
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -37,6 +37,16 @@
 // signing key when the settings contain none.
 func DatagramKey(region cluster.ZoneID) string { return zonesPrefix + string(region) + "/datagram-key" }
 
+// QuarantinesPrefix returns the prefix that holds one key per quarantined request of the region.
+func QuarantinesPrefix(region cluster.ZoneID) string {
+	return zonesPrefix + string(region) + "/quarantines/"
+}
+
+// QuarantineKey returns the key of one quarantined request.
+func QuarantineKey(region cluster.ZoneID, fingerprint string) string {
+	return QuarantinesPrefix(region) + fingerprint
+}
+
 // ReplicasPrefix returns the prefix that holds one key per committed replica of the zone.
 func ReplicasPrefix(zone cluster.ZoneID) string { return zonesPrefix + string(zone) + "/replicas/" }
 
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -41,7 +41,12 @@
 // Section returns the marks to send next, within budget bytes: new marks first, each
 // several times because datagrams get lost, then the quarantines in rotation. It also
 // deletes expired records.
-func (t *Tracker) Section(budget int) membership.Section {
+func (t *Tracker) Section(budget int) membership.Section { return t.section(budget, false) }
+
+// UrgentSection is Section with only the marks that were sent fewer than urgentSends times.
+func (t *Tracker) UrgentSection(budget int) membership.Section { return t.section(budget, true) }
+
+func (t *Tracker) section(budget int, urgentOnly bool) membership.Section {
 	now := t.now()
 	var marks []pendingMark
 	for i := range t.byKey {
@@ -56,7 +61,7 @@
 	round := t.sections.last.Add(1)
 	var section membership.Section
 	for _, mark := range marks {
-		if mark.size > budget {
+		if mark.size > budget || urgentOnly && mark.priority >= urgentSends {
 			continue
 		}
 		budget -= mark.size
@@ -247,12 +252,25 @@
 	if !ok || m.ExpiresInMs <= 0 {
 		return false
 	}
-	isNew := false
-	t.upsert(k, func(r *record) {
-		isNew = r.adoptQuarantine(time.Duration(m.ExpiresInMs)*time.Millisecond, now, t.timing)
-	})
+	return t.adoptQuarantine(k, time.Duration(m.ExpiresInMs)*time.Millisecond, now, "node")
+}
+
+// AdoptQuarantine applies a quarantine that was read from the store, in which it has no end of
+// its own: it lasts as long as one that begins now. It returns false for an invalid fingerprint.
+func (t *Tracker) AdoptQuarantine(fingerprint string) bool {
+	k, ok := parseShort(fingerprint)
+	if ok && t.adoptQuarantine(k, t.timing.QuarantineFor, t.now(), "store") {
+		t.triggerHeartbeat()
+	}
+	return ok
+}
+
+// adoptQuarantine applies a quarantine and reports whether it was new. source says where it was
+// learned.
+func (t *Tracker) adoptQuarantine(k key, remaining time.Duration, now time.Time, source string) (isNew bool) {
+	t.upsert(k, func(r *record) { isNew = r.adoptQuarantine(remaining, now, t.timing) })
 	if isNew {
-		t.log.Warn("quarantine reported by another node", "fingerprint", k, "expires_in_ms", m.ExpiresInMs)
+		t.log.Warn("quarantine reported by another node", "fingerprint", k, "expires_in_ms", remaining.Milliseconds(), "source", source)
 	}
 	return isNew
 }
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -34,7 +34,10 @@
 	// Clock returns the current time; nil means time.Now.
 	Clock  func() time.Time
 	Timing Timing
-	Log    *slog.Logger
+	// OnQuarantined is called with the short fingerprint of a request that this node
+	// quarantines; nil ignores it. It must not block.
+	OnQuarantined func(fingerprint string)
+	Log           *slog.Logger
 }
 
 // Tracker tracks suspected and quarantined fingerprints on one node. All methods are
@@ -46,6 +49,7 @@
 	triggerHeartbeat func()
 	now              func() time.Time
 	timing           Timing
+	onQuarantined    func(fingerprint string)
 	log              *slog.Logger
 
 	byKey     [shardCount]keyShard
@@ -71,7 +75,7 @@
 func New(opts Options) *Tracker {
 	t := &Tracker{
 		node: opts.Node, peers: opts.Peers, rank: opts.Rank, triggerHeartbeat: opts.TriggerHeartbeat, now: opts.Clock,
-		timing: opts.Timing.withDefaults(), log: opts.Log,
+		timing: opts.Timing.withDefaults(), onQuarantined: opts.OnQuarantined, log: opts.Log,
 	}
 	if t.peers == nil {
 		t.peers = func() int { return 0 }
@@ -82,6 +86,9 @@
 	if t.triggerHeartbeat == nil {
 		t.triggerHeartbeat = func() {}
 	}
+	if t.onQuarantined == nil {
+		t.onQuarantined = func(string) {}
+	}
 	if t.now == nil {
 		t.now = time.Now
 	}
@@ -237,6 +244,7 @@
 		"suspects_in_crash", inFlight, "suspects_running", running, "running_for", runningFor)
 	if quarantine {
 		metricQuarantined.Inc()
+		t.onQuarantined(k.String())
 	}
 	if otherSuspect {
 		// The suspects of a shared crash get their verdicts, and so their retries, at
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -65,6 +65,15 @@
 
 func (k key) bytes() []byte { return binary.BigEndian.AppendUint64(nil, uint64(k)) }
 
+// parseShort parses the result of Fingerprint.Short.
+func parseShort(text string) (key, bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != keySize {
+		return 0, false
+	}
+	return parseKey(b)
+}
+
 func parseKey(b []byte) (key, bool) {
 	if len(b) < keySize {
 		return 0, false
