internal/suspect: the wait for a node's turn does not grow with the nodes

After a crash each node waits for its turn before it retries a suspect: its rank among all live nodes times half a second. At 8 nodes that is 3.5 s, at 984 nodes before three servers of a plain service the first turn of a node comes after minutes, and each innocent call that was in flight in a crash would be lost. The class: a time that grows with the nodes.

MaxTurnWait bounds it: 4 s, above the last turn of 8 nodes, and 1.5 s on the managed platform, where a suspect is held for 2 s. The nodes beyond share the last turn. TestRetryTurnIsBoundedAtManyNodes fails without the bound.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -156,7 +156,7 @@
 	scope := cluster.ZoneID(cfg.Region)
 	n.quarantines = newQuarantineWriter(p.Store, scope, cfg.Node, log)
 	n.suspects = suspect.New(suspect.Options{Node: cfg.Node, TriggerHeartbeat: opts.TriggerHeartbeat, Peers: n.livePeers, Rank: opts.Rank,
-		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime}, Log: log})
+		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime, MaxTurnWait: maxTurnWait}, Log: log})
 	n.relay = relay.New(relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
 		Suspects: n.suspects, Leaving: n.isLeaving,
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -19,6 +19,9 @@
 	// quarantineTime is how long a request is refused after it was last sent, and how long the
 	// store keeps it: the longest lease that the platform grants.
 	quarantineTime = 10 * time.Minute
+	// maxTurnWait is how long a suspect waits at most for this node's turn to use a replica. It
+	// is well below the time for which the relay holds a suspect.
+	maxTurnWait = 1500 * time.Millisecond
 	// quarantineRetryInterval is the pause after a failed write of a quarantine.
 	quarantineRetryInterval = time.Second
 	// maxPendingQuarantines bounds the quarantines that wait for the store.
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -155,7 +155,7 @@
 // run two suspects on one replica; a crash would then not show which of them caused it.
 func (t *Tracker) MayRetryOn(replica cluster.ReplicaID) bool {
 	turn := time.Duration(t.rank("retry/"+string(replica))) * t.timing.RetryTurn
-	return t.crashShard(replica).freeDuration(replica, t.now()) >= turn
+	return t.crashShard(replica).freeDuration(replica, t.now()) >= min(turn, t.timing.MaxTurnWait)
 }
 
 func (t *Tracker) recordCrash(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
--- a/internal/suspect/types.go
+++ b/internal/suspect/types.go
@@ -92,6 +92,9 @@
 	// RetryTurn is how long each node has to place a suspect on a free replica before
 	// the next node in rank may do so.
 	RetryTurn time.Duration
+	// MaxTurnWait bounds the wait for a node's turn, whatever its rank. The nodes whose turns
+	// would come later share the last one.
+	MaxTurnWait time.Duration
 	// ClaimTTL is how long a claim is valid if its retry does not start.
 	ClaimTTL time.Duration
 	// RunnerTTL is how long another node's retry is assumed to continue without a
@@ -113,6 +116,7 @@
 	DefaultClaimDelay    = 300 * time.Millisecond
 	DefaultVerdictDelay  = 2 * time.Second
 	DefaultRetryTurn     = 500 * time.Millisecond
+	DefaultMaxTurnWait   = 4 * time.Second
 	DefaultClaimTTL      = 10 * time.Second
 	DefaultRunnerTTL     = 10 * time.Second
 	DefaultSuspectFor    = 10 * time.Minute
@@ -125,6 +129,7 @@
 	setDefault(&t.ClaimDelay, DefaultClaimDelay)
 	setDefault(&t.VerdictDelay, DefaultVerdictDelay)
 	setDefault(&t.RetryTurn, DefaultRetryTurn)
+	setDefault(&t.MaxTurnWait, DefaultMaxTurnWait)
 	setDefault(&t.ClaimTTL, DefaultClaimTTL)
 	setDefault(&t.RunnerTTL, DefaultRunnerTTL)
 	setDefault(&t.SuspectFor, DefaultSuspectFor)
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -167,3 +167,17 @@
 		require.True(t, tr.MayRetryOn("replica-3"))
 	})
 }
+
+// Guards against innocent suspects that outlive their callers' patience because the turns of all
+// nodes of a large system have to pass.
+func TestRetryTurnIsBoundedAtManyNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := suspect.New(suspect.Options{Node: "node-a", Peers: func() int { return 983 }, Rank: func(string) int { return 500 },
+			Timing: suspect.Timing{MaxTurnWait: time.Second}, Log: slog.New(slog.DiscardHandler)})
+		tr.Begin(fingerprint(2), "replica-1", 1, false)(suspect.Crashed)
+		time.Sleep(time.Second - time.Millisecond)
+		require.False(t, tr.MayRetryOn("replica-2"))
+		time.Sleep(time.Millisecond)
+		require.True(t, tr.MayRetryOn("replica-2"))
+	})
+}
