--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,6 +30,8 @@
 	idleTimer            *time.Timer
 	// load is the load reported by the server; nil if it reported none.
 	load *Load
+	// rateLimit is the limit that the server named; 0 if it named none.
+	rateLimit float64
 	// crashed is set if the attempt failed because its server crashed.
 	crashed bool
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
@@ -63,12 +65,14 @@
 	})
 	if err != nil {
 		if notRun, ok := errors.Into[*NotRunError](err); ok {
+			a.rateLimit = notRun.RateLimit
 			a.reportLoad(notRun.Load)
 			a.judgeQueue(notRun.Load, true)
 		}
 		return a.result(false, 0, 0), a.withCancelCause(err)
 	}
 	defer reply.Body.Close()
+	a.rateLimit = reply.RateLimit
 	a.reportLoad(reply.Load)
 	switch {
 	case a.s.streams() && reply.Head.Status < http.StatusBadRequest:
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -33,7 +33,10 @@
 	Head call.Head
 	// Load is nil if the server did not report it.
 	Load *Load
-	Body Body
+	// RateLimit is the number of requests per second that the server takes from all nodes
+	// together; 0 if it named no limit.
+	RateLimit float64
+	Body      Body
 }
 
 // Body reads the rest of an answer.
@@ -66,9 +69,11 @@
 	FaultyMember string
 	// AddressReassigned is true if another process now has the server's address.
 	AddressReassigned bool
-	// Load is the load reported by the server that refused; may be nil.
-	Load *Load
-	Err  error
+	// Load is the load reported by the server that refused; may be nil. RateLimit is as in
+	// Reply.
+	Load      *Load
+	RateLimit float64
+	Err       error
 }
 
 // Error implements error.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -382,6 +382,9 @@
 	if a.load != nil {
 		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
 	}
+	if a.rateLimit > 0 {
+		fields = append(fields, "rate_limit", a.rateLimit)
+	}
 	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.crashed, "outcome", outcome)...)
 }
 
