internal/player: a failing test of servers that name a rate limit

From three seconds after that each may get 13 requests in 4 s (1.5 times the limit and 5) from the nodes that had such an answer half a second before.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -20,6 +20,7 @@
 // backend sends a node's attempts to the simulated VMs. It implements relay.Backend.
 type backend struct {
 	w    *world
+	node cluster.NodeID
 	zone cluster.ZoneID
 	// answerTokens returns the length in tokens of the complete answer to a call.
 	answerTokens func(id string) int
@@ -43,7 +44,10 @@
 	if err := body.awaitFirst(); err != nil {
 		return nil, err
 	}
-	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Load: &load, Body: body}, nil
+	b.w.mu.Lock()
+	limit := b.w.nameLimit(v, b.node)
+	b.w.mu.Unlock()
+	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Load: &load, RateLimit: limit, Body: body}, nil
 }
 
 // Refuses implements relay.Backend.
@@ -92,6 +96,7 @@
 	w := b.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordArrival(v, b.node)
 	h := v.head
 	open := h != nil && v.entry.Membership != nil && v.entry.Membership.State == fleet.Open
 	load := relay.Load{Slots: w.scenario.Engine.Slots}
@@ -99,10 +104,10 @@
 		load.Running, load.Waiting = h.replica.Running(), h.replica.Waiting()
 	}
 	if !open || v.model != a.Call.Model {
-		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica that serves the model", Received: true, Load: &load, Err: errors.New(string(v.entry.ID))}
+		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica that serves the model", Received: true, Load: &load, RateLimit: w.nameLimit(v, b.node), Err: errors.New(string(v.entry.ID))}
 	}
 	if load.Waiting >= w.scenario.Engine.Queue {
-		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, Load: &load, Err: errors.New(string(v.entry.ID))}
+		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, Load: &load, RateLimit: w.nameLimit(v, b.node), Err: errors.New(string(v.entry.ID))}
 	}
 	tokens := max(b.answerTokens(a.Call.ID)-resumeOffset(a.ResumeAfter)*w.scenario.Engine.StepsPerPass, 1)
 	job := &enginemodel.Job{PromptTokens: max(a.Call.PromptTokens, 1), OutputTokens: tokens, Priority: a.Call.Priority}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -45,6 +45,8 @@
 		}
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{Down: true})
+	case LimitServers:
+		w.limitHeads(f)
 	case CrashRequests:
 		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
 	}
@@ -64,6 +66,8 @@
 		w.forEach(w.all(), func(v *vm) { v.slow = 0 })
 	case PartitionZone:
 		w.setPartitioned(f.Zone, false)
+	case LimitServers:
+		w.forEach(w.all(), func(v *vm) { v.rateLimit = 0 })
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{})
 	}
--- /dev/null
+++ b/internal/player/limit.go
@@ -0,0 +1,99 @@
+package player
+
+import (
+	"math"
+	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+)
+
+// Bounds on the requests to a server that names a rate limit: from limitNotice after it first
+// named it, it may get in each limitWindow limitTolerance times what the limit allows and
+// limitSlack more, from the nodes that got such an answer limitReaction before or earlier.
+const (
+	limitNotice    = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+	limitReaction  = 500 * time.Millisecond
+)
+
+// limitRecord records the requests to a VM that names a rate limit.
+type limitRecord struct {
+	limit   float64
+	namedAt time.Time
+	// toldAt is when each node first got an answer that names the limit.
+	toldAt   map[cluster.NodeID]time.Time
+	arrivals []time.Time
+}
+
+// limitHeads has the heads of some replicas name a rate limit.
+func (w *world) limitHeads(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range w.servingMembers(f.Zone, f.Model) {
+		if v.head != nil && len(w.limits) < f.Count {
+			v.rateLimit = f.Factor
+			w.limits[v.entry.ID] = &limitRecord{limit: f.Factor, toldAt: make(map[cluster.NodeID]time.Time)}
+		}
+	}
+}
+
+// nameLimit returns the limit that an answer to the node names. The caller holds w.mu.
+func (w *world) nameLimit(v *vm, to cluster.NodeID) float64 {
+	rec := w.limits[v.entry.ID]
+	if rec == nil || v.rateLimit <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if rec.namedAt.IsZero() {
+		rec.namedAt = now
+	}
+	if rec.toldAt[to].IsZero() {
+		rec.toldAt[to] = now
+	}
+	return v.rateLimit
+}
+
+// recordArrival records a request of a node that knows the limit. The caller holds w.mu.
+func (w *world) recordArrival(v *vm, from cluster.NodeID) {
+	rec := w.limits[v.entry.ID]
+	if rec == nil || v.rateLimit <= 0 {
+		return
+	}
+	now := time.Now()
+	if told := rec.toldAt[from]; !told.IsZero() && now.Sub(told) >= limitReaction {
+		rec.arrivals = append(rec.arrivals, now)
+	}
+}
+
+// limitExcess returns the number of VMs that named a limit, and by how many requests the most
+// loaded of them exceeded its bound.
+func (w *world) limitExcess() (servers, excess int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	excess = math.MinInt
+	for _, rec := range w.limits {
+		if rec.namedAt.IsZero() {
+			continue
+		}
+		servers++
+		allowed := int(limitTolerance*rec.limit*limitWindow.Seconds()) + limitSlack
+		excess = max(excess, rec.mostInWindow()-allowed)
+	}
+	return servers, excess
+}
+
+// mostInWindow returns the largest number of arrivals in a window after the notice.
+func (r *limitRecord) mostInWindow() (most int) {
+	first := 0
+	for i, at := range r.arrivals {
+		for at.Sub(r.arrivals[first]) >= limitWindow {
+			first++
+		}
+		if at.Sub(r.namedAt) >= limitNotice {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -24,6 +24,10 @@
 	// CrashDeliveries and Crashes are when requests that crash servers reached one, and when
 	// they crashed it.
 	CrashDeliveries, Crashes []time.Time
+	// LimitedServers counts the servers that named a rate limit. LimitExcess is by how many
+	// requests one of them got more in a window than its limit and its tolerance allow, at
+	// most; negative if all got fewer.
+	LimitedServers, LimitExcess int
 }
 
 // VMSample counts the VMs by state at one moment.
@@ -79,6 +83,7 @@
 	slices.SortFunc(r.Calls, func(a, b CallResult) int { return int(a.SentAt - b.SentAt) })
 	r.Violations = sys.world.violations
 	r.ModelLoads = sys.world.loads
+	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
 
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -118,7 +118,8 @@
 // PartitionZone separates a zone from all others and from the store for a time.
 // RestartNodes kills nodes at once and restarts them after a second. StoreDown makes the
 // store unavailable for a time. CrashRequests has a request to the model sent again and again
-// that crashes the head of each replica that runs it.
+// that crashes the head of each replica that runs it. LimitServers has heads of replicas name a
+// rate limit, Factor requests per second, in their answers for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -128,6 +129,7 @@
 	RestartNodes  FaultKind = "restart-nodes"
 	StoreDown     FaultKind = "store-down"
 	CrashRequests FaultKind = "crash-requests"
+	LimitServers  FaultKind = "limit"
 )
 
 // Fault is a fault injected at a time after the first call.
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -132,7 +132,7 @@
 	n.cancel = cancel
 	n.core = entry.NewCore(set, entry.Platform{
 		Store: &partitionedStore{Store: sys.world.store, partitioned: func() bool { return sys.world.isPartitioned(n.zone) }}, Orders: orders{sys.world, n.zone},
-		Backend:       func(*conns.Pool) relay.Backend { return &backend{sys.world, n.zone, sys.callers.answerTokens} },
+		Backend:       func(*conns.Pool) relay.Backend { return &backend{sys.world, n.id, n.zone, sys.callers.answerTokens} },
 		ServersPrefix: serversPrefix, DecodeServer: decodeServer,
 		ConfigKey: configKey, DecodeConfig: func(store.KV) (*rules.Set, error) { return sys.set, nil },
 	}, entry.CoreOptions{Policies: sys.opts.Policies, Rank: n.rank, Log: log, SinceBoot: sys.world.uptime, Broadcast: func(section membership.Section) { sys.broadcast(n, section) }})
--- a/internal/player/vm.go
+++ b/internal/player/vm.go
@@ -22,9 +22,11 @@
 	dead  bool
 	// crashed is set while the VM runs without its server process.
 	crashed bool
-	slow    float64
-	epoch   int64
-	members []cluster.VMID
+	// rateLimit is the limit that the VM names in its answers; 0 for none.
+	rateLimit float64
+	slow      float64
+	epoch     int64
+	members   []cluster.VMID
 	// model is the model of its replica. loaded is the model in its memory, which its
 	// entry names only while the VM belongs to a replica.
 	model, loaded string
