Cold servers take their rate from all nodes together

Since a cold server took no request at all: the shortest way to keep the bound at any number of nodes, and a third of a site was away for seconds after each evacuation.

Change: the shares that keep the rate that a server names keep the rate of a cold one too, with one node more for each four requests per second (one for each before), so that a second's bound (1.5 times the rate and 5) holds as well as that of four seconds.

--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -49,7 +49,7 @@
 	return n.evacuated
 }
 
-// limitCold sets until when each replica takes no requests because its server is cold. The
+// limitCold sets until when each replica is cold, and the rate that it takes until then. The
 // servers of a zone whose evacuation has ended may be cold before their entries say so. The
 // caller holds n.servingMu.
 func (n *Core) limitCold(entries []routing.Entry, list fleet.List, set *rules.Set) {
@@ -65,7 +65,7 @@
 		if service == nil || service.ColdRate <= 0 {
 			continue
 		}
-		e.ColdUntil = s.ColdUntil
+		e.ColdUntil, e.ColdRate = s.ColdUntil, service.ColdRate
 		if at, reopened := n.reopenedAt[s.Zone]; reopened {
 			e.ColdUntil = later(e.ColdUntil, at.Add(service.ColdTime))
 		}
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -20,14 +20,17 @@
 // Nodes implements routing.Shares.
 func (s nodeShares) Nodes() int { return s.n.livePeers() + 1 }
 
-// Share implements routing.Shares. One node, and one more for each request per second, send to
-// the replica. Each may send one request at once, so that all send one more than the rate allows,
-// and a further one for each request per second, at most.
+// requestsPerSender is the rate, in requests per second, for which a further node sends to a
+// limited replica. Each sender may send one request at once, so that few of them keep the excess
+// over the rate small.
+const requestsPerSender = 4
+
+// Share implements routing.Shares.
 func (s nodeShares) Share(id cluster.ReplicaID, perSecond float64) float64 {
 	if s.n.responsible == nil {
 		return perSecond / float64(max(s.n.cfg.Retries.Nodes, 1))
 	}
-	senders := min(s.Nodes(), 1+int(perSecond))
+	senders := min(s.Nodes(), 1+int(perSecond/requestsPerSender))
 	if !s.n.responsible("limit/"+string(id), senders) {
 		return 0
 	}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -47,6 +47,8 @@
 		w.store.SetFaults(memstore.Faults{Down: true})
 	case LimitServers:
 		w.limitHeads(f)
+	case ColdServers:
+		w.coolHeads(f)
 	case CrashRequests:
 		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
 	}
--- a/internal/player/limit.go
+++ b/internal/player/limit.go
@@ -55,13 +55,17 @@
 	return v.rateLimit
 }
 
-// recordArrival records a request of a node that knows the limit. The caller holds w.mu.
+// recordArrival records a request of a node that knows the VM's limit, or of any node to a cold
+// VM. The caller holds w.mu.
 func (w *world) recordArrival(v *vm, from cluster.NodeID) {
+	now := time.Now()
+	if now.Before(v.entry.ColdUntil) {
+		w.coldArrivals[v.entry.ID] = append(w.coldArrivals[v.entry.ID], now)
+	}
 	rec := w.limits[v.entry.ID]
 	if rec == nil || v.rateLimit <= 0 {
 		return
 	}
-	now := time.Now()
 	if told := rec.toldAt[from]; !told.IsZero() && now.Sub(told) >= limitReaction {
 		rec.arrivals = append(rec.arrivals, now)
 	}
@@ -85,15 +89,48 @@
 }
 
 // mostInWindow returns the largest number of arrivals in a window after the notice.
-func (r *limitRecord) mostInWindow() (most int) {
+func (r *limitRecord) mostInWindow() int {
+	return mostWithin(limitWindow, r.arrivals, r.namedAt.Add(limitNotice))
+}
+
+// mostWithin returns the largest number of the times in a window that ends at from or later.
+func mostWithin(window time.Duration, times []time.Time, from time.Time) (most int) {
 	first := 0
-	for i, at := range r.arrivals {
-		for at.Sub(r.arrivals[first]) >= limitWindow {
+	for i, at := range times {
+		for at.Sub(times[first]) >= window {
 			first++
 		}
-		if at.Sub(r.namedAt) >= limitNotice {
+		if !at.Before(from) {
 			most = max(most, i-first+1)
 		}
 	}
 	return most
 }
+
+// coolHeads has the heads of some replicas be cold.
+func (w *world) coolHeads(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cooled := 0
+	for _, v := range w.servingMembers(f.Zone, f.Model) {
+		if v.head != nil && cooled < f.Count {
+			cooled++
+			v.entry.ColdUntil = time.Now().Add(f.Duration)
+			v.publish()
+		}
+	}
+}
+
+// coldNotice is how long after a VM's first request while cold the nodes may not know it yet.
+const coldNotice = time.Second
+
+// mostOnColdVM returns the number of VMs that got requests while they were cold, and the largest
+// number that one of them got within a second.
+func (w *world) mostOnColdVM() (servers, most int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, arrivals := range w.coldArrivals {
+		most = max(most, mostWithin(time.Second, arrivals, arrivals[0].Add(coldNotice)))
+	}
+	return len(w.coldArrivals), most
+}
--- a/internal/player/limit_test.go
+++ b/internal/player/limit_test.go
@@ -27,3 +27,24 @@
 		})
 	}
 }
+
+// Guards against nodes that together crash a cold server, also beside a zone that is cut off and a
+// restart of all nodes, and against cold servers that take nothing.
+func TestColdServersTakeTheirRateFromAllNodes(t *testing.T) {
+	const rate = 4
+	for name, faults := range map[string][]player.Fault{
+		"alone":    nil,
+		"zone cut": {{Kind: player.PartitionZone, Zone: "b", At: 5 * time.Second, Duration: 4 * time.Second}},
+		"restart":  {{Kind: player.RestartNodes, At: 5 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := load(t, "few-large-many-small")
+			s.Bursts, s.Length, s.Engine.ColdRate = nil, 14*time.Second, rate
+			s.Faults = append(faults, player.Fault{Kind: player.ColdServers, Model: "small", At: 3 * time.Second, Duration: 8 * time.Second, Count: 12})
+			res := simulate(t, s, player.Options{Seed: 1})
+			require.Equal(t, 12, res.ColdServers)
+			require.LessOrEqual(t, res.MostOnColdServer, int(1.5*rate)+5)
+		})
+	}
+}
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -28,6 +28,9 @@
 	// requests one of them got more in a window than its limit and its tolerance allow, at
 	// most; negative if all got fewer.
 	LimitedServers, LimitExcess int
+	// ColdServers counts the VMs that got requests while they were cold, MostOnColdServer is
+	// the largest number that one of them got within a second.
+	ColdServers, MostOnColdServer int
 }
 
 // VMSample counts the VMs by state at one moment.
@@ -83,6 +86,7 @@
 	slices.SortFunc(r.Calls, func(a, b CallResult) int { return int(a.SentAt - b.SentAt) })
 	r.Violations = sys.world.violations
 	r.ModelLoads = sys.world.loads
+	r.ColdServers, r.MostOnColdServer = sys.world.mostOnColdVM()
 	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -64,6 +64,8 @@
 	Heartbeat      time.Duration `yaml:"heartbeat"`
 	LoadsAtOnce    int           `yaml:"loads_at_once"`
 	LoadsPerSecond float64       `yaml:"loads_per_second"`
+	// ColdRate is the number of requests per second that a cold VM takes from all nodes.
+	ColdRate float64 `yaml:"cold_rate"`
 }
 
 // Model is one of the models that the VMs can serve.
@@ -119,7 +121,8 @@
 // RestartNodes kills nodes at once and restarts them after a second. StoreDown makes the
 // store unavailable for a time. CrashRequests has a request to the model sent again and again
 // that crashes the head of each replica that runs it. LimitServers has heads of replicas name a
-// rate limit, Factor requests per second, in their answers for a time.
+// rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
+// replicas be cold for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -130,6 +133,7 @@
 	StoreDown     FaultKind = "store-down"
 	CrashRequests FaultKind = "crash-requests"
 	LimitServers  FaultKind = "limit"
+	ColdServers   FaultKind = "cold"
 )
 
 // Fault is a fault injected at a time after the first call.
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -93,6 +93,7 @@
 func (sys *Simulation) rules() *rules.Set {
 	s := sys.scenario
 	set := rules.Set{Revision: 1, Weights: rules.WeightStore{LoadsPerSecond: s.Engine.LoadsPerSecond, LoadsAtOnce: s.Engine.LoadsAtOnce}}
+	set.Services = []rules.ServiceDecl{{Name: engineService, ColdRate: s.Engine.ColdRate}}
 	for _, m := range s.Models {
 		set.Groups = append(set.Groups, rules.Group{Name: cluster.GroupName(m.Name), Model: m.Name, VMs: m.VMs, SameDomain: true, Weigh: rules.WeighDowntime,
 			Servers: engineService, Demand: m.Share, Slots: s.Engine.Slots, ColdLoad: m.ColdLoad, WarmLoad: m.WarmLoad, Engine: s.figures(m)})
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -78,7 +78,7 @@
 func (e *entry) begin(now time.Time, req Request, pick Pick, shares Shares) (Choice, uint32, bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if !e.eligible() || e.cold(now) || e.limited(now, shares) || (req.Alone && e.suspects > 0) {
+	if !e.eligible() || e.limited(now, shares) || (req.Alone && e.suspects > 0) {
 		return Choice{}, 0, false
 	}
 	e.history.record(now, e.outstanding)
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -18,6 +18,7 @@
 	// slots is the batch size as listed; 0 if only load reports give it.
 	slots     int
 	coldUntil time.Time
+	coldRate  float64
 	limit     rateLimit
 	removed   bool
 	// healthyGeneration is the generation confirmed by the health check; 0 for none.
@@ -57,14 +58,16 @@
 		e.healthyGeneration != 0 && e.healthyGeneration == e.replica.Generation
 }
 
-// limited reports whether this node has used its share of the limit that the replica named.
+// limited reports whether this node has used its share of what the replica takes: of the limit
+// that it named, or of the rate that it takes while its server is cold.
 func (e *entry) limited(now time.Time, shares Shares) bool {
-	return !e.limit.mayTake(e.replica.ID, now, shares)
+	limit, isLimited := e.limit.current(e.replica.ID, now, shares)
+	if now.Before(e.coldUntil) && (!isLimited || e.coldRate < limit) {
+		limit, isLimited = e.coldRate, true
+	}
+	return isLimited && !e.limit.hasToken(now, shares.Share(e.replica.ID, limit))
 }
 
-// cold reports whether the replica's server is still cold.
-func (e *entry) cold(now time.Time) bool { return now.Before(e.coldUntil) }
-
 // inFlight estimates the requests running and waiting on the replica. meanRemote is the
 // group's mean remote load per unit of capacity.
 //
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -195,7 +195,7 @@
 		InFlight: e.inFlight(v.now, o, capacity, v.snap.meanRemote), Capacity: capacity,
 		Load:    float64(e.outstanding) + e.remoteLoad(v.now, o),
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
-		Trial:   e.speed.onTrial, Suspects: e.suspects, Cold: e.cold(v.now), Limited: e.limited(v.now, v.table.opts.Shares), entry: e,
+		Trial:   e.speed.onTrial, Suspects: e.suspects, Limited: e.limited(v.now, v.table.opts.Shares), entry: e,
 	}
 }
 
--- a/internal/routing/limit.go
+++ b/internal/routing/limit.go
@@ -41,7 +41,8 @@
 }
 
 // rateLimit is the limit that a replica named, as this node knows it, and this node's token
-// bucket. The bucket holds at most one request and is empty when the limit begins.
+// bucket for that limit or for a cold replica. The bucket holds at most one request and is empty
+// when it is first used.
 type rateLimit struct {
 	// own was named in an answer to this node, peer is what another node reported.
 	own, peer namedLimit
@@ -51,41 +52,28 @@
 	refilledAt time.Time
 }
 
-// current returns the limit in force; 0 if there is none. responsible is set for a node whose
-// requests show the end of the limit.
-func (l *rateLimit) current(now time.Time, responsible bool, nodes int) float64 {
+// current returns the limit that the replica named, and false if none is in force.
+func (l *rateLimit) current(id cluster.ReplicaID, now time.Time, shares Shares) (perSecond float64, limited bool) {
 	if l.peer.perSecond > 0 && now.Sub(l.peer.at) < peerLimitTTL {
-		return l.peer.perSecond
+		return l.peer.perSecond, true
 	}
-	if l.own.perSecond <= 0 || responsible {
-		return l.own.perSecond
+	if l.own.perSecond <= 0 {
+		return 0, false
 	}
-	reportsEnded := l.peer.at.After(l.own.at)
-	if reportsEnded || now.Sub(l.own.at) >= max(minLimitTTL, time.Duration(nodes)*limitTTLPerNode) {
-		return 0
+	if shares.Share(id, l.own.perSecond) > 0 {
+		return l.own.perSecond, true // the answers to this node's requests show its end
 	}
-	return l.own.perSecond
+	reportsEnded := l.peer.at.After(l.own.at)
+	expired := now.Sub(l.own.at) >= max(minLimitTTL, time.Duration(shares.Nodes())*limitTTLPerNode)
+	return l.own.perSecond, !reportsEnded && !expired
 }
 
-// refill adds the tokens of the time since the last call.
-func (l *rateLimit) refill(now time.Time, share float64) {
+// hasToken reports whether this node may send a request now, at its share of a rate.
+func (l *rateLimit) hasToken(now time.Time, share float64) bool {
 	if !l.refilledAt.IsZero() {
 		l.tokens = min(1, l.tokens+share*now.Sub(l.refilledAt).Seconds())
 	}
 	l.refilledAt = now
-}
-
-// mayTake reports whether this node may send a request now.
-func (l *rateLimit) mayTake(id cluster.ReplicaID, now time.Time, shares Shares) bool {
-	if l.own.perSecond <= 0 && l.peer.perSecond <= 0 {
-		return true
-	}
-	named := max(l.own.perSecond, l.peer.perSecond)
-	limit := l.current(now, shares.Share(id, named) > 0, shares.Nodes())
-	if limit <= 0 {
-		return true
-	}
-	l.refill(now, shares.Share(id, limit))
 	return l.tokens >= 1
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -29,9 +29,8 @@
 	Trial bool
 	// Suspects is the number of this node's suspect requests running on the replica.
 	Suspects int
-	// Cold is true while the replica takes no requests because its server has just started.
-	Cold bool
-	// Limited is true while this node has used its share of the limit that the replica named.
+	// Limited is true while this node has used its share of a rate that the replica takes from
+	// all nodes together.
 	Limited bool
 
 	entry *entry
@@ -58,8 +57,8 @@
 type Pick struct {
 	Candidate Candidate
 	Found     bool
-	// Full is true if no replica was found and at least one was ruled out only by Limit, by the
-	// limit that it named, or because it is cold.
+	// Full is true if no replica was found and at least one was ruled out only by Limit or by a
+	// rate that it takes.
 	Full       bool
 	Reason     string
 	Considered int
@@ -95,7 +94,7 @@
 	start := rnd.IntN(n)
 	for i := range n {
 		c := v.At((start + i) % n)
-		if c.Healthy && !c.Cold && !c.Limited && !slices.Contains(req.Exclude, c.ID) {
+		if c.Healthy && !c.Limited && !slices.Contains(req.Exclude, c.ID) {
 			return Pick{Candidate: c, Found: true, Reason: ReasonRandom, Considered: 1}
 		}
 	}
@@ -209,7 +208,7 @@
 	if !c.Healthy || slices.Contains(sel.req.Exclude, c.ID) {
 		return
 	}
-	if c.Cold || c.Limited || sel.req.Limit.exceeded(c) {
+	if c.Limited || sel.req.Limit.exceeded(c) {
 		sel.full = true
 		return
 	}
@@ -267,7 +266,7 @@
 	out := Pick{Reason: ReasonAlone, Considered: v.Len()}
 	for i := range v.Len() {
 		c := v.At(i)
-		if !c.Healthy || c.Cold || c.Limited || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
+		if !c.Healthy || c.Limited || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
 			continue
 		}
 		if req.MayRetryOn != nil && !req.MayRetryOn(c.ID) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -86,9 +86,10 @@
 	Addr string
 	// Slots is the batch size of the replica as listed; 0 if it is not listed.
 	Slots int
-	// ColdUntil is until when the replica takes no requests because its server is cold; may
-	// be zero.
+	// ColdUntil is until when the replica's server is cold; may be zero. Until then it takes
+	// ColdRate requests per second from all nodes together.
 	ColdUntil time.Time
+	ColdRate  float64
 }
 
 // Table holds the replicas of all groups and their load. All methods are safe for
@@ -213,7 +214,7 @@
 		e.report = loadReport{}
 		e.limit = rateLimit{}
 	}
-	e.replica, e.addr, e.slots, e.coldUntil = in.Replica, in.Addr, in.Slots, in.ColdUntil
+	e.replica, e.addr, e.slots, e.coldUntil, e.coldRate = in.Replica, in.Addr, in.Slots, in.ColdUntil, in.ColdRate
 	return regroup
 }
 
