--- a/internal/routing/limit_test.go
+++ b/internal/routing/limit_test.go
@@ -89,3 +89,15 @@
 	require.Zero(t, countChosen(table, now, 2))
 	require.Empty(t, table.RateLimits(now), "it reports only what it was told itself")
 }
+
+// Guards against a replica with free places that refuses calls which arrive together, although its
+// limit is far above them.
+func TestHighLimitTakesCallsThatArriveTogether(t *testing.T) {
+	table, now := newLimitTable(DefaultPolicy(), SingleNode{}), time.Unix(1000, 0)
+	table.ReportRateLimit(limitedReplica, 100, now, now)
+	_, _ = table.ChooseAt(now, Request{Group: "m"}) // the bucket is empty at first
+	for range 10 {
+		_, err := table.ChooseAt(now.Add(time.Second), Request{Group: "m"})
+		require.NoError(t, err)
+	}
+}
