internal/player: several heads crash at once; what suspects pay then

A crash of several servers at once makes more suspects than there are replicas to retry them alone, so that calls could be lost that were moved at once before. The test allows one call in a hundred to fail.

--- a/internal/player/crash.go
+++ b/internal/player/crash.go
@@ -48,6 +48,21 @@
 	return &sys.scenario.Kinds[0]
 }
 
+// crashHeads crashes the heads of some replicas at once.
+func (w *world) crashHeads(f Fault) {
+	w.mu.Lock()
+	heads := make(map[*vm]*head)
+	for _, v := range w.servingMembers(f.Zone, f.Model) {
+		if v.head != nil && len(heads) < f.Count {
+			heads[v] = v.head
+		}
+	}
+	w.mu.Unlock()
+	for v, h := range heads {
+		w.crash(v, h)
+	}
+}
+
 // crash ends the server process of the VM that is the head of a replica, which ends all
 // connections. It starts again after crashDownTime.
 func (w *world) crash(v *vm, h *head) {
--- a/internal/player/crash_test.go
+++ b/internal/player/crash_test.go
@@ -31,3 +31,21 @@
 		}
 	}
 }
+
+// Guards against calls that are lost when several servers end at once, because there are more
+// suspects than replicas to retry them alone.
+func TestCrashOfSeveralHeadsFailsFewCalls(t *testing.T) {
+	s := load(t, "few-large-many-small")
+	s.Bursts, s.Length = nil, 10*time.Second
+	s.Faults = []player.Fault{{Kind: player.CrashHeads, Model: "small", At: 3 * time.Second, Count: 8}}
+	res := simulate(t, s, player.Options{Seed: 1})
+	require.Len(t, res.Crashes, 8)
+	failed := 0
+	for _, c := range res.Calls {
+		require.False(t, c.Quarantined, "%+v", c)
+		if c.Outcome == player.Failed {
+			failed++
+		}
+	}
+	require.LessOrEqual(t, failed, len(res.Calls)/100)
+}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -45,6 +45,8 @@
 		}
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{Down: true})
+	case CrashHeads:
+		w.crashHeads(f)
 	case LimitServers:
 		w.limitHeads(f)
 	case ColdServers:
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -120,7 +120,8 @@
 // PartitionZone separates a zone from all others and from the store for a time.
 // RestartNodes kills nodes at once and restarts them after a second. StoreDown makes the
 // store unavailable for a time. CrashRequests has a request to the model sent again and again
-// that crashes the head of each replica that runs it. LimitServers has heads of replicas name a
+// that crashes the head of each replica that runs it. CrashHeads crashes the heads of several
+// replicas at once. LimitServers has heads of replicas name a
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time.
 const (
@@ -132,6 +133,7 @@
 	RestartNodes  FaultKind = "restart-nodes"
 	StoreDown     FaultKind = "store-down"
 	CrashRequests FaultKind = "crash-requests"
+	CrashHeads    FaultKind = "crash-heads"
 	LimitServers  FaultKind = "limit"
 	ColdServers   FaultKind = "cold"
 )
