--- a/cmd/fenneld/main.go
+++ b/cmd/fenneld/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -119,6 +120,7 @@
 }
 
 func newNode(cfg *settings.Settings, log *slog.Logger) (node, error) {
+	runtime.GOMAXPROCS(max(minProcs, runtime.GOMAXPROCS(0)))
 	if cfg.Platform.Driver == settings.DriverManaged {
 		limitMemory(cfg.Process)
 		return entry.New(cfg, platform.New(cfg.Platform.Address), log)
@@ -126,6 +128,11 @@
 	return daemon.New(cfg, versionText(), log)
 }
 
+// minProcs is the smallest number of threads that may run Go code at once, also on a machine
+// with one core. gnet's event loop waits for datagrams in a system call, and with one thread
+// nothing else runs until the runtime notices or a datagram arrives.
+const minProcs = 2
+
 // heapMemoryFraction is the fraction of the process's memory that is set as the Go memory
 // limit, above which the garbage collector works harder. The rest is for stacks, kernel
 // buffers that are charged to the process, and garbage not yet collected.
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -27,9 +27,9 @@
 
 // Connection timeouts and pool size.
 const (
-	// dialTimeout is well above a round trip between zones (2 ms) and leaves time for
-	// one lost SYN packet, which is retransmitted after 1 s.
-	dialTimeout = 1500 * time.Millisecond
+	// dialTimeout is well above a round trip between zones (10 ms). A request of which nothing
+	// was sent goes to another server, which is sooner than a second SYN packet after 1 s.
+	dialTimeout = 400 * time.Millisecond
 	// defaultIdleTimeout applies to connections whose server sends no Keep-Alive timeout.
 	defaultIdleTimeout = 5 * time.Second
 	// idleTimeoutMargin is subtracted from the server's Keep-Alive timeout, so that no
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/feed"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/formation"
+	"github.com/fennelcourse/fennelcourse/internal/grouping"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
@@ -52,6 +54,9 @@
 
 // HandlerOptions are the parts of a node that the handler for callers uses.
 type HandlerOptions struct {
+	// AwaitState waits for a short time until a node that has just started knows the rules and
+	// the backend servers.
+	AwaitState func(ctx context.Context)
 	// Rules returns the rules in force, and whether they are known to be the newest.
 	Rules func() (set *rules.Set, fresh bool)
 	Serve func(ctx context.Context, c *call.Call, sink call.Sink)
@@ -65,21 +70,29 @@
 	platform Platform
 	log      *slog.Logger
 
-	mirror *fleet.Mirror
+	mirror     *fleet.Mirror
+	feedTiming feed.Timing
 	// servers is used only while the mirror notifies its views.
 	servers    *fleet.Tracker
 	feed       *feed.Follower
 	rules      atomic.Pointer[rules.Set]
 	serverList atomic.Pointer[fleet.List]
 	leaseHeld  atomic.Bool
+	// stateKnown is closed once the rules and the backend servers are known.
+	stateKnown     chan struct{}
+	markStateKnown func()
 	// handover ends when other nodes are to take over this node's tasks for the region.
 	handover    context.Context
 	endHandover context.CancelFunc
 	requestSeen atomic.Bool
 	// onRules is called with each set of rules that comes into force.
 	onRules func(*rules.Set)
-	// broadcast sends a section to all other nodes at once; may be nil.
+	// broadcast sends a section to all other nodes at once, send to one of them; both may be nil.
 	broadcast func(membership.Section)
+	send      func(addr string, section membership.Section)
+	// holderAddr is the address for datagrams of the node that holds the placement lease; empty
+	// while none is known.
+	holderAddr atomic.Pointer[string]
 
 	// servingMu serialises updates that follow from changes of the server list, the evacuated
 	// zones and the rules. It guards the fields down to reopenedAt.
@@ -122,6 +135,8 @@
 	OnDatagramKey func(fleet.Change)
 	// Broadcast sends a section to all other nodes at once; may be nil.
 	Broadcast func(membership.Section)
+	// Send sends a section to the node that receives datagrams at the address; may be nil.
+	Send func(addr string, section membership.Section)
 	// SinceBoot is the clock that measures the placement lease while the VM is suspended;
 	// nil means clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -138,9 +153,12 @@
 	if opts.Policies.Place == nil {
 		opts.Policies.Place = placement.Mix{}
 	}
-	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
+	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, send: opts.Send, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
 		reopenedAt: make(map[cluster.ZoneID]time.Time)}
+	n.feedTiming = feed.NewTiming(cmp.Or(cfg.Feeds.InForceWithin, settings.DefaultInForceWithin))
 	n.handover, n.endHandover = context.WithCancel(context.Background())
+	n.stateKnown = make(chan struct{})
+	n.markStateKnown = sync.OnceFunc(func() { close(n.stateKnown) })
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL})
 	n.relay = relay.New(relay.Options{
@@ -157,11 +175,7 @@
 	}
 	views = append(views,
 		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged},
-		fleet.View{Prefix: leaseKey, OnChange: func(c fleet.Change) {
-			if len(c.Written)+len(c.Removed) > 0 {
-				n.leaseHeld.Store(len(c.Written) > 0)
-			}
-		}},
+		fleet.View{Prefix: leaseKey, OnChange: n.leaseChanged},
 		fleet.View{Prefix: datagramKey, OnChange: func(c fleet.Change) {
 			if opts.OnDatagramKey != nil {
 				opts.OnDatagramKey(c)
@@ -169,17 +183,21 @@
 		}},
 	)
 	n.mirror = fleet.NewMirror(p.Store, n.newFollower(views), log, views...)
-	if n.feed == nil {
+	n.mirror.SetFallback(n.feedTiming.Fallback)
+	if n.isSeed() {
+		n.mirror.ReadStoreAtOnce()
+	}
+	if n.isSeed() {
 		n.outages.persist(p.Store, cfg.Node, log)
 	}
 	if p.PaceWatch != nil {
 		p.PaceWatch(n.watchPacing)
 	}
 	n.control = formation.NewController(formation.Options{
-		Scope: scope, Node: cfg.Node, Store: p.Store, List: n.currentList, Rules: n.rules.Load,
+		Scope: scope, Node: cfg.Node, Addr: cfg.Listen.Datagrams, Store: p.Store, List: n.currentList, Rules: n.rules.Load,
 		Refresh:             n.mirror.Refresh,
 		LeaseHeld:           func() bool { return n.leaseHeld.Load() || !n.mirror.Loaded() },
-		Standby:             n.feed != nil,
+		Standby:             !n.isSeed(),
 		UnmeteredLoads:      func() bool { return cfg.Process.FirstStart && !n.requestSeen.Load() },
 		OnMembersResponsive: n.onReplicaWorking,
 		Client:              p.Orders, SinceBoot: opts.SinceBoot, Work: n.totalWork, Policy: opts.Policies.Place, Log: log,
@@ -218,35 +236,62 @@
 	// idleWatchTimeout is the long-poll timeout of the store watch on a node without
 	// followers.
 	idleWatchTimeout = 2 * time.Second
-	// idleWatchPause is how long such a node waits after changes, to batch them, unless
-	// it forms replicas. When all feeds are lost, hundreds of nodes watch the store.
+	// idleWatchPause is how long such a node waits after changes, to batch them. When all
+	// feeds are lost, hundreds of nodes watch the store.
 	idleWatchPause = 400 * time.Millisecond
+	// feedWatchPause is the same on a node with followers. Each poll is a call that the store
+	// counts, and in a large system something changes all the time.
+	feedWatchPause = 150 * time.Millisecond
 )
 
 // watchPacing returns the long-poll timeout of the store watch and the pause after
-// changes. There is no pause while other nodes follow this one, or while it forms
-// replicas.
+// changes. There is no pause while this node forms replicas and waits for their VMs.
 func (n *Core) watchPacing() (wait, pause time.Duration) {
-	switch {
-	case n.mirror.RecentlyRequested():
-		return feed.WatchTimeout, 0
-	case n.control.HoldsLease() || n.feed == nil:
-		return idleWatchTimeout, 0
+	wait, pause = idleWatchTimeout, idleWatchPause
+	if n.feed == nil || n.mirror.RecentlyRequested() {
+		pause = feedWatchPause
 	}
-	return idleWatchTimeout, idleWatchPause
+	if n.mirror.RecentlyRequested() {
+		wait = n.feedTiming.WatchTimeout
+	}
+	if n.control.AwaitsChanges() {
+		pause = 0
+	}
+	return wait, pause
 }
 
-// newFollower returns the feed that this node follows in place of the store. It returns
-// nil on a node that feeds others and where the settings name no feeds.
+// isSeed reports whether the other nodes know this one as a feed that watches the store. Without
+// feeds each node is one.
+func (n *Core) isSeed() bool {
+	return len(n.cfg.Feeds.Seeds) == 0 || slices.Contains(n.cfg.Feeds.Seeds, n.cfg.Feeds.Listen)
+}
+
+// upstream returns the feeds to follow in place of the store: the seeds, and on a seed those
+// before it in the order of their addresses, so that one of them watches the store for all. It
+// returns none on the first seed.
+func (n *Core) upstream() []string {
+	seeds := slices.Sorted(slices.Values(n.cfg.Feeds.Seeds))
+	if at := slices.Index(seeds, n.cfg.Feeds.Listen); at >= 0 {
+		return seeds[:at]
+	}
+	return seeds
+}
+
+// newFollower returns the feed that this node follows in place of the store, or nil if it
+// follows none.
 func (n *Core) newFollower(views []fleet.View) fleet.Feed {
-	if len(n.cfg.Feeds.Seeds) == 0 || slices.Contains(n.cfg.Feeds.Seeds, n.cfg.Feeds.Listen) {
+	roots := n.upstream()
+	if len(roots) == 0 {
 		return nil
 	}
-	prefixes := make([]string, len(views))
-	for i, v := range views {
-		prefixes[i] = v.Prefix
+	opts := feed.Options{Self: n.cfg.Feeds.Listen, Zone: string(n.cfg.Zone), Roots: roots, Timing: n.feedTiming, Log: n.log}
+	if n.isSeed() {
+		opts.MaxAge = n.feedTiming.SeedMaxAge
+	}
+	for _, v := range views {
+		opts.Prefixes = append(opts.Prefixes, v.Prefix)
 	}
-	n.feed = feed.NewFollower(n.cfg.Feeds.Listen, n.cfg.Feeds.Seeds, prefixes, n.log)
+	n.feed = feed.NewFollower(opts)
 	return n.feed
 }
 
@@ -274,10 +319,44 @@
 	return g.Engine.RequestCost(c.PromptTokens, c.ExpectedOutputTokens())
 }
 
+// maxStateWait is how long a call waits for the state of a node that has just started. Feeds pass
+// it on within a fraction of that; a refused caller would spend its retry on a node that may have
+// started at the same time.
+const maxStateWait = 800 * time.Millisecond
+
+// awaitState waits until the rules and the backend servers are known, for at most maxStateWait.
+func (n *Core) awaitState(ctx context.Context) {
+	select {
+	case <-n.stateKnown:
+		return
+	default:
+	}
+	timeout := time.NewTimer(maxStateWait)
+	defer timeout.Stop()
+	select {
+	case <-n.stateKnown:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // maxConfigAge is how long the configuration counts as the newest after the store's last
 // answer. A watch answers at least every 2 s.
 const maxConfigAge = 3500 * time.Millisecond
 
+// leaseChanged adopts a change of the placement lease's key.
+func (n *Core) leaseChanged(c fleet.Change) {
+	if len(c.Written)+len(c.Removed) == 0 {
+		return
+	}
+	addr := ""
+	for _, kv := range c.Written {
+		addr = grouping.HolderAddr(kv.Value)
+	}
+	n.leaseHeld.Store(len(c.Written) > 0)
+	n.holderAddr.Store(&addr)
+}
+
 func (n *Core) currentRules() (*rules.Set, bool) {
 	return n.rules.Load(), time.Since(n.mirror.LastContact()) < maxConfigAge
 }
@@ -332,6 +411,9 @@
 	if !delta.Empty() {
 		n.updateChangedRoutes(delta)
 	}
+	if n.rules.Load() != nil {
+		n.markStateKnown()
+	}
 }
 
 // publishList publishes the list of servers and the evacuated zones as of the revision.
--- a/internal/entry/derive.go
+++ b/internal/entry/derive.go
@@ -30,6 +30,7 @@
 	}
 	n.table.SetReplicas("", entries)
 	n.adoptServing(entries, serving, replicas, list.Revision)
+	n.markStateKnown()
 }
 
 // updateChangedRoutes recomputes which of the changed replicas may take requests.
@@ -128,7 +129,7 @@
 // All nodes derive the same changes, so only the few that watch the store log each one;
 // the many that follow a feed collect them for one line a second.
 func (n *Core) logServingChange(id cluster.ReplicaID, serving, lostMember bool, revision int64) {
-	if n.feed == nil {
+	if n.isSeed() {
 		n.log.Info("replica", "replica", id, "serving", serving, "lost_member", lostMember, "list_revision", revision)
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	if cfg.Listen.Datagrams != "" {
 		opts.OnDatagramKey = func(c fleet.Change) { n.peers.keyChanged(c) }
 		opts.Broadcast = func(section membership.Section) { n.peers.broadcast(section) }
+		opts.Send = func(addr string, section membership.Section) { n.peers.sendTo(addr, section) }
 	}
 	n.Core = NewCore(cfg, p, opts)
 	n.peers = newRegionPeers(n.Core, cfg, log)
@@ -54,7 +55,7 @@
 }
 
 func (n *Node) listen() error {
-	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, Log: n.log})
+	handler := n.platform.NewHandler(HandlerOptions{AwaitState: n.awaitState, Rules: n.currentRules, Serve: n.serveCall, Log: n.log})
 	for _, l := range []struct {
 		name    string
 		dest    **httpserver.Server
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -94,6 +95,26 @@
 	require.Equal(t, "stopping", n.notReadyReason())
 }
 
+// Guards against refusing callers while a node that has just started reads its state, and against
+// holding them when it can't.
+func TestCallsWaitForTheFirstState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := NewCore(&settings.Settings{Node: "n", Zone: "z"}, testPlatform(t), CoreOptions{Log: slog.New(slog.DiscardHandler)})
+		waited := func() time.Duration {
+			began := time.Now()
+			core.awaitState(t.Context())
+			return time.Since(began)
+		}
+		require.Equal(t, maxStateWait, waited())
+		core.configChanged(config("1"))
+		require.Equal(t, maxStateWait, waited(), "the servers are not known")
+		const delay = 100 * time.Millisecond
+		time.AfterFunc(delay, func() { core.serversChanged(fleet.Change{Revision: 1}) })
+		require.Equal(t, delay, waited())
+		require.Zero(t, waited())
+	})
+}
+
 func TestPlannedStopAnswersCallsThatWouldOutlastTheProcess(t *testing.T) {
 	var n *Node
 	arrived := make(chan struct{})
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -44,6 +44,8 @@
 	// members is nil while no membership service runs.
 	members    *membership.Service
 	broadcasts *rate.Limiter
+	// reports limits the datagrams to the holder of the placement lease.
+	reports *rate.Limiter
 }
 
 // datagramKeySize is the length of the datagram key in bytes.
@@ -57,17 +59,21 @@
 )
 
 // broadcastsPerSecond and broadcastBurst limit broadcasts, each of which costs one
-// datagram per node.
+// datagram per node. With more than maxReportPeers other nodes, reports of stalled replicas go
+// to the holder of the placement lease alone: if each of N nodes sent them to all others, each
+// would receive N of them.
 const (
 	broadcastsPerSecond = 4
 	broadcastBurst      = 8
+	maxReportPeers      = 150
 )
 
 // datagramKeyTimeout bounds the write of a new key.
 const datagramKeyTimeout = 2 * time.Second
 
 func newRegionPeers(core *Core, cfg *settings.Settings, log *slog.Logger) *regionPeers {
-	r := &regionPeers{core: core, cfg: cfg, log: log, broadcasts: rate.NewLimiter(broadcastsPerSecond, broadcastBurst)}
+	r := &regionPeers{core: core, cfg: cfg, log: log, broadcasts: rate.NewLimiter(broadcastsPerSecond, broadcastBurst),
+		reports: rate.NewLimiter(broadcastsPerSecond, broadcastBurst)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -93,7 +99,7 @@
 		r.useKey(r.ctx, kv.Value)
 		return
 	}
-	if r.core.feed == nil && (len(c.Removed) > 0 || !r.hasKey()) {
+	if r.core.isSeed() && (len(c.Removed) > 0 || !r.hasKey()) {
 		go r.ensureKey(r.ctx)
 	}
 }
@@ -187,6 +193,9 @@
 	r.mu.Lock()
 	members := r.members
 	r.mu.Unlock()
+	if members != nil && len(section.StalledIDs) > 0 && members.Peers() > maxReportPeers {
+		return
+	}
 	if members == nil || !r.broadcasts.Allow() {
 		r.log.Debug("broadcast dropped", "stalled", len(section.StalledIDs), "working", len(section.WorkingIDs))
 		return
@@ -194,6 +203,19 @@
 	members.Broadcast(section)
 }
 
+// sendTo sends the section to one node, unless the rate limit is reached or no membership
+// service runs.
+func (r *regionPeers) sendTo(addr string, section membership.Section) {
+	r.mu.Lock()
+	members := r.members
+	r.mu.Unlock()
+	if members == nil || !r.reports.Allow() {
+		r.log.Debug("report dropped", "to", addr, "stalled", len(section.StalledIDs))
+		return
+	}
+	members.Send(addr, section)
+}
+
 // Close ends the exchange for good.
 func (r *regionPeers) Close() {
 	r.cancel()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -74,7 +74,7 @@
 // feedHandler serves this node's copy of the store to other nodes.
 func (n *Node) feedHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: n.mirror}, feed.HandlerOptions()...))
+	mux.Handle(wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: n.mirror, Timing: n.feedTiming}, feed.HandlerOptions()...))
 	return mux
 }
 
--- a/internal/entry/stalls.go
+++ b/internal/entry/stalls.go
@@ -11,13 +11,17 @@
 // onStall has the holder of the placement lease probe replicas that seem stalled, and
 // notifies the other nodes if other replicas make progress. With many nodes, each has few
 // requests on a replica: if each had to detect the stall itself, callers of each would wait
-// for it.
+// for it. A node with a single request can't tell a stalled replica from a slow one, but the
+// holder can.
 func (n *Core) onStall(ids []cluster.ReplicaID, othersWorking bool) {
 	var report membership.Section
 	for _, id := range ids {
 		n.control.ReportStalled(id)
 		report.StalledIDs = append(report.StalledIDs, replicaHash(id))
 	}
+	if addr := n.holderAddr.Load(); addr != nil && *addr != "" && n.send != nil && !n.control.HoldsLease() {
+		n.send(*addr, report)
+	}
 	if othersWorking && n.broadcast != nil {
 		n.broadcast(report)
 	}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -12,20 +12,22 @@
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
-	"github.com/fennelcourse/fennelcourse/internal/store"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
 const (
-	// dialTimeout allows for many round trips within a deployment.
-	dialTimeout = 500 * time.Millisecond
-	// A feed whose stream failed is not tried again for failedBackoff; one that served
-	// nothing, for unavailableBackoff, as it may still be starting.
+	// dialTimeout allows for many round trips within a region. When all nodes start, some of the
+	// feeds are not there yet and do not answer at all.
+	dialTimeout = 150 * time.Millisecond
+	// A feed whose stream failed is not tried again for failedBackoff. One that is stale or
+	// served nothing is tried again after unavailableBackoff: it may be starting, or watch the
+	// store itself by then.
 	failedBackoff      = 3 * time.Second
-	unavailableBackoff = 400 * time.Millisecond
+	unavailableBackoff = 200 * time.Millisecond
 )
 
 var (
@@ -36,9 +38,9 @@
 // maxTries is the number of feeds that one call of Follow tries, redirects included.
 const maxTries = 8
 
-// Handler handles a batch of a feed. age is how long ago the store confirmed it; first is set
-// for the batch that has all entries.
-type Handler func(batch store.WatchBatch, age time.Duration, first bool)
+// Handler handles a batch of a feed. age is how long ago the store confirmed it; full is set if
+// the batch holds all entries and not only changes.
+type Handler func(batch *Batch, age time.Duration, full bool)
 
 // Follower follows one feed at a time: one of several roots, or a node to which that redirects
 // it. While none serves, its user watches the store directly.
@@ -46,21 +48,42 @@
 	prefixes []string
 	log      *slog.Logger
 	client   *http.Client
-	// self is the ip:port of the follower's own feed; it may be empty.
-	self string
+	// self is the ip:port of the follower's own feed, which may be empty, and zone its
+	// availability zone.
+	self, zone string
 	// roots are the ip:ports of the feeds that watch the store, in order of preference.
-	roots []string
+	roots  []string
+	timing Timing
+	// maxAge is the age of a copy from which the follower looks for another feed.
+	maxAge time.Duration
+	// last is the feed that was followed last. It may be one that has reached the store while no
+	// root has.
+	last string
 
 	mu sync.Mutex
 	// retryAfter is when a feed that failed may be tried again.
 	retryAfter map[string]time.Time
 }
 
-// NewFollower returns a follower of the roots (ip:port), in a random order of preference. self
-// is the ip:port of this node's own feed, if it has one.
-func NewFollower(self string, roots, prefixes []string, log *slog.Logger) *Follower {
+// Options configure a Follower.
+type Options struct {
+	// Self is the ip:port of this node's own feed, if it has one, and Zone its availability zone.
+	Self, Zone string
+	// Roots are the ip:ports of the feeds that watch the store.
+	Roots []string
+	// Prefixes of the keys to follow.
+	Prefixes []string
+	Timing   Timing
+	// MaxAge is the age of a copy from which the follower looks for another feed.
+	MaxAge time.Duration
+	Log    *slog.Logger
+}
+
+// NewFollower returns a follower of the roots, in a random order of preference.
+func NewFollower(o Options) *Follower {
 	transport := &http.Transport{DialContext: sockets.Dialer(dialTimeout).DialContext}
-	f := &Follower{prefixes: prefixes, log: log, client: &http.Client{Transport: transport}, self: self, roots: slices.Clone(roots), retryAfter: make(map[string]time.Time)}
+	f := &Follower{prefixes: o.Prefixes, log: o.Log, client: &http.Client{Transport: transport}, self: o.Self, zone: o.Zone, roots: slices.Clone(o.Roots),
+		timing: o.Timing, maxAge: o.MaxAge, retryAfter: make(map[string]time.Time)}
 	rand.Shuffle(len(f.roots), func(i, j int) { f.roots[i], f.roots[j] = f.roots[j], f.roots[i] })
 	return f
 }
@@ -73,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, addr := range feeds {
-		if addr != f.self && now.After(f.retryAfter[addr]) {
+		if addr != "" && addr != f.self && now.After(f.retryAfter[addr]) {
 			return addr
 		}
 	}
@@ -88,18 +111,19 @@
 	f.retryAfter[addr] = now.Add(duration)
 }
 
-// Follow passes a feed's batches to handle until the feed fails or is silent for
-// silenceTimeout. Follow reports whether any batch came.
-func (f *Follower) Follow(ctx context.Context, handle Handler) (served bool) {
-	feeds := f.roots
+// Follow passes a feed's batches to handle until the feed fails, is silent or has a copy that is
+// too old. revision returns up to which the caller knows all changes, or 0. Follow reports
+// whether any batch came.
+func (f *Follower) Follow(ctx context.Context, revision func() int64, handle Handler) (served bool) {
+	feeds := append([]string{f.last}, f.roots...)
 	for range maxTries {
 		addr := f.pick(feeds, time.Now())
 		if addr == "" {
 			return false
 		}
-		redirect, err := f.follow(ctx, addr, func(batch store.WatchBatch, age time.Duration) {
-			handle(batch, age, !served)
-			served = true
+		redirect, err := f.follow(ctx, addr, revision(), func(batch *Batch, age time.Duration, full bool) {
+			handle(batch, age, full)
+			served, f.last = true, addr
 		})
 		switch {
 		case ctx.Err() != nil:
@@ -121,7 +145,7 @@
 func (f *Follower) lost(addr string, served bool, err error) {
 	streamsLostTotal.Inc()
 	backoff := unavailableBackoff
-	if served {
+	if served && connect.CodeOf(err) != connect.CodeUnavailable && !errors.Is(err, errStale) {
 		backoff = failedBackoff
 	}
 	f.backOff(addr, backoff)
@@ -130,28 +154,40 @@
 
 // follow passes the feed's batches to handle. It returns the feeds to which this one redirects,
 // or why the stream ended.
-func (f *Follower) follow(ctx context.Context, addr string, handle func(store.WatchBatch, time.Duration)) (redirect []string, err error) {
+func (f *Follower) follow(ctx context.Context, addr string, revision int64, handle Handler) (redirect []string, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(silenceTimeout, cancel)
+	watchdog := time.AfterFunc(f.timing.Silence, cancel)
 	defer watchdog.Stop()
 	client := wirepbconnect.NewFeedServiceClient(f.client, "http://"+addr)
-	stream, err := client.Follow(ctx, connect.NewRequest(&wirepb.FollowRequest{Prefixes: f.prefixes, Addr: f.self}))
+	stream, err := client.Follow(ctx, connect.NewRequest(&wirepb.FollowRequest{Prefixes: f.prefixes, Addr: f.self, Zone: f.zone, Revision: revision, AcceptsPacked: true}))
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = stream.Close() }()
-	for started := false; stream.Receive(); started = true {
+	for started := false; stream.Receive(); {
 		msg := stream.Msg()
 		if len(msg.GetRedirect()) > 0 {
 			return msg.GetRedirect(), nil
 		}
+		watchdog.Reset(f.timing.Silence)
+		if msg.GetWaiting() {
+			continue
+		}
+		batch, err := decode(msg)
+		if err != nil {
+			return nil, err
+		}
 		if !started {
 			streamsTotal.Inc()
-			f.log.Info("following", "feed", addr)
+			f.log.Info("following", "feed", addr, "from_revision", revision, "continues", msg.GetContinues())
+		}
+		age := time.Duration(msg.GetSourceAgeMs()) * time.Millisecond
+		if f.maxAge > 0 && age > f.maxAge {
+			return nil, errStale
 		}
-		watchdog.Reset(silenceTimeout)
-		handle(decode(msg), time.Duration(msg.GetSourceAgeMs())*time.Millisecond)
+		handle(batch, age, !started && !msg.GetContinues())
+		started = true
 	}
 	if err := stream.Err(); err != nil {
 		return nil, err
--- a/internal/feed/tree_test.go
+++ b/internal/feed/tree_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,9 +25,41 @@
 	mirror *fleet.Mirror
 	server *httptest.Server
 	addr   string
+	zone   string
 
 	mu   sync.Mutex
 	seen map[string]bool // values of the watched key
+	// feeds holds the feeds that the node has followed, in order.
+	feeds []string
+}
+
+// Enabled implements slog.Handler.
+func (n *treeNode) Enabled(context.Context, slog.Level) bool { return true }
+
+// WithAttrs implements slog.Handler.
+func (n *treeNode) WithAttrs([]slog.Attr) slog.Handler { return n }
+
+// WithGroup implements slog.Handler.
+func (n *treeNode) WithGroup(string) slog.Handler { return n }
+
+// Handle implements slog.Handler. It records which feed the node follows.
+func (n *treeNode) Handle(_ context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "feed" {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.feeds = append(n.feeds, a.Value.String())
+		}
+		return true
+	})
+	return nil
+}
+
+// followed returns the feeds that the node has followed.
+func (n *treeNode) followed() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.feeds)
 }
 
 func (n *treeNode) has(value string) bool {
@@ -35,19 +68,22 @@
 	return n.seen[value]
 }
 
-// newTree starts nodes that follow the first one, which watches the store.
-func newTree(t *testing.T, s store.Store, nodes int) []*treeNode {
+// newTree starts nodes in the zones by turns, which follow the first one, which watches the store.
+func newTree(t *testing.T, s store.Store, nodes int, zones ...string) []*treeNode {
 	t.Helper()
 	var tree []*treeNode
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range nodes {
 		n := &treeNode{seen: make(map[string]bool)}
+		if len(zones) > 0 {
+			n.zone = zones[i%len(zones)]
+		}
 		var source fleet.Feed
 		n.server = httptest.NewUnstartedServer(nil)
 		n.addr = n.server.Listener.Addr().String()
 		if i > 0 {
-			source = feed.NewFollower(n.addr, []string{tree[0].addr}, []string{"servers/"}, slog.New(slog.DiscardHandler))
+			source = feed.NewFollower(feed.Options{Self: n.addr, Zone: n.zone, Roots: []string{tree[0].addr}, Prefixes: []string{"servers/"}, Timing: timing, Log: slog.New(n)})
 		}
 		n.mirror = fleet.NewMirror(s, source, slog.New(slog.DiscardHandler), fleet.View{Prefix: "servers/", OnChange: func(c fleet.Change) {
 			n.mu.Lock()
@@ -56,7 +92,7 @@
 				n.seen[string(kv.Value)] = true
 			}
 		}})
-		_, n.server.Config.Handler = wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: n.mirror}, feed.HandlerOptions()...)
+		_, n.server.Config.Handler = wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: n.mirror, Timing: timing}, feed.HandlerOptions()...)
 		n.server.Start()
 		running.Go(func() { n.mirror.Run(ctx) })
 		tree = append(tree, n)
@@ -127,17 +163,44 @@
 	}
 }
 
+// Guards against nodes that lose their feeds because another availability zone is cut off.
+func TestZoneThatIsLostTakesNoFeedFromOthers(t *testing.T) {
+	s := memstore.New(memstore.Options{})
+	put(t, s, "first")
+	tree := newTree(t, s, 60, "a", "b", "c", "lost")
+	requireAllSee(t, tree, "first")
+	followed := make(map[*treeNode][]string)
+	var others []*treeNode
+	for _, n := range tree {
+		if n.zone == "lost" {
+			n.server.Listener.Close()
+			n.server.CloseClientConnections()
+			continue
+		}
+		others = append(others, n)
+		followed[n] = n.followed()
+	}
+	for i := range 5 {
+		value := fmt.Sprintf("later-%d", i)
+		put(t, s, value)
+		requireAllSee(t, others, value)
+	}
+	for _, n := range others {
+		require.Equal(t, followed[n], n.followed(), "a node of zone %s", n.zone)
+	}
+}
+
 // Guards against copies of a copy that stay in use after the store was lost: the age is passed
 // on, so that all nodes give up their feeds at about the same time.
 func TestAgeOfTheCopyIsPassedOn(t *testing.T) {
-	source := &fakeSource{heardAt: time.Now().Add(-700 * time.Millisecond), changes: make(chan store.WatchBatch)}
-	_, handler := wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: source}, feed.HandlerOptions()...)
+	source := &fakeSource{heardAt: time.Now().Add(-700 * time.Millisecond), changes: make(chan *feed.Batch)}
+	_, handler := wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: source, Timing: timing}, feed.HandlerOptions()...)
 	server := httptest.NewServer(handler)
 	defer server.Close()
-	f := feed.NewFollower("", []string{strings.TrimPrefix(server.URL, "http://")}, []string{"servers/"}, slog.New(slog.DiscardHandler))
+	f := feed.NewFollower(feed.Options{Roots: []string{strings.TrimPrefix(server.URL, "http://")}, Prefixes: []string{"servers/"}, Timing: timing, Log: slog.New(slog.DiscardHandler)})
 	defer f.Close()
 	var ages []time.Duration
-	require.True(t, f.Follow(t.Context(), func(_ store.WatchBatch, age time.Duration, _ bool) { ages = append(ages, age) }))
+	require.True(t, f.Follow(t.Context(), from(0), func(_ *feed.Batch, age time.Duration, _ bool) { ages = append(ages, age) }))
 	require.GreaterOrEqual(t, ages[0], 700*time.Millisecond)
 	require.Less(t, ages[len(ages)-1], time.Second)
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,16 +14,39 @@
 
 // Feed streams another node's copy of the store; *feed.Follower implements it.
 type Feed interface {
-	// Follow passes batches to apply until the feed fails, with the time since the store
-	// confirmed each. The first batch holds all entries. Follow reports whether any batch was
-	// received.
-	Follow(ctx context.Context, apply feed.Handler) (served bool)
+	// Follow passes batches to apply until the feed fails. revision returns up to which all
+	// changes are known, or 0. Follow reports whether any batch was received.
+	Follow(ctx context.Context, revision func() int64, apply feed.Handler) (served bool)
 }
 
 // feedStartTimeout is how long a starting node waits for its feed before it reads the store
 // itself. When all nodes start together, each of them would otherwise read the whole store.
 const feedStartTimeout = 1500 * time.Millisecond
 
+// feedRetryPause is the pause between two attempts to find a feed.
+const feedRetryPause = 50 * time.Millisecond
+
+// feedPatience is until when a node tries to find a feed before it reads the store itself.
+type feedPatience struct{ until time.Time }
+
+// newPatience returns how long a node that has lost its feed tries to find another one. A node
+// that feeds others does not wait. The others, which are most of them, find that it has reached
+// the store, and those that do not are spread over time.
+func (m *Mirror) newPatience() feedPatience {
+	if m.fallback <= 0 || m.Followers() > 0 {
+		return feedPatience{}
+	}
+	return feedPatience{until: time.Now().Add(m.fallback/2 + rand.N(m.fallback/2))}
+}
+
+// ReadStoreAtOnce makes the node watch the store as soon as its feed does not serve, because other
+// nodes depend on it. It must be called before Run.
+func (m *Mirror) ReadStoreAtOnce() { m.eager = true }
+
+// SetFallback sets how long a node without followers tries to find a feed. It must be called
+// before Run.
+func (m *Mirror) SetFallback(d time.Duration) { m.fallback = d }
+
 // errRetryFeed ends a node's own watch so that it tries its feed again.
 var errRetryFeed = errors.New("switching back to the feed")
 
@@ -38,10 +61,10 @@
 	return time.After(feedRetryInterval)
 }
 
-// applyFeed applies a batch of the feed; the first one holds all entries.
-func (m *Mirror) applyFeed(batch store.WatchBatch, age time.Duration, first bool) {
+// applyFeed applies a batch of the feed.
+func (m *Mirror) applyFeed(batch *feed.Batch, age time.Duration, full bool) {
 	confirmedAt := time.Now().Add(-age)
-	if !first {
+	if !full {
 		m.apply(batch, confirmedAt)
 		if wait, pending := m.graceRemaining(); pending && wait <= 0 {
 			m.dropExpired()
@@ -53,59 +76,106 @@
 		fresh[ev.KV.Key] = ev.KV
 	}
 	m.replace(fresh, batch.Revision, confirmedAt)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.revision == batch.Revision {
+		m.snapshot, m.snapshotAt = batch, time.Now()
+	}
 }
 
-// followerQueueSize is the number of batches queued for a follower before it is dropped.
-const followerQueueSize = 256
+const (
+	// followerQueueSize is the number of batches queued for a follower before it is dropped.
+	followerQueueSize = 256
+	// requestWindow is how long the copy is kept fresh after another node's last request for it.
+	requestWindow = 5 * time.Second
+	// maxRemovals is the number of removed keys that are remembered for followers that come back.
+	maxRemovals = 4096
+	// snapshotLifetime is how long new followers receive the same encoded entries. What has
+	// changed since follows them.
+	snapshotLifetime = 2 * time.Second
+	// confirmInterval is the minimum time between two batches without events.
+	confirmInterval = 100 * time.Millisecond
+)
 
-// requestWindow is how long the copy is kept fresh after another node's last request for it.
-const requestWindow = 5 * time.Second
+// removal is a key that was removed at a revision.
+type removal struct {
+	key      string
+	revision int64
+}
 
 // MarkRequested records that another node follows this copy or asks to follow it.
 func (m *Mirror) MarkRequested() { m.requestedAt.Store(time.Now().UnixNano()) }
 
-// RecentlyRequested reports whether another node asked for this copy within requestWindow.
+// RecentlyRequested reports whether other nodes follow this copy or asked for it within
+// requestWindow.
 func (m *Mirror) RecentlyRequested() bool {
-	return time.Since(time.Unix(0, m.requestedAt.Load())) < requestWindow
+	return m.Followers() > 0 || time.Since(time.Unix(0, m.requestedAt.Load())) < requestWindow
+}
+
+// recordRemoval remembers a removed key; the caller holds m.mu.
+func (m *Mirror) recordRemoval(key string, revision int64) {
+	m.removals = append(m.removals, removal{key, revision})
+	if excess := len(m.removals) - maxRemovals; excess > 0 {
+		m.historyFrom = max(m.historyFrom, m.removals[excess-1].revision)
+		m.removals = slices.Delete(m.removals, 0, excess)
+	}
 }
 
-// Follow returns all entries below the prefixes that the store has confirmed, and a channel
-// that receives each later change until ctx ends. The channel is closed if the reader falls
-// behind.
-func (m *Mirror) Follow(ctx context.Context, prefixes []string) (store.WatchBatch, <-chan store.WatchBatch) {
-	changes := make(chan store.WatchBatch, followerQueueSize)
+// Follow implements feed.Source.
+func (m *Mirror) Follow(ctx context.Context, since int64) (*feed.Batch, <-chan *feed.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	first := store.WatchBatch{Revision: m.revision}
+	if since < m.historyFrom || !m.loaded {
+		return nil, nil
+	}
+	missed := store.WatchBatch{Revision: max(m.revision, since)}
+	for _, r := range m.removals {
+		if r.revision > since {
+			missed.Events = append(missed.Events, store.Event{Type: store.EventDelete, KV: store.KV{Key: r.key, ModRevision: r.revision}})
+		}
+	}
 	for key, kv := range m.entries {
-		if _, expired := m.expired[key]; !expired && hasAnyPrefix(key, prefixes) {
-			first.Events = append(first.Events, store.Event{KV: kv})
+		if _, expired := m.expired[key]; kv.ModRevision > since && !expired {
+			missed.Events = append(missed.Events, store.Event{KV: kv})
 		}
 	}
-	m.followers[changes] = prefixes
+	changes := make(chan *feed.Batch, followerQueueSize)
+	m.followers[changes] = struct{}{}
 	context.AfterFunc(ctx, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.followers, changes)
 	})
-	return first, changes
+	return feed.NewBatch(missed), changes
 }
 
-// notifyFollowers sends changes to the followers; the caller holds m.mu. A follower whose queue
-// is full is dropped: it then watches the store itself or follows again from a new snapshot.
-func (m *Mirror) notifyFollowers(batch store.WatchBatch) {
-	if len(batch.Events) == 0 && batch.Revision <= m.revision {
-		return // the feed's own heartbeats confirm the copy
+// Snapshot implements feed.Source. It holds the entries that the store has confirmed.
+func (m *Mirror) Snapshot() *feed.Batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.snapshot != nil && m.snapshot.Revision >= m.historyFrom && time.Since(m.snapshotAt) < snapshotLifetime {
+		return m.snapshot
 	}
-	for changes, prefixes := range m.followers {
-		part := store.WatchBatch{Revision: batch.Revision}
-		for _, ev := range batch.Events {
-			if hasAnyPrefix(ev.KV.Key, prefixes) {
-				part.Events = append(part.Events, ev)
-			}
+	all := store.WatchBatch{Revision: m.revision}
+	for key, kv := range m.entries {
+		if _, expired := m.expired[key]; !expired {
+			all.Events = append(all.Events, store.Event{KV: kv})
 		}
+	}
+	m.snapshot, m.snapshotAt = feed.NewBatch(all), time.Now()
+	return m.snapshot
+}
+
+// notifyFollowers passes changes, and confirmations without any, on to the followers; the caller
+// holds m.mu. A follower whose queue is full is dropped and follows again.
+func (m *Mirror) notifyFollowers(batch *feed.Batch) {
+	if len(batch.Events) == 0 && batch.Revision <= m.revision && time.Since(m.forwardedAt) < confirmInterval {
+		return
+	}
+	m.forwardedAt = time.Now()
+	for changes := range m.followers {
 		select {
-		case changes <- part:
+		case changes <- batch:
 		default:
 			delete(m.followers, changes)
 			close(changes)
@@ -113,25 +183,18 @@
 	}
 }
 
-func hasAnyPrefix(key string, prefixes []string) bool {
-	return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
-}
-
-// notifyDifference sends the followers the changes between the current entries and a new read;
-// the caller holds m.mu.
+// notifyDifference passes the difference between the current entries and a new read on to the
+// followers; the caller holds m.mu.
 func (m *Mirror) notifyDifference(fresh map[string]store.KV, revision int64) {
 	batch := store.WatchBatch{Revision: revision}
-	for key, kv := range fresh {
-		if kv.ModRevision != m.entries[key].ModRevision {
-			batch.Events = append(batch.Events, store.Event{KV: kv})
-		}
-	}
-	for key := range m.entries {
-		if _, ok := fresh[key]; !ok {
-			batch.Events = append(batch.Events, store.Event{Type: store.EventDelete, KV: store.KV{Key: key, ModRevision: revision}})
+	for _, key := range changedKeys(m.entries, fresh) {
+		ev := store.Event{KV: fresh[key]}
+		if _, found := fresh[key]; !found {
+			ev = store.Event{Type: store.EventDelete, KV: store.KV{Key: key, ModRevision: revision}}
 		}
+		batch.Events = append(batch.Events, ev)
 	}
-	m.notifyFollowers(batch)
+	m.notifyFollowers(feed.NewBatch(batch))
 }
 
 // Followers returns the number of nodes that follow this copy.
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/feed"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
 
@@ -77,9 +78,13 @@
 	// requestedAt is when another node last asked for this copy, in Unix nanoseconds.
 	requestedAt atomic.Int64
 	log         *slog.Logger
-	// disconnected is true while the store does not answer this node; only Run's goroutine uses
-	// it.
-	disconnected bool
+	// eager is set on a node that other nodes depend on: it watches the store as soon as its feed
+	// does not serve. Other nodes without followers try to find a feed for up to fallback.
+	eager    bool
+	fallback time.Duration
+	// disconnected is true while the store does not answer this node, and mustReload while the
+	// copy can't be continued by a watch. Only Run's goroutine uses them.
+	disconnected, mustReload bool
 
 	notifyMu sync.Mutex
 	mu       sync.Mutex
@@ -97,15 +102,22 @@
 	viewRevision    int64
 	notifyScheduled bool
 	notifiedAt      time.Time
-	// followers maps the channels of the nodes that follow this copy to the prefixes they
-	// follow.
-	followers map[chan store.WatchBatch][]string
+	// followers holds the channels of the nodes that follow this copy; forwardedAt is when a batch
+	// was last passed on to them.
+	followers   map[chan *feed.Batch]struct{}
+	forwardedAt time.Time
+	// removals holds keys removed after historyFrom, from which revision on all changes are known.
+	removals    []removal
+	historyFrom int64
+	// snapshot holds all entries as of snapshotAt; nil if there is none.
+	snapshot   *feed.Batch
+	snapshotAt time.Time
 }
 
-// NewMirror returns a Mirror with the given views. Run fills it from the feed while that is
-// available, and from the source otherwise. The feed may be nil.
-func NewMirror(source Source, feed Feed, log *slog.Logger, views ...View) *Mirror {
-	return &Mirror{views: views, source: source, feed: feed, log: log, followers: make(map[chan store.WatchBatch][]string), entries: make(map[string]store.KV), expired: make(map[string]struct{}), pending: make(map[string]struct{})}
+// NewMirror returns a Mirror with the given views. Run fills it from the upstream feed while that
+// is available, and from the source otherwise. The feed may be nil.
+func NewMirror(source Source, upstream Feed, log *slog.Logger, views ...View) *Mirror {
+	return &Mirror{views: views, source: source, feed: upstream, log: log, followers: make(map[chan *feed.Batch]struct{}), entries: make(map[string]store.KV), expired: make(map[string]struct{}), pending: make(map[string]struct{})}
 }
 
 // commonPrefix returns the longest prefix that all views share.
@@ -129,17 +141,18 @@
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	retry := clock.Backoff{Min: retryInterval, Max: retryInterval}
-	if m.feed != nil {
+	if m.feed != nil && !m.eager {
 		retry.Max = maxFeedRetryInterval
 	}
-	started := time.Now()
+	patience := feedPatience{until: time.Now().Add(feedStartTimeout)}
 	var nextRead time.Time // earliest time of the next read of the store
 	for ctx.Err() == nil {
-		if m.feed != nil && m.feed.Follow(ctx, m.applyFeed) {
+		if m.feed != nil && m.feed.Follow(ctx, m.completeUpTo, m.applyFeed) {
+			patience = m.newPatience()
 			continue
 		}
-		if m.feed != nil && time.Since(started) < feedStartTimeout {
-			clock.Pause(ctx, retryInterval)
+		if m.feed != nil && !m.eager && time.Now().Before(patience.until) {
+			clock.Pause(ctx, feedRetryPause)
 			continue
 		}
 		if wait := time.Until(nextRead); wait > 0 {
@@ -155,6 +168,7 @@
 		}
 		if e, ok := errors.Into[*store.Error](err); ok && e.Kind == store.Compacted {
 			m.log.Info("store history compacted; reloading", "revision", m.currentRevision())
+			m.mustReload = true
 			continue
 		}
 		if !m.disconnected {
@@ -165,14 +179,14 @@
 	}
 }
 
-// followStore reads all entries and applies changes until the watch fails.
+// followStore applies changes until the watch fails. It reads all entries first unless the watch
+// can continue from those that it has: hundreds of nodes may lose their feeds at once.
 func (m *Mirror) followStore(ctx context.Context, retry *clock.Backoff) error {
-	if err := m.reload(ctx); err != nil {
-		return err
-	}
-	if m.disconnected {
-		m.disconnected = false
-		m.log.Info("dependency regained", "dependency", "store")
+	if m.mustReload || !m.Loaded() {
+		if err := m.reload(ctx); err != nil {
+			return err
+		}
+		m.mustReload = false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -199,7 +213,11 @@
 				return batch.Err
 			}
 			retry.Reset()
-			m.apply(batch, time.Now())
+			if m.disconnected {
+				m.disconnected = false
+				m.log.Info("dependency regained", "dependency", "store")
+			}
+			m.apply(m.restrict(batch), time.Now())
 			if wait, pending := m.graceRemaining(); pending {
 				grace.Reset(wait)
 			}
@@ -288,6 +306,7 @@
 		}
 	}
 	m.entries, m.revision, m.loaded = fresh, revision, true
+	m.removals, m.historyFrom = nil, revision
 	m.mu.Unlock()
 	m.notifyViews(changedKeys(before, fresh), revision, true)
 }
@@ -321,8 +340,14 @@
 // batch at least that often.
 const watchIdleInterval = 2 * time.Second
 
+// restrict returns the batch without the events outside all views.
+func (m *Mirror) restrict(batch store.WatchBatch) *feed.Batch {
+	batch.Events = slices.DeleteFunc(batch.Events, func(ev store.Event) bool { return !m.covers(ev.KV.Key) })
+	return feed.NewBatch(batch)
+}
+
 // apply applies changes that the store confirmed at confirmedAt.
-func (m *Mirror) apply(batch store.WatchBatch, confirmedAt time.Time) {
+func (m *Mirror) apply(batch *feed.Batch, confirmedAt time.Time) {
 	m.mu.Lock()
 	now := time.Now()
 	m.recordContact(confirmedAt)
@@ -341,6 +366,7 @@
 			delete(m.expired, ev.KV.Key)
 			continue
 		}
+		m.recordRemoval(ev.KV.Key, ev.KV.ModRevision)
 		if _, ok := m.entries[ev.KV.Key]; ok && now.Sub(m.recoveredAt) < expiryGracePeriod {
 			m.expired[ev.KV.Key] = struct{}{}
 			continue
@@ -452,6 +478,16 @@
 	return m.viewRevision
 }
 
+// completeUpTo returns the revision up to which the copy has all changes; 0 if it has no entries.
+func (m *Mirror) completeUpTo() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.loaded {
+		return 0
+	}
+	return m.revision
+}
+
 // currentRevision returns the store revision up to which the copy is complete.
 func (m *Mirror) currentRevision() int64 {
 	m.mu.Lock()
--- a/internal/fleet/mirror_test.go
+++ b/internal/fleet/mirror_test.go
@@ -240,9 +240,11 @@
 			time.Sleep(time.Second)
 			synctest.Wait()
 			require.Len(t, h.keys(), 2, "the node itself still keeps it")
-			first, _ := h.mirror.Follow(t.Context(), []string{"servers/"})
-			require.Len(t, first.Events, 1)
-			require.Equal(t, "servers/stays", first.Events[0].KV.Key)
+			snapshot := h.mirror.Snapshot()
+			require.Len(t, snapshot.Events, 1)
+			require.Equal(t, "servers/stays", snapshot.Events[0].KV.Key)
+			missed, _ := h.mirror.Follow(t.Context(), snapshot.Revision)
+			require.Empty(t, missed.Events)
 		})
 	})
 }
@@ -250,7 +252,7 @@
 // noFeed is a feed that is never available.
 type noFeed struct{}
 
-func (noFeed) Follow(context.Context, feed.Handler) bool { return false }
+func (noFeed) Follow(context.Context, func() int64, feed.Handler) bool { return false }
 
 // A failing store must not receive calls several times a second from each of hundreds of nodes.
 func TestNodesWithFeedBackOffFromFailingStore(t *testing.T) {
@@ -272,3 +274,63 @@
 		mem.Close()
 	})
 }
+
+// oneTimeFeed serves all entries once and is then lost.
+type oneTimeFeed struct{ entries []store.Event }
+
+func (f *oneTimeFeed) Follow(_ context.Context, _ func() int64, apply feed.Handler) bool {
+	if f.entries == nil {
+		return false
+	}
+	apply(feed.NewBatch(store.WatchBatch{Revision: f.entries[len(f.entries)-1].KV.ModRevision, Events: f.entries}), 0, true)
+	f.entries = nil
+	return true
+}
+
+// Guards against reads of the whole store by each of the hundreds of nodes that lose their feeds
+// at once: their watches continue where the feeds ended.
+func TestNodeThatLosesItsFeedReadsOnlyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newMirrorHarness(t)
+		h.put(t, "servers/a", 0)
+		a, _, err := h.mem.Get(t.Context(), "servers/a")
+		require.NoError(t, err)
+		h.put(t, "servers/b", 0)
+		h.mirror = fleet.NewMirror(idleBatchStore{h.mem}, &oneTimeFeed{entries: []store.Event{{KV: *a}}}, slog.New(slog.DiscardHandler),
+			fleet.View{Prefix: "servers/", OnChange: func(c fleet.Change) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				applyTo(h.entries, c)
+			}})
+		h.run(t, func() {
+			time.Sleep(4 * time.Second)
+			require.ElementsMatch(t, []string{"servers/a", "servers/b"}, h.keys())
+			require.Zero(t, h.mem.Calls()[memstore.KindRange])
+		})
+	})
+}
+
+// Guards against a node that keeps a removed entry because its watch continues after the store
+// has dropped the history.
+func TestNodeThatLosesItsFeedReloadsAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newMirrorHarness(t)
+		h.put(t, "servers/a", 0)
+		a, _, err := h.mem.Get(t.Context(), "servers/a")
+		require.NoError(t, err)
+		_, err = h.mem.Txn(t.Context(), store.Txn{Then: []store.Op{store.Delete("servers/a")}})
+		require.NoError(t, err)
+		h.put(t, "servers/b", 0)
+		h.mem.Compact(h.mem.Revision())
+		h.mirror = fleet.NewMirror(idleBatchStore{h.mem}, &oneTimeFeed{entries: []store.Event{{KV: *a}}}, slog.New(slog.DiscardHandler),
+			fleet.View{Prefix: "servers/", OnChange: func(c fleet.Change) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				applyTo(h.entries, c)
+			}})
+		h.run(t, func() {
+			time.Sleep(4 * time.Second)
+			require.ElementsMatch(t, []string{"servers/b"}, h.keys())
+		})
+	})
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -29,6 +29,9 @@
 	// lease is stored under it.
 	Scope cluster.ZoneID
 	Node  cluster.NodeID
+	// Addr is the ip:port of the node's datagram listener, at which other nodes reach the holder;
+	// may be empty.
+	Addr  string
 	Store store.Store
 	// List returns the current server list and whether it has been read at all.
 	List func() (fleet.List, bool)
@@ -88,6 +91,8 @@
 	opts       Options
 	stalled    stallReports
 	holdsLease atomic.Bool
+	// awaitsChanges is set while the holder expects VMs to change their state.
+	awaitsChanges atomic.Bool
 	// listed is the last list seen, and departed holds the VMs that have left it. Only Run's
 	// goroutine uses them.
 	listed   fleet.List
@@ -134,7 +139,7 @@
 func (c *Controller) tryAcquire(ctx context.Context) (responded bool) {
 	acquireCtx, cancel := context.WithTimeout(ctx, c.opts.LeaseTTL/2)
 	defer cancel()
-	lease, err := grouping.AcquireLease(acquireCtx, grouping.LeaseOptions{Store: c.opts.Store, Zone: c.opts.Scope, Node: c.opts.Node,
+	lease, err := grouping.AcquireLease(acquireCtx, grouping.LeaseOptions{Store: c.opts.Store, Zone: c.opts.Scope, Node: c.opts.Node, Addr: c.opts.Addr,
 		TTL: c.opts.LeaseTTL, SinceBoot: c.opts.SinceBoot})
 	if err != nil {
 		c.opts.Log.Warn("placement lease acquisition failed", "scope", c.opts.Scope, "err", err.Error())
@@ -149,6 +154,7 @@
 	c.holdsLease.Store(true)
 	reason := c.runTerm(ctx, lease)
 	c.holdsLease.Store(false)
+	c.awaitsChanges.Store(false)
 	lease.Revoke(ctx)
 	c.opts.Log.Info("placement lease given up", "scope", c.opts.Scope, "fence", lease.Fence(), "reason", reason, "held", time.Since(termStart))
 	return true
@@ -165,6 +171,10 @@
 // HoldsLease reports whether this node holds the lease.
 func (c *Controller) HoldsLease() bool { return c.holdsLease.Load() }
 
+// AwaitsChanges reports whether this node holds the lease and expects VMs to change their state
+// soon, so that it is worth reading the list often.
+func (c *Controller) AwaitsChanges() bool { return c.awaitsChanges.Load() }
+
 // recordListed records the VMs that have left the list, also while another node holds the lease:
 // a new holder must know the heads of replicas that are no longer listed. All nodes do this for
 // each change of the list, so it only compares the two lists' IDs.
@@ -225,6 +235,7 @@
 		switch {
 		case list.Revision >= int64(lease.Fence()):
 			t.step(ctx, list, lease.Remaining(now), c.stalled.take(), now)
+			c.awaitsChanges.Store(t.machine.AwaitsChanges())
 		case now.Sub(termStart) >= refreshDelay:
 			c.refresh(ctx)
 		}
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -71,6 +71,15 @@
 	t.addReport(func(in *lifecycle.Input) { in.RespondingUnlisted = append(in.RespondingUnlisted, vm.ID) })
 }
 
+func (t *term) probe(ctx context.Context, vm fleet.Server) error {
+	t.probeSlots <- struct{}{}
+	defer func() { <-t.probeSlots }()
+	ctx, cancel := context.WithTimeout(ctx, lifecycle.ProbeTimeout)
+	defer cancel()
+	probesTotal.Inc()
+	return t.opts.Client.Probe(ctx, vm)
+}
+
 // failedProbe is a probe that got no response.
 type failedProbe struct {
 	vm  fleet.Server
@@ -86,13 +95,10 @@
 
 // findUnresponsive probes VMs concurrently and returns those that did not respond.
 func (t *term) findUnresponsive(ctx context.Context, vms []fleet.Server) (failed []failedProbe) {
-	ctx, cancel := context.WithTimeout(ctx, lifecycle.ProbeTimeout)
-	defer cancel()
 	errs := make([]error, len(vms))
 	var wg sync.WaitGroup
 	for i, vm := range vms {
-		probesTotal.Inc()
-		wg.Go(func() { errs[i] = t.opts.Client.Probe(ctx, vm) })
+		wg.Go(func() { errs[i] = t.probe(ctx, vm) })
 	}
 	wg.Wait()
 	for i, err := range errs {
--- a/internal/formation/term.go
+++ b/internal/formation/term.go
@@ -23,6 +23,8 @@
 	inFlight sync.WaitGroup
 	// startSlots limits the orders that are being started concurrently.
 	startSlots chan struct{}
+	// probeSlots limits the concurrent probes.
+	probeSlots chan struct{}
 	wake       chan struct{}
 
 	mu sync.Mutex
@@ -37,6 +39,9 @@
 	// response after startWindow frees its slot, so that it does not delay others.
 	maxStartingOrders = 64
 	startWindow       = 100 * time.Millisecond
+	// maxProbes is the number of concurrent probes. The members of all replicas may be probed at
+	// once, and probes that wait for the processor would count as unanswered.
+	maxProbes = 128
 )
 
 // Limits on the frequency of steps: each step examines all VMs, and responses arrive by the
@@ -53,7 +58,8 @@
 
 func newTerm(opts Options, lease *grouping.Lease, lastListed map[cluster.VMID]fleet.Server) *term {
 	machine := lifecycle.NewMachine(lifecycle.Options{Scope: opts.Scope, Fence: lease.Fence(), Policy: opts.Policy, Log: opts.Log, LastListed: lastListed})
-	return &term{opts: opts, lease: lease, machine: machine, startSlots: make(chan struct{}, maxStartingOrders), wake: make(chan struct{}, 1)}
+	return &term{opts: opts, lease: lease, machine: machine, startSlots: make(chan struct{}, maxStartingOrders),
+		probeSlots: make(chan struct{}, maxProbes), wake: make(chan struct{}, 1)}
 }
 
 // step runs one step of the machine and starts the orders and probes that it requests.
--- a/internal/grouping/lease.go
+++ b/internal/grouping/lease.go
@@ -21,6 +21,18 @@
 type holderRecord struct {
 	Node    cluster.NodeID `json:"node"`
 	WriteID string         `json:"write_id"`
+	// Addr is the ip:port of the holder's datagram listener; may be empty.
+	Addr string `json:"addr,omitempty"`
+}
+
+// HolderAddr returns the ip:port of the holder's datagram listener from the value of the lease
+// key, or "" if it names none.
+func HolderAddr(leaseValue []byte) string {
+	var record holderRecord
+	if json.Unmarshal(leaseValue, &record) != nil {
+		return "" // written by another version
+	}
+	return record.Addr
 }
 
 // LeaseOptions configure a Lease.
@@ -29,6 +41,9 @@
 	Zone  cluster.ZoneID
 	Node  cluster.NodeID
 	TTL   time.Duration
+	// Addr is the ip:port of the node's datagram listener, which other nodes learn from the
+	// lease; may be empty.
+	Addr string
 	// SinceBoot is a clock that keeps counting while the VM is suspended; default
 	// clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -67,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	record := holderRecord{Node: opts.Node, WriteID: newWriteID()}
+	record := holderRecord{Node: opts.Node, WriteID: newWriteID(), Addr: opts.Addr}
 	if err := lease.create(ctx, record); err != nil || lease.fence == 0 {
 		lease.Revoke(ctx)
 		return nil, err
--- a/internal/lifecycle/quiescence.go
+++ b/internal/lifecycle/quiescence.go
@@ -44,6 +44,11 @@
 		len(m.out.SendOrders)+len(m.out.ProbeReplicas)+len(m.out.ProbeUnlisted) > 0
 }
 
+// AwaitsChanges reports whether VMs are expected to change their state soon.
+func (m *Machine) AwaitsChanges() bool {
+	return len(m.records)+len(m.loads.deadlines)+len(m.inFlight) > 0
+}
+
 // indexForming rebuilds formingByVM.
 func (m *Machine) indexForming() {
 	m.formingByVM = make(map[cluster.VMID]*formingReplica)
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -15,6 +15,9 @@
 	// Capacity is the maximum number of queued lines, about one second of output on a busy
 	// node. Further lines are dropped and counted.
 	Capacity = 4096
+	// maxWrite is the size in bytes up to which lines are combined into one write. A pipe takes
+	// as much in one piece; of a larger write a reader may get only the first part.
+	maxWrite = 4096
 	// retryInterval is the pause after a write that wrote nothing, as to a full pipe.
 	retryInterval = 5 * time.Millisecond
 	// closeTimeout is how long Close retries failing writes.
@@ -39,23 +42,34 @@
 	return w
 }
 
-// run writes the queued lines to out, combining all that are waiting into one call.
+// run writes the queued lines to out, combining those that are waiting up to maxWrite.
 func (w *Writer) run(out io.Writer) {
 	var batch []byte
 	failed := false
 	for line := range w.lines {
 		batch = append(batch[:0], line...)
 		for range len(w.lines) {
-			batch = append(batch, <-w.lines...)
-		}
-		if !failed {
-			batch = w.write(out, batch)
-			failed = len(batch) > 0
-		}
-		if failed {
-			dropped.Add(bytes.Count(batch, []byte{'\n'}))
+			line = <-w.lines
+			if len(batch)+len(line) > maxWrite {
+				failed = w.flush(out, batch, failed)
+				batch = batch[:0]
+			}
+			batch = append(batch, line...)
 		}
+		failed = w.flush(out, batch, failed)
+	}
+}
+
+// flush writes the batch, unless an earlier write has failed, and reports whether it failed.
+func (w *Writer) flush(out io.Writer, batch []byte, failed bool) bool {
+	if !failed {
+		batch = w.write(out, batch)
+		failed = len(batch) > 0
+	}
+	if failed {
+		dropped.Add(bytes.Count(batch, []byte{'\n'}))
 	}
+	return failed
 }
 
 // write writes the batch and returns what could not be written before Close gave up. A
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -92,6 +92,19 @@
 	s.transmit(send)
 }
 
+// Send sends a section to one node, which need not be a known member. Delivery is not guaranteed.
+func (s *Service) Send(addr string, section Section) {
+	s.mu.Lock()
+	send := Outgoing{Addrs: []string{addr}, Datagram: s.state.briefDatagram(), Limit: maxGossipBody}
+	superseded := s.state.Superseded()
+	s.mu.Unlock()
+	if superseded {
+		return
+	}
+	fill(send.Datagram, send.Limit, []Source{func(int) Section { return section }}, s.log)
+	s.transmit(send)
+}
+
 // sender returns the member that sent a datagram. It returns false for a process from which
 // no heartbeat was received: gossip has no address, so its sender cannot be contacted.
 func (s *State) sender(d *wirepb.Datagram, now time.Time) (Member, bool) {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -229,9 +229,14 @@
 	if superseded && !wasSuperseded {
 		s.log.Error("another process runs under this node's name, this node stops sending", "node", d.Node)
 	}
-	if !known {
+	if !known && len(d.StalledIds) == 0 {
 		return
 	}
+	if !known {
+		// In a large zone a node hears of all others only after a while, and reports of stalled
+		// replicas are urgent.
+		from = Member{Node: cluster.NodeID(d.Node), Zone: cluster.ZoneID(d.Zone)}
+	}
 	s.subMu.RLock()
 	subscribers := s.subscribers
 	s.subMu.RUnlock()
--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -91,7 +91,7 @@
 		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, Load: &load, Err: errors.New(string(v.entry.ID))}
 	}
 	tokens := max(b.answerTokens(a.Call.ID)-resumeOffset(a.ResumeAfter)*w.scenario.Engine.StepsPerPass, 1)
-	job := &enginemodel.Job{PromptTokens: max(a.Call.PromptTokens, 1), OutputTokens: tokens, Priority: a.Call.Priority}
+	job := &enginemodel.Job{PromptTokens: max(a.Call.PromptTokens, 1), OutputTokens: tokens, Priority: a.Priority}
 	ans := &answer{pieces: make(chan struct{}, tokens/w.scenario.Engine.StepsPerPass+1), failed: make(chan struct{})}
 	h.replica.Add(job)
 	h.jobs[job] = ans
--- a/internal/player/gossip.go
+++ b/internal/player/gossip.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// sendTo delivers a section to the node at an address, which is its id.
+func (sys *Simulation) sendTo(from *node, addr string, section membership.Section) {
+	for _, to := range sys.nodes {
+		if receiver := to.currentCore(); string(to.id) == addr && receiver != nil && sys.world.nodesReach(from.zone, to.zone) {
+			receiver.ReceiveStallReport(from.id, section)
+		}
+	}
+}
+
 // currentCore returns the node's running core, nil while the node is down.
 func (n *node) currentCore() *entry.Core {
 	n.mu.Lock()
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -126,6 +126,7 @@
 	}
 	set := &settings.Settings{Node: n.id, Zone: n.zone, Region: region,
 		Retries: settings.Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Nodes: settings.DefaultRetryNodes}}
+	set.Listen.Datagrams = string(n.id)
 	set.Process.FirstStart = first
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mu.Lock()
@@ -135,7 +136,8 @@
 		Backend:       func(*conns.Pool) relay.Backend { return &backend{sys.world, n.zone, sys.callers.answerTokens} },
 		ServersPrefix: serversPrefix, DecodeServer: decodeServer,
 		ConfigKey: configKey, DecodeConfig: func(store.KV) (*rules.Set, error) { return sys.set, nil },
-	}, entry.CoreOptions{Policies: sys.opts.Policies, Log: log, SinceBoot: sys.world.uptime, Broadcast: func(section membership.Section) { sys.broadcast(n, section) }})
+	}, entry.CoreOptions{Policies: sys.opts.Policies, Log: log, SinceBoot: sys.world.uptime, Broadcast: func(section membership.Section) { sys.broadcast(n, section) },
+		Send: func(addr string, section membership.Section) { sys.sendTo(n, addr, section) }})
 	core := n.core
 	n.mu.Unlock()
 	sys.nodesDone.Go(func() {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -57,7 +57,7 @@
 
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, Attempt{
 		Call: a.s.call, Peer: a.peer, Replica: a.choice.Replica.ID, Timeout: time.Until(a.s.end),
-		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(),
+		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(), Priority: a.s.priority(a.started),
 	})
 	if err != nil {
 		if notRun, ok := errors.Into[*NotRunError](err); ok {
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -23,6 +23,8 @@
 	ResumeAfter string
 	// MaxIdle is the longest idle time of a connection that may be reused.
 	MaxIdle time.Duration
+	// Priority is the call's rank in the server's queue; 0 is the most urgent.
+	Priority int
 }
 
 // Load is the load that a backend server reports in an answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,7 +74,7 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
+	return &Relay{opts: opts, stalls: newStallDetector(time.Now()), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
 // errReplicaLost cancels attempts on a replica that lost a member.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -112,6 +112,21 @@
 	return err
 }
 
+// latePriority is added to the priority of a call that can't be answered on time any more.
+const latePriority = 4
+
+// priority returns the call's rank in a server's queue. A call whose target has passed, here or
+// before an earlier refusal, yields to those that can still be answered on time: under overload
+// all of them would be late otherwise.
+func (s *session) priority(now time.Time) int {
+	target := s.call.Route.Policy.Target
+	late := s.call.LikelyRetry() || target > 0 && now.Sub(s.call.ReceivedAt) > target
+	if s.started || !late {
+		return s.call.Priority
+	}
+	return s.call.Priority + latePriority
+}
+
 // endChoice ends the count of a request on its replica.
 func (s *session) endChoice(choice routing.Choice, result routing.Result) {
 	s.r.opts.Router.End(choice, result)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,14 +45,22 @@
 	// fewStreams is the largest number of streams that cannot distinguish a stalled replica from
 	// one that processes many prompts, before any of them has received a piece.
 	fewStreams = 3
+	// startPeriod is how long a node that has just started waits for first pieces as long as it
+	// may: all nodes may have started, and their callers' requests reach the replicas together.
+	startPeriod = 3 * time.Second
+	// maxIsolatedStalls is the number of replicas that may stall at once while no other replica
+	// is known to work.
+	maxIsolatedStalls = 2
 )
 
 var stallsTotal = metrics.NewCounter("fennel_relay_replica_stalls_total")
 
 // stallDetector tracks when each replica last sent anything to this node.
 type stallDetector struct {
-	mu       sync.Mutex
-	replicas map[cluster.ReplicaID]*activity
+	// startedUntil is the end of the time after the node's start.
+	startedUntil time.Time
+	mu           sync.Mutex
+	replicas     map[cluster.ReplicaID]*activity
 }
 
 type activity struct {
@@ -72,8 +81,8 @@
 }
 
 // timeout returns how long the replica may send nothing.
-func (a *activity) timeout(now time.Time) time.Duration {
-	if now.Before(a.healthyUntil) {
+func (d *stallDetector) timeout(a *activity, now time.Time) time.Duration {
+	if now.Before(a.healthyUntil) || a.waitingForFirst && now.Before(d.startedUntil) {
 		return maxStallTimeout
 	}
 	if a.waitingForFirst && a.running <= fewStreams {
@@ -92,8 +101,8 @@
 	a.lastActivity, a.waitingForFirst, a.stalledSince = now, false, time.Time{}
 }
 
-func newStallDetector() *stallDetector {
-	return &stallDetector{replicas: make(map[cluster.ReplicaID]*activity)}
+func newStallDetector(started time.Time) *stallDetector {
+	return &stallDetector{startedUntil: started.Add(startPeriod), replicas: make(map[cluster.ReplicaID]*activity)}
 }
 
 func (d *stallDetector) begin(id cluster.ReplicaID, now time.Time) {
@@ -136,7 +145,9 @@
 }
 
 // check returns the replicas that stalled since the last check, and whether at least as
-// many others work. If not, this node itself is more likely cut off.
+// many others work. If not, this node itself is more likely cut off, or all replicas received
+// many requests at once, as after a restart of all nodes: moving the requests would only make
+// other replicas process the same prompts again.
 func (d *stallDetector) check(now time.Time) (found []cluster.ReplicaID, othersWork bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -146,15 +157,23 @@
 		switch {
 		case a.running == 0 && !quarantined && now.Sub(a.reportedAt) >= reportLifetime && now.After(a.healthyUntil):
 			delete(d.replicas, id)
-		case a.running > 0 && !quarantined && now.Sub(a.lastActivity) > a.timeout(now):
-			a.stalledSince = now
+		case a.running > 0 && !quarantined && now.Sub(a.lastActivity) > d.timeout(a, now):
 			found = append(found, id)
-			stallsTotal.Inc()
 		case a.running > 0 && !a.waitingForFirst && now.Sub(a.lastActivity) < stallTimeout:
 			working++
 		}
 	}
-	return found, working >= len(found)
+	othersWork = working >= len(found)
+	if !othersWork && len(found) > maxIsolatedStalls {
+		found = slices.DeleteFunc(found, func(id cluster.ReplicaID) bool {
+			return now.Sub(d.replicas[id].lastActivity) <= maxStallTimeout
+		})
+	}
+	for _, id := range found {
+		d.replicas[id].stalledSince = now
+		stallsTotal.Inc()
+	}
+	return found, othersWork
 }
 
 // activity returns the replica's activity, adding it if needed. The caller holds d.mu.
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -15,7 +15,7 @@
 func simulate(gaps ...time.Duration) (falseAlarm bool, detectedAfter time.Duration) {
 	const id = cluster.ReplicaID("r")
 	const streams = 10
-	d := newStallDetector()
+	d := newStallDetector(time.Unix(0, 0))
 	now := time.Unix(1000, 0)
 	for range streams {
 		d.begin(id, now)
@@ -61,7 +61,7 @@
 func TestStallReportsFromTwoNodesCount(t *testing.T) {
 	const id = cluster.ReplicaID("r")
 	start := time.Unix(1000, 0)
-	d := newStallDetector()
+	d := newStallDetector(time.Unix(0, 0))
 	require.False(t, d.report(id, "a", start), "one node may be cut off")
 	require.False(t, d.report(id, "a", start.Add(time.Millisecond)), "the same node again")
 	require.True(t, d.report(id, "b", start.Add(2*time.Millisecond)))
@@ -75,7 +75,7 @@
 func TestOwnRequestsOverrideStallReports(t *testing.T) {
 	const id = cluster.ReplicaID("r")
 	start := time.Unix(1000, 0)
-	d := newStallDetector()
+	d := newStallDetector(time.Unix(0, 0))
 	d.begin(id, start)
 	for _, by := range []cluster.NodeID{"a", "b", "c"} {
 		require.False(t, d.report(id, by, start.Add(stallTimeout)))
@@ -89,7 +89,7 @@
 func TestReplicaWithRespondingMembersIsNotStalled(t *testing.T) {
 	const id = cluster.ReplicaID("r")
 	start := time.Unix(1000, 0)
-	d := newStallDetector()
+	d := newStallDetector(time.Unix(0, 0))
 	require.False(t, d.report(id, "a", start))
 	require.True(t, d.report(id, "b", start))
 	d.markHealthy(id, start)
@@ -106,7 +106,7 @@
 // them.
 func TestCutOffNodeReportsNoWorkingReplicas(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := newStallDetector()
+	d := newStallDetector(time.Unix(0, 0))
 	for _, id := range []cluster.ReplicaID{"a", "b", "c"} {
 		d.begin(id, now)
 		d.recordActivity(id, now)
@@ -116,3 +116,37 @@
 	require.Len(t, found, 2)
 	require.False(t, othersWork)
 }
+
+// Guards against moving all requests at once when every replica received more prompts than it
+// processes in time, as after a restart of all nodes: each would be processed again elsewhere.
+func TestReplicasThatAllWaitAtOnceAreNotStalled(t *testing.T) {
+	d := newStallDetector(time.Unix(0, 0))
+	now := time.Unix(1000, 0)
+	const replicas, streams = 10, 5
+	for i := range replicas {
+		for range streams {
+			d.begin(cluster.ReplicaID(rune('a'+i)), now)
+		}
+	}
+	found, _ := d.check(now.Add(maxStallTimeout))
+	require.Empty(t, found)
+	found, othersWork := d.check(now.Add(maxStallTimeout + stallCheckInterval))
+	require.Len(t, found, replicas, "nothing has come for as long as any replica may be silent")
+	require.False(t, othersWork)
+}
+
+// Guards against the same when each node has a request or two on few replicas.
+func TestNodeThatHasJustStartedWaitsForFirstPieces(t *testing.T) {
+	started := time.Unix(1000, 0)
+	d := newStallDetector(started)
+	const first, later = cluster.ReplicaID("first"), cluster.ReplicaID("later")
+	d.begin(first, started)
+	found, _ := d.check(started.Add(2 * stallTimeoutFirst))
+	require.Empty(t, found)
+	found, _ = d.check(started.Add(maxStallTimeout + stallCheckInterval))
+	require.Equal(t, []cluster.ReplicaID{first}, found)
+	begun := started.Add(startPeriod)
+	d.begin(later, begun)
+	found, _ = d.check(begun.Add(stallTimeoutFirst + stallCheckInterval))
+	require.Equal(t, []cluster.ReplicaID{later}, found)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -118,6 +118,7 @@
 		value time.Duration
 	}{
 		{"retries.window", s.Retries.Window}, {"process.grace", s.Process.Grace}, {"drain.notice", s.Drain.Notice},
+		{"feeds.in_force_within", s.Feeds.InForceWithin},
 	} {
 		if f.value < minDuration {
 			c.reject(f.field, f.value.String(), wantDuration)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,9 @@
 	// watches the store directly, and so does a node without seeds.
 	Listen string   `yaml:"listen"`
 	Seeds  []string `yaml:"seeds"`
+	// InForceWithin is the time within which a change of the store must be in force on every
+	// node; default 2s. A longer time costs the store fewer calls.
+	InForceWithin time.Duration `yaml:"in_force_within"`
 }
 
 // Platform holds the addresses of the platform's services.
@@ -208,6 +211,7 @@
 	DefaultRetryWindow     = 10 * time.Second
 	DefaultRetryNodes      = 256
 	DefaultGrace           = 10 * time.Second
+	DefaultInForceWithin   = 2 * time.Second
 	minSecretHexDigits     = 32
 )
 
@@ -255,6 +259,7 @@
 	setDefault(&s.Retries.Window, DefaultRetryWindow)
 	setDefault(&s.Retries.Nodes, DefaultRetryNodes)
 	setDefault(&s.Process.Grace, DefaultGrace)
+	setDefault(&s.Feeds.InForceWithin, DefaultInForceWithin)
 }
 
 func setDefault[T comparable](field *T, value T) {
