--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -102,6 +102,7 @@
 	// suspects tracks the requests that crash servers; quarantines stores those found.
 	suspects    *suspect.Tracker
 	quarantines *quarantineWriter
+	// responsible is CoreOptions.Responsible.
 	responsible func(task string, nodes int) bool
 	control     *formation.Controller
 	outages     *outageRecorder
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -136,14 +136,14 @@
 	}
 }
 
-// admit refuses a request that crashes servers.
+// admit refuses a quarantined request. A suspect waits until no other run of it is under way.
 func (s *session) admit(ctx context.Context) error {
 	alone, err := s.r.opts.Suspects.Admit(ctx, s.fingerprint)
 	s.alone = alone
 	if err == nil {
 		return nil
 	}
-	s.r.opts.Log.Info("request quarantined", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "sent", s.sent)
+	s.r.opts.Log.Info("request not admitted", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "code", fennelerr.CodeOf(err), "sent", s.sent)
 	s.finish(err, func() *fennelerr.Error {
 		if refusal, ok := errors.Into[*fennelerr.Error](err); ok {
 			return refusal
