internal/suspect: waiting for a turn does not rank all nodes again at each try

By reading: a suspect that waits for its turn asks 20 times a second, for each replica, for this node's rank, and each rank hashes the names of all nodes: 117 x 300 x 20 hashes a second for each waiting suspect at the size of the large site. The class: work that grows with nodes times replicas, in a loop that was made for a few of both; the product's own form has it too.

A replica that is taken, or that has been free for longer than the last turn, needs no rank; other ranks are kept for a second. TestWaitingForATurnDoesNotRepeatTheRanking: 1,040 rankings in two seconds before, at most 2 now.

--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -55,6 +55,7 @@
 	byKey     [shardCount]keyShard
 	byReplica [shardCount]crashShard
 	sections  sectionCounter
+	ranks     rankCache
 }
 
 type keyShard struct {
@@ -154,8 +155,40 @@
 // nodes would choose at the same moment, after a crash or when a replica becomes free, and
 // run two suspects on one replica; a crash would then not show which of them caused it.
 func (t *Tracker) MayRetryOn(replica cluster.ReplicaID) bool {
-	turn := time.Duration(t.rank("retry/"+string(replica))) * t.timing.RetryTurn
-	return t.crashShard(replica).freeDuration(replica, t.now()) >= min(turn, t.timing.MaxTurnWait)
+	free := t.crashShard(replica).freeDuration(replica, t.now())
+	switch {
+	case free < 0:
+		return false
+	case free >= t.timing.MaxTurnWait:
+		return true
+	}
+	return free >= time.Duration(t.ranks.get(replica, t.now(), t.rank))*t.timing.RetryTurn
+}
+
+// rankTTL is how long a rank is kept. Waiting suspects ask for the ranks for all replicas many
+// times a second, and the work of each grows with the nodes.
+const rankTTL = time.Second
+
+// rankCache keeps this node's ranks for replicas.
+type rankCache struct {
+	mu    sync.Mutex
+	since time.Time
+	ranks map[cluster.ReplicaID]int
+}
+
+// get returns this node's rank for the replica.
+func (c *rankCache) get(replica cluster.ReplicaID, now time.Time, rank func(key string) int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ranks == nil || now.Sub(c.since) >= rankTTL {
+		c.since, c.ranks = now, make(map[cluster.ReplicaID]int)
+	}
+	r, known := c.ranks[replica]
+	if !known {
+		r = rank("retry/" + string(replica))
+		c.ranks[replica] = r
+	}
+	return r
 }
 
 func (t *Tracker) recordCrash(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -181,3 +181,21 @@
 		require.True(t, tr.MayRetryOn("replica-2"))
 	})
 }
+
+// Guards against waiting suspects that compute the ranks of all nodes at each attempt to get a
+// replica.
+func TestWaitingForATurnDoesNotRepeatTheRanking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ranked := 0
+		tr := suspect.New(suspect.Options{Node: "node-a", Peers: func() int { return 983 }, Rank: func(string) int { ranked++; return 500 },
+			Timing: suspect.Timing{MaxTurnWait: 1500 * time.Millisecond}, Log: slog.New(slog.DiscardHandler)})
+		tr.Begin(fingerprint(2), "replica-1", 1, false)(suspect.Crashed)
+		for range 40 {
+			for range 26 {
+				tr.MayRetryOn("replica-2")
+			}
+			time.Sleep(retryPoll)
+		}
+		require.LessOrEqual(t, ranked, 2, "once a second until the last turn")
+	})
+}
