internal/player: no ticker is polled in a bubble; the crash of the race detector is traced to one

The running goroutine was in partitionedStore.Watch: select on a ticker -> timer.maybeRunChan -> unlockAndRun on the scheduler's stack, where the race detector has no thread state. A ticker that is due and that no goroutine waits for is run by whoever polls its channel; in a bubble that goes wrong.

The watch is told by timers that call back.

--- a/internal/player/partition.go
+++ b/internal/player/partition.go
@@ -89,16 +89,13 @@
 	go func() {
 		defer close(out)
 		defer cancel()
-		ticker := time.NewTicker(partitionTimeout)
-		defer ticker.Stop()
+		lost := s.awaitPartition(ctx)
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-ticker.C:
-				if s.partitioned() {
-					return
-				}
+			case <-lost:
+				return
 			case batch, ok := <-in:
 				if !ok || s.partitioned() {
 					return
@@ -113,3 +110,22 @@
 	}()
 	return out, nil
 }
+
+// awaitPartition returns a channel that is closed once the node is partitioned from the store,
+// unless ctx ends before. It has no ticker: one whose channel is polled in a synctest bubble
+// crashes the race detector.
+func (s *partitionedStore) awaitPartition(ctx context.Context) <-chan struct{} {
+	lost := make(chan struct{})
+	var check func()
+	check = func() {
+		switch {
+		case ctx.Err() != nil:
+		case s.partitioned():
+			close(lost)
+		default:
+			time.AfterFunc(partitionTimeout, check)
+		}
+	}
+	time.AfterFunc(partitionTimeout, check)
+	return lost
+}
