--- a/internal/player/limit.go
+++ b/internal/player/limit.go
@@ -22,9 +22,9 @@
 type limitRecord struct {
 	limit   float64
 	namedAt time.Time
-	// toldAt is when each node first got an answer that names the limit.
-	toldAt   map[cluster.NodeID]time.Time
-	arrivals []time.Time
+	// informedAt is when each node first got an answer that names the limit.
+	informedAt map[cluster.NodeID]time.Time
+	arrivals   []time.Time
 }
 
 // limitHeads has the heads of some replicas name a rate limit.
@@ -34,7 +34,7 @@
 	for _, v := range w.servingMembers(f.Zone, f.Model) {
 		if v.head != nil && len(w.limits) < f.Count {
 			v.rateLimit = f.Factor
-			w.limits[v.entry.ID] = &limitRecord{limit: f.Factor, toldAt: make(map[cluster.NodeID]time.Time)}
+			w.limits[v.entry.ID] = &limitRecord{limit: f.Factor, informedAt: make(map[cluster.NodeID]time.Time)}
 		}
 	}
 }
@@ -49,8 +49,8 @@
 	if rec.namedAt.IsZero() {
 		rec.namedAt = now
 	}
-	if rec.toldAt[to].IsZero() {
-		rec.toldAt[to] = now
+	if rec.informedAt[to].IsZero() {
+		rec.informedAt[to] = now
 	}
 	return v.rateLimit
 }
@@ -66,7 +66,7 @@
 	if rec == nil || v.rateLimit <= 0 {
 		return
 	}
-	if told := rec.toldAt[from]; !told.IsZero() && now.Sub(told) >= limitReaction {
+	if at := rec.informedAt[from]; !at.IsZero() && now.Sub(at) >= limitReaction {
 		rec.arrivals = append(rec.arrivals, now)
 	}
 }
--- a/internal/routing/limit_test.go
+++ b/internal/routing/limit_test.go
@@ -82,12 +82,12 @@
 	}
 }
 
-// Guards against a node that exceeds a limit which only others were told.
+// Guards against a node that exceeds a limit that was named only to others.
 func TestLimitReportedByAnotherNodeIsKept(t *testing.T) {
 	table, now := newLimitTable(DefaultPolicy(), fixedShares{0, 3}), time.Unix(1000, 0)
 	table.ObservePeerRateLimit(limitedReplica, 0.5, now)
 	require.Zero(t, countChosen(table, now, 2))
-	require.Empty(t, table.RateLimits(now), "it reports only what it was told itself")
+	require.Empty(t, table.RateLimits(now), "it reports only what was named to itself")
 }
 
 // Guards against a replica with free places that refuses calls which arrive together, although its
--- a/internal/suspect/verdict_test.go
+++ b/internal/suspect/verdict_test.go
@@ -168,7 +168,7 @@
 	})
 }
 
-// Guards against innocent suspects that outlive their callers' patience because the turns of all
+// Guards against innocent suspects whose callers' deadlines pass because the turns of all
 // nodes of a large system have to pass.
 func TestRetryTurnIsBoundedAtManyNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
