--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,9 +22,11 @@
 	Header http.Header
 	Body   []byte
 
-	// Route is the rule that the call matched, and RulesRevision the revision of its rule set.
+	// Route is the rule that the call matched, RulesRevision the revision of its rule set, and
+	// RulesAge the time since the store last confirmed that set when the call arrived.
 	Route         *rules.Route
 	RulesRevision int64
+	RulesAge      time.Duration
 	// Team is empty on public routes.
 	Team cluster.TeamID
 	// Priority orders calls; 0 is the most urgent.
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -53,8 +53,8 @@
 
 // HandlerOptions are the parts of a node that the handler for callers uses.
 type HandlerOptions struct {
-	// Rules returns the rules in force, and whether they are known to be the newest.
-	Rules func() (set *rules.Set, fresh bool)
+	// Rules returns the rules in force.
+	Rules func() rules.InForce
 	Serve func(ctx context.Context, c *call.Call, sink call.Sink)
 	Log   *slog.Logger
 }
@@ -298,8 +298,9 @@
 // answer. A watch answers at least every 2 s.
 const maxConfigAge = 3500 * time.Millisecond
 
-func (n *Core) currentRules() (*rules.Set, bool) {
-	return n.rules.Load(), time.Since(n.mirror.LastContact()) < maxConfigAge
+func (n *Core) currentRules() rules.InForce {
+	age := time.Since(n.mirror.LastContact())
+	return rules.InForce{Set: n.rules.Load(), Age: age, Fresh: age < maxConfigAge}
 }
 
 func (n *Core) currentList() (fleet.List, bool) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -26,14 +26,15 @@
 
 // Get implements operator.RulesAdmin; the node knows only the version in force.
 func (o operatorAPI) Get(_ context.Context, revision int64) (rulestore.File, error) {
-	set, fresh := o.n.currentRules()
+	inForce := o.n.currentRules()
+	set := inForce.Set
 	if set == nil {
 		return rulestore.File{}, fennelerr.New(fennelerr.NotReady, "no configuration is known on this node yet")
 	}
 	if revision != 0 && revision != set.Revision {
 		return rulestore.File{}, fennelerr.New(fennelerr.NotFound, "this node knows version %d only", set.Revision)
 	}
-	return rulestore.File{Revision: set.Revision, Text: set.Format(rulesAuthor(set)), FromMemory: !fresh}, nil
+	return rulestore.File{Revision: set.Revision, Text: set.Format(rulesAuthor(set)), FromMemory: !inForce.Fresh}, nil
 }
 
 func rulesAuthor(set *rules.Set) string {
@@ -62,8 +63,7 @@
 func (o operatorAPI) Status(context.Context) (*wirepb.StatusResponse, error) {
 	n, now := o.n, time.Now()
 	reason := n.notReadyReason()
-	_, fresh := n.currentRules()
-	resp := &wirepb.StatusResponse{Node: string(n.cfg.Node), Zone: string(n.cfg.Zone), Ready: reason == "", NotReadyReason: reason, StoreReachable: fresh}
+	resp := &wirepb.StatusResponse{Node: string(n.cfg.Node), Zone: string(n.cfg.Zone), Ready: reason == "", NotReadyReason: reason, StoreReachable: n.currentRules().Fresh}
 	for _, r := range o.NodeRevisions() {
 		resp.RulesRevision = r.Revision
 		resp.Nodes = append(resp.Nodes, &wirepb.NodeRules{Node: string(r.Node), Zone: string(r.Zone), Revision: r.Revision, Heard: r.Heard})
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -372,7 +372,7 @@
 		outcome = err.Error()
 	}
 	terms, choice := s.call.Route.Policy, a.choice
-	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "team", s.call.Team,
+	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
 		"reason", choice.Reason, "considered", choice.Considered, "alone", s.alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
--- /dev/null
+++ b/internal/rules/inforce.go
@@ -0,0 +1,13 @@
+package rules
+
+import "time"
+
+// InForce is the set of rules that a node applies, with what is known of its age.
+type InForce struct {
+	// Set is nil until the node knows any rules.
+	Set *Set
+	// Age is the time since the store last confirmed that the set is the newest.
+	Age time.Duration
+	// Fresh reports whether Age is short enough to refuse what the set does not contain.
+	Fresh bool
+}
