internal/fleet, internal/feed: failing tests of changes that reach a node late

Four ways in which a node that follows a feed learns a change later than 2 s after its acknowledgement, each with a configuration and a server's entry in turn, so that both CONFIG and DRAIN are covered; and the search that makes the first one 4 s long.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +98,31 @@
 	require.True(t, f.Follow(t.Context(), func(store.WatchBatch, time.Duration, bool) { server.CloseClientConnections() }))
 	require.False(t, f.Follow(t.Context(), func(store.WatchBatch, time.Duration, bool) { t.Error("followed the failed feed again at once") }))
 }
+
+// Guards against a search that goes on for seconds because feeds that do not answer are tried
+// in turn, again and again.
+func TestFeedsThatDoNotAnswerAreTriedOnceEach(t *testing.T) {
+	var tries atomic.Int32
+	roots := make([]string, 2)
+	for i := range roots {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		roots[i] = listener.Addr().String()
+		var accepting sync.WaitGroup
+		accepting.Go(func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				tries.Add(1)
+				t.Cleanup(func() { conn.Close() })
+			}
+		})
+		t.Cleanup(func() { listener.Close(); accepting.Wait() })
+	}
+	f := feed.NewFollower("", roots, []string{"servers/"}, slog.New(slog.DiscardHandler))
+	t.Cleanup(f.Close)
+	require.False(t, f.Follow(t.Context(), func(store.WatchBatch, time.Duration, bool) { t.Error("nothing was served") }))
+	require.EqualValues(t, len(roots), tries.Load())
+}
--- /dev/null
+++ b/internal/fleet/sources_test.go
@@ -0,0 +1,148 @@
+package fleet_test
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/feed"
+	"github.com/fennelcourse/fennelcourse/internal/fleet"
+	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
+)
+
+// maxChangeDelay is the longest time in which a change must be known on a node.
+const maxChangeDelay = 2 * time.Second
+
+// scriptedFeed is a feed whose behaviour the test writes.
+type scriptedFeed func(ctx context.Context, handle feed.Handler) (served bool)
+
+func (f scriptedFeed) Follow(ctx context.Context, handle feed.Handler) bool { return f(ctx, handle) }
+
+// snapshotOf returns the first batch of a feed whose copy is the store's present state.
+func snapshotOf(ctx context.Context, mem *memstore.Store) (batch store.WatchBatch) {
+	for _, prefix := range []string{"config", "servers/"} {
+		page, err := mem.Range(ctx, prefix, store.RangeOptions{})
+		if err != nil {
+			return batch // the test has ended
+		}
+		batch.Revision = page.Revision
+		for _, kv := range page.KVs {
+			batch.Events = append(batch.Events, store.Event{KV: kv})
+		}
+	}
+	return batch
+}
+
+// changeDelays writes a change each 0.8 s, to a configuration and to a server's entry in turn,
+// and returns how long each took to reach the mirror's views. The test must be in a synctest
+// bubble.
+func changeDelays(t *testing.T, mem *memstore.Store, source fleet.Source, newFeed fleet.Feed, changes int) (delays []time.Duration) {
+	t.Helper()
+	var mu sync.Mutex
+	known := make(map[string]string)
+	onChange := func(c fleet.Change) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, kv := range c.Written {
+			known[kv.Key] = string(kv.Value)
+		}
+	}
+	mirror := fleet.NewMirror(source, newFeed, slog.New(slog.DiscardHandler),
+		fleet.View{Prefix: "config", OnChange: onChange}, fleet.View{Prefix: "servers/", OnChange: onChange})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); mirror.Run(ctx) }()
+	time.Sleep(4 * time.Second)
+	for i := range changes {
+		key, value := []string{"config", "servers/a"}[i%2], strconv.Itoa(i)
+		_, err := mem.Txn(ctx, store.Txn{Then: []store.Op{store.Put(key, []byte(value), 0)}})
+		require.NoError(t, err)
+		wrote := time.Now()
+		for {
+			mu.Lock()
+			current := maps.Clone(known)
+			mu.Unlock()
+			if current[key] == value || time.Since(wrote) > 10*time.Second {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		delays = append(delays, time.Since(wrote))
+		time.Sleep(800*time.Millisecond - time.Since(wrote)%(800*time.Millisecond))
+	}
+	cancel()
+	<-done
+	mem.Close()
+	return delays
+}
+
+// Guards against nodes that apply an old configuration, or use a server that has announced its
+// end, because of what their feeds do.
+func TestChangesAreKnownInTimeWhateverTheFeedDoes(t *testing.T) {
+	tests := map[string]func(mem *memstore.Store) scriptedFeed{
+		"search for a feed takes seconds": func(*memstore.Store) scriptedFeed {
+			return func(ctx context.Context, _ feed.Handler) bool {
+				clock.Pause(ctx, 4*time.Second)
+				return false
+			}
+		},
+		"feed is cut off from the store and goes on sending": func(mem *memstore.Store) scriptedFeed {
+			return func(ctx context.Context, handle feed.Handler) bool {
+				batch := snapshotOf(ctx, mem)
+				for age := time.Duration(0); ctx.Err() == nil; age += 200 * time.Millisecond {
+					handle(batch, age, age == 0)
+					batch.Events = nil
+					clock.Pause(ctx, 200*time.Millisecond)
+				}
+				return true
+			}
+		},
+		"feed falls silent and the next ones do not answer": func(mem *memstore.Store) scriptedFeed {
+			serves := true
+			return func(ctx context.Context, handle feed.Handler) bool {
+				if serves = !serves; serves {
+					clock.Pause(ctx, 1500*time.Millisecond)
+					return false
+				}
+				batch := snapshotOf(ctx, mem)
+				handle(batch, 0, true)
+				clock.Pause(ctx, 700*time.Millisecond)
+				return true
+			}
+		},
+		"feed is behind the node and reports a fresh copy": func(mem *memstore.Store) scriptedFeed {
+			old := store.WatchBatch{}
+			return func(ctx context.Context, handle feed.Handler) bool {
+				if old.Revision == 0 {
+					old = snapshotOf(ctx, mem)
+					clock.Pause(ctx, 10*time.Second)
+					return false
+				}
+				for first := true; ctx.Err() == nil; first = false {
+					handle(old, 0, first)
+					clock.Pause(ctx, 200*time.Millisecond)
+				}
+				return true
+			}
+		},
+	}
+	for name, newFeed := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mem := memstore.New(memstore.Options{})
+				for i, delay := range changeDelays(t, mem, idleBatchStore{mem}, newFeed(mem), 30) {
+					require.LessOrEqual(t, delay, maxChangeDelay, "change %d", i)
+				}
+			})
+		})
+	}
+}
