internal/fleet: a read that is older than the one before it is refused

A reload reads the views one after the other and watches on from the revision of the first read. A later read that was answered by an older state would lack changes that the watch does not repeat. The reload now fails with errStaleRead and is tried again; one that is older than the copy is logged.

TestReadOlderThanTheOneBeforeIsRefused fails without the check.

--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
@@ -138,10 +139,13 @@
 			return err
 		}
 		// The reads are not one snapshot: the watch starts at the first read's revision and
-		// repeats changes made since.
+		// repeats changes made since. An older read could lack some of those made before.
 		if revision == 0 {
 			revision = read
 		}
+		if read < revision {
+			return errors.Wrapf(errStaleRead, "%s at revision %d after %d", v.Prefix, read, revision)
+		}
 	}
 	if !m.replace(fresh, revision, time.Now()) {
 		m.log.Info("read is older than the copy; ignored", "revision", revision, "copy", m.currentRevision())
@@ -149,6 +153,9 @@
 	return nil
 }
 
+// errStaleRead is returned for a read that is older than an earlier one.
+var errStaleRead = errors.New("stale read")
+
 // readView reads the entries below a prefix into fresh, page by page, and returns the store
 // revision of the first page.
 func (m *Mirror) readView(ctx context.Context, prefix string, fresh map[string]store.KV) (revision int64, err error) {
--- a/internal/fleet/mirror_test.go
+++ b/internal/fleet/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,6 +229,40 @@
 	})
 }
 
+// staleSource answers the read of the second view from an older state than the first, until
+// current is set.
+type staleSource struct {
+	movingSource
+	current atomic.Bool
+}
+
+func (s *staleSource) Range(ctx context.Context, prefix string, opts store.RangeOptions) (store.RangeResult, error) {
+	if prefix != "config" && !s.current.Load() {
+		return store.RangeResult{Revision: 8}, nil
+	}
+	return s.movingSource.Range(ctx, prefix, opts)
+}
+
+// Guards against a copy that lacks changes because a read was answered from an older state than
+// the one before: the watch repeats only what came after the first.
+func TestReadOlderThanTheOneBeforeIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &staleSource{movingSource: movingSource{make(chan store.WatchBatch)}}
+		mirror := fleet.NewMirror(source, nil, slog.New(slog.DiscardHandler), fleet.View{Prefix: "config", OnChange: func(fleet.Change) {}},
+			fleet.View{Prefix: "servers/", OnChange: func(fleet.Change) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); mirror.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		require.False(t, mirror.Loaded())
+		source.current.Store(true)
+		time.Sleep(2 * time.Second)
+		require.True(t, mirror.Loaded())
+		cancel()
+		<-done
+	})
+}
+
 // A node that reconnects to the store keeps expired entries for a grace period. It must not
 // pass them on to followers as confirmed.
 func TestExpiredEntriesAreNotForwarded(t *testing.T) {
