internal/fleet, internal/feed: confirmations reach all nodes of the tree at once

A feed passed the store's confirmations on in heartbeats of 200 ms, on each level anew: in a quiet second a copy's age was 400 ms and 200 ms a level, and from the third level on it passed the age at which a node watches the store itself. Confirmations are now forwarded when they arrive; heartbeats are sent only where there is nothing else.

TestAgeDoesNotGrowWithTheDepthOfTheTree (eight levels) fails without it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,12 +21,11 @@
 
 // Timing of a feed.
 const (
-	// heartbeatInterval is how often a feed sends a batch without events while nothing
-	// changes.
+	// heartbeatInterval is how long a feed has nothing to send before it repeats the
+	// revision and the age of its copy.
 	heartbeatInterval = 200 * time.Millisecond
 	// A follower gives up a feed that has sent nothing for silenceTimeout, and a feed stops
-	// serving once the store has not confirmed its copy for maxSourceAge. A configuration
-	// must be in force within 2 s, even on a node whose feed is cut off from the store.
+	// serving once the store has not confirmed its copy for maxSourceAge.
 	silenceTimeout = 700 * time.Millisecond
 	maxSourceAge   = time.Second
 	// WatchTimeout is the long-poll timeout of the store watch on a node that feeds
@@ -111,6 +110,7 @@
 		if err := s.send(stream, next); err != nil {
 			return err
 		}
+		heartbeat.Reset(heartbeatInterval)
 	}
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -89,12 +89,18 @@
 	return first, changes
 }
 
-// notifyFollowers sends changes to the followers; the caller holds m.mu. A follower whose queue
+// minContactStep is the shortest time between two confirmations that are forwarded without
+// changes. A feed repeats the last one in its heartbeats, and these vary by their latency.
+const minContactStep = 50 * time.Millisecond
+
+// notifyFollowers sends changes and confirmations to the followers at once, so that the age of a
+// copy does not grow with its distance from the store; the caller holds m.mu. A follower whose queue
 // is full is dropped: it then watches the store itself or follows again from a new snapshot.
 func (m *Mirror) notifyFollowers(batch store.WatchBatch) {
-	if len(batch.Events) == 0 && batch.Revision <= m.revision {
-		return // the feed's own heartbeats confirm the copy
+	if len(batch.Events) == 0 && batch.Revision <= m.revision && m.lastContact.Sub(m.forwardedContact) < minContactStep {
+		return
 	}
+	m.forwardedContact = m.lastContact
 	for changes, prefixes := range m.followers {
 		part := store.WatchBatch{Revision: batch.Revision}
 		for _, ev := range batch.Events {
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -88,6 +88,8 @@
 	viewRevision    int64
 	notifyScheduled bool
 	notifiedAt      time.Time
+	// forwardedContact is the value of lastContact that the followers were last sent.
+	forwardedContact time.Time
 	// followers maps the channels of the nodes that follow this copy to the prefixes they
 	// follow.
 	followers map[chan store.WatchBatch][]string
--- a/internal/fleet/sources_test.go
+++ b/internal/fleet/sources_test.go
@@ -146,3 +146,54 @@
 		})
 	}
 }
+
+// mirrorFeed is a feed of another mirror's copy that sends no heartbeats.
+type mirrorFeed struct{ source *fleet.Mirror }
+
+func (f mirrorFeed) Follow(ctx context.Context, handle feed.Handler) bool {
+	for !f.source.Loaded() {
+		if !clock.Pause(ctx, 20*time.Millisecond) {
+			return false
+		}
+	}
+	first, changes := f.source.Follow(ctx, []string{"config"})
+	handle(first, time.Since(f.source.LastContact()), true)
+	for {
+		select {
+		case <-ctx.Done():
+			return true
+		case batch := <-changes:
+			handle(batch, time.Since(f.source.LastContact()), false)
+		}
+	}
+}
+
+// Guards against copies that are old for their distance from the store alone, so that nodes far
+// from it watch the store themselves.
+func TestAgeDoesNotGrowWithTheDepthOfTheTree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const depth, interval = 8, 400 * time.Millisecond
+		mem := memstore.New(memstore.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var leaf *fleet.Mirror
+		for range depth {
+			var source fleet.Feed
+			if leaf != nil {
+				source = mirrorFeed{leaf}
+			}
+			node := fleet.NewMirror(idleBatchStore{mem, interval}, source, slog.New(slog.DiscardHandler), fleet.View{Prefix: "config", OnChange: func(fleet.Change) {}})
+			running.Go(func() { node.Run(ctx) })
+			leaf = node
+		}
+		time.Sleep(time.Second)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			require.LessOrEqual(t, time.Since(leaf.LastContact()), interval)
+		}
+		require.EqualValues(t, 1, mem.Calls()[memstore.KindWatch])
+		cancel()
+		running.Wait()
+		mem.Close()
+	})
+}
