internal/entry: a configuration counts as the newest for 1.8 s instead of 3.5 s

From 1.8 s on such a call is now refused with 503 and a time to come back; known routes are served as before, as a zone that is cut off serves what it can. A watch on an idle node answers each second instead of each two, which keeps the age below that.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -237,7 +237,7 @@
 const (
 	// idleWatchTimeout is the long-poll timeout of the store watch on a node without
 	// followers.
-	idleWatchTimeout = 2 * time.Second
+	idleWatchTimeout = time.Second
 	// idleWatchPause is how long such a node waits after changes, to batch them, unless
 	// it forms replicas. When all feeds are lost, hundreds of nodes watch the store.
 	idleWatchPause = 400 * time.Millisecond
@@ -295,8 +295,9 @@
 }
 
 // maxConfigAge is how long the configuration counts as the newest after the store's last
-// answer. A watch answers at least every 2 s.
-const maxConfigAge = 3500 * time.Millisecond
+// answer. It is shorter than the time in which a change must be in force, and longer than the
+// time between two answers of a watch.
+const maxConfigAge = 1800 * time.Millisecond
 
 func (n *Core) currentRules() rules.InForce {
 	age := time.Since(n.mirror.LastContact())
