internal/player: nodes can be isolated from all VMs; a failing test of their callers

One, two or three of four nodes are cut off from the VMs and from nothing else for 8 s, with connections that hang or are refused.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body := &streamBody{ctx: ctx, w: b.w, answer: ans, cancelJob: func() { b.w.cancelJob(v, job) }, lastPiece: resumeOffset(a.ResumeAfter)}
+	body := &streamBody{ctx: ctx, w: b.w, node: b.node, answer: ans, cancelJob: func() { b.w.cancelJob(v, job) }, lastPiece: resumeOffset(a.ResumeAfter)}
 	if err := body.awaitFirst(); err != nil {
 		return nil, err
 	}
@@ -56,6 +56,10 @@
 	b.w.mu.Lock()
 	defer b.w.mu.Unlock()
 	v := b.w.vms[p.Server]
+	cut, isolated := b.w.isolated[b.node]
+	if isolated {
+		return cut.refuse
+	}
 	return v != nil && v.crashed && b.w.reaches(b.zone, v.entry.Zone)
 }
 
@@ -74,12 +78,13 @@
 func (b *backend) reach(ctx context.Context, a relay.Attempt) (*vm, error) {
 	b.w.mu.Lock()
 	v := b.w.vms[a.Peer.Server]
-	reachable := v != nil && b.w.reaches(b.zone, v.entry.Zone)
-	refused := reachable && v.crashed
+	cut, isolated := b.w.isolated[b.node]
+	reachable := v != nil && !isolated && b.w.reaches(b.zone, v.entry.Zone)
+	refused := isolated && cut.refuse || reachable && v.crashed
 	b.w.mu.Unlock()
 	switch {
 	case refused:
-		return nil, &relay.NotRunError{Reason: "connection refused", Err: errors.New("VM has crashed")}
+		return nil, &relay.NotRunError{Reason: "connection refused", Err: errors.New("connection refused")}
 	case reachable && !v.dead:
 		return v, nil
 	}
@@ -140,6 +145,7 @@
 type streamBody struct {
 	ctx          context.Context
 	w            *world
+	node         cluster.NodeID
 	answer       *answer
 	cancelJob    func()
 	lastPiece    int
@@ -161,6 +167,9 @@
 func (r *streamBody) await() error {
 	select {
 	case _, ok := <-r.answer.pieces:
+		if err := r.awaitPath(); err != nil {
+			return err
+		}
 		if !ok {
 			return io.EOF
 		}
--- a/internal/player/callers.go
+++ b/internal/player/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
@@ -48,6 +49,10 @@
 	// longest time between two consecutive pieces.
 	FirstPiece, MaxGap time.Duration
 	Attempts           int
+	// Node is the node of the first attempt, and FirstServed whether that attempt was
+	// answered in full.
+	Node        cluster.NodeID
+	FirstServed bool
 	// Quarantined is set if the call was refused as one that crashes servers.
 	Quarantined bool
 	// Work is the time of a replica that the call takes, computed from the engine's figures.
@@ -125,12 +130,13 @@
 // or breaks off.
 func (c *callers) runCall(n *node, k *CallKind, id string, at time.Duration, prompt, answer, hint int) {
 	sent := time.Now()
-	result := CallResult{Kind: k.Name, SentAt: at, Outcome: Failed, Work: c.sys.scenario.work(k, prompt, answer)}
+	result := CallResult{Kind: k.Name, Node: n.id, SentAt: at, Outcome: Failed, Work: c.sys.scenario.work(k, prompt, answer)}
 	resume := ""
 	for try := range 2 {
 		result.Attempts = try + 1
 		s := c.attempt(n, k, fmt.Sprintf("%s-%d", id, try), "/"+id, nil, sent, prompt, answer, hint, resume)
 		result.recordAttempt(s, k)
+		result.FirstServed = result.FirstServed || s.ended && try == 0
 		if s.ended {
 			break
 		}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -51,6 +51,8 @@
 		w.limitHeads(f)
 	case ColdServers:
 		w.coolHeads(f)
+	case IsolateNodes:
+		sys.isolateNodes(f)
 	case CrashRequests:
 		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
 	}
@@ -74,6 +76,8 @@
 		w.forEach(w.all(), func(v *vm) { v.rateLimit = 0 })
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{})
+	case IsolateNodes:
+		sys.endIsolation(f)
 	}
 }
 
--- /dev/null
+++ b/internal/player/isolation_test.go
@@ -0,0 +1,64 @@
+package player_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/player"
+)
+
+// servedFirst returns the share of the calls sent between two moments whose first attempt was
+// answered, at the nodes in the set and at the others.
+func servedFirst(res *player.Result, from, until time.Duration, nodes map[cluster.NodeID]bool) (inside, outside float64) {
+	var sent, served [2]float64
+	for _, c := range res.Calls {
+		if c.SentAt < from || c.SentAt >= until {
+			continue
+		}
+		group := 0
+		if nodes[c.Node] {
+			group = 1
+		}
+		sent[group]++
+		if c.FirstServed {
+			served[group]++
+		}
+	}
+	return served[1] / max(sent[1], 1), served[0] / max(sent[0], 1)
+}
+
+// Guards against nodes that refuse their callers because they reach no backend server, while
+// other nodes do.
+func TestCallersOfIsolatedNodesAreServed(t *testing.T) {
+	const begin, length, settled = 4 * time.Second, 8 * time.Second, 3 * time.Second
+	for _, c := range []struct {
+		scenario string
+		isolated []cluster.NodeID
+	}{
+		{"overload", []cluster.NodeID{"a-0"}},
+		{"overload", []cluster.NodeID{"a-0", "a-1"}},
+		{"overload", []cluster.NodeID{"a-0", "a-1", "b-0"}},
+	} {
+		for _, refuse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%d/refuse=%t", c.scenario, len(c.isolated), refuse), func(t *testing.T) {
+				s := load(t, c.scenario)
+				s.Bursts, s.Length = nil, 16*time.Second
+				s.Faults = []player.Fault{{Kind: player.IsolateNodes, At: begin, Duration: length, Count: len(c.isolated), Refuse: refuse}}
+				res := simulate(t, s, player.Options{Seed: 1})
+				nodes := make(map[cluster.NodeID]bool)
+				for _, id := range c.isolated {
+					nodes[id] = true
+				}
+				inside, outside := servedFirst(res, begin+settled, begin+length, nodes)
+				t.Logf("first attempts served: %.3f at isolated nodes, %.3f at the others", inside, outside)
+				require.GreaterOrEqual(t, inside, outside*2/3)
+				after, others := servedFirst(res, begin+length+time.Second, s.Length, nodes)
+				require.GreaterOrEqual(t, after, others*2/3, "after the path is back")
+			})
+		}
+	}
+}
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -123,7 +123,8 @@
 // that crashes the head of each replica that runs it. CrashHeads crashes the heads of several
 // replicas at once. LimitServers has heads of replicas name a
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
-// replicas be cold for a time.
+// replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
+// nothing else, for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -136,6 +137,7 @@
 	CrashHeads    FaultKind = "crash-heads"
 	LimitServers  FaultKind = "limit"
 	ColdServers   FaultKind = "cold"
+	IsolateNodes  FaultKind = "isolate-nodes"
 )
 
 // Fault is a fault injected at a time after the first call.
@@ -150,6 +152,8 @@
 	// Domain is the index of the zone's domain that DomainOutage affects.
 	Domain int     `yaml:"domain"`
 	Factor float64 `yaml:"factor"`
+	// Refuse has connections of isolated nodes be refused instead of hang.
+	Refuse bool `yaml:"refuse"`
 }
 
 // figures returns the engine's performance profile for a model.
--- a/internal/player/world.go
+++ b/internal/player/world.go
@@ -41,6 +41,8 @@
 	started bool
 	// partitioned holds the zones that are separated from the others and from the store.
 	partitioned map[cluster.ZoneID]bool
+	// isolated holds the nodes that are separated from all VMs.
+	isolated map[cluster.NodeID]isolation
 	// violations are broken invariants of replicas.
 	violations []string
 	loads      int
@@ -59,7 +61,7 @@
 }
 
 func newWorld(s *Scenario, rng *rand.Rand) *world {
-	w := &world{scenario: s, store: memstore.New(memstore.Options{}), rng: rng, vms: make(map[cluster.VMID]*vm), partitioned: make(map[cluster.ZoneID]bool), coldArrivals: make(map[cluster.VMID][]time.Time), limits: make(map[cluster.VMID]*limitRecord), startedAt: time.Now()}
+	w := &world{scenario: s, store: memstore.New(memstore.Options{}), rng: rng, vms: make(map[cluster.VMID]*vm), partitioned: make(map[cluster.ZoneID]bool), isolated: make(map[cluster.NodeID]isolation), coldArrivals: make(map[cluster.VMID][]time.Time), limits: make(map[cluster.VMID]*limitRecord), startedAt: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	for _, z := range s.Zones {
 		for d, size := range z.Domains {
