Calls of a node that reaches no backend server go to another node

Cause: no part of a node knew that its path was lost. The stall detector guessed it for its own choice only, and decision 0004 had refused a second hop.

Change: - internal/reach: two servers that fail without any answer in between have the path probed: connections to six others, 400 ms. None accepted: unreachable. Most accepted twice in a row: reachable again. Dead or silent servers beside live ones are no loss. - internal/relay: while the path is lost, and for a single call after two servers that it could not be sent to, another node takes the call over: one hop, marked, with the number of servers that may still get it and the time left. What that node refuses as not run goes to the caller as it is; a node that reaches no server either, or is down, passes the call to the next, three at most; then it is refused at once. Nothing that may have reached a server is handed over twice. The retry budget and the measured work count a call at the node that its caller chose.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -44,11 +44,29 @@
 	// attempt; empty if the answer is to start from the beginning.
 	ResumeAfter string
 
+	// Credential is what the caller proved its team with. It is passed to another node with
+	// the call, and never to a backend server.
+	Credential string
+	// AttemptsLeft is set on a call that another node has handed over: the number of backend
+	// servers that may receive it.
+	AttemptsLeft int
+
 	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting; zero if it gave no deadline.
 	Deadline time.Time
 }
 
+// HandedOver reports whether another node has handed the call over to this one.
+func (c *Call) HandedOver() bool { return c.AttemptsLeft > 0 }
+
+// MaxAttempts returns the number of backend servers that may receive the call.
+func (c *Call) MaxAttempts() int {
+	if c.HandedOver() {
+		return min(c.AttemptsLeft, c.Route.Policy.MaxAttempts)
+	}
+	return c.Route.Policy.MaxAttempts
+}
+
 // EffectiveDeadline returns the time by which the call must be answered: the caller's deadline
 // or the end of the route's timeout, whichever is earlier. It is zero if neither is set.
 func (c *Call) EffectiveDeadline() time.Time {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -144,14 +144,20 @@
 
 // Refuses reports whether a connection to the peer's address is refused. It returns false if the
 // address does not respond until ctx ends.
-func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
+func (p *Pool) Refuses(ctx context.Context, peer Peer) bool { return isRefused(p.tryDial(ctx, peer)) }
+
+// Accepts reports whether the peer's address accepts a connection before ctx ends.
+func (p *Pool) Accepts(ctx context.Context, peer Peer) bool { return p.tryDial(ctx, peer) == nil }
+
+// tryDial opens a connection and closes it.
+func (p *Pool) tryDial(ctx context.Context, peer Peer) error {
 	dialsTotal.Inc()
 	conn, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
-		return isRefused(err)
+		return err
 	}
-	_ = conn.Close() // only opened to see whether it is accepted
-	return false
+	_ = conn.Close() // nothing was sent
+	return nil
 }
 
 // Close closes all idle connections.
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -18,6 +18,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/formation"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
+	"github.com/fennelcourse/fennelcourse/internal/reach"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
@@ -35,6 +36,8 @@
 	PaceWatch func(pace func() (wait, pause time.Duration))
 	Orders    formation.OrderClient
 	Backend   func(pool *conns.Pool) relay.Backend
+	// NodeClient hands calls over to other nodes; nil if the nodes do not do that.
+	NodeClient func(pool *conns.Pool) relay.NodeClient
 	// NewHandler returns the HTTP handler for callers.
 	NewHandler func(f HandlerOptions) http.Handler
 	// ServersPrefix is the key prefix of the backend servers' entries; DecodeServer
@@ -97,8 +100,10 @@
 	peerCount atomic.Pointer[func() int]
 
 	table *routing.Table
-	pool  *conns.Pool
-	relay *relay.Relay
+	// pool holds the connections to backend servers, nodePool those to other nodes.
+	pool, nodePool *conns.Pool
+	relay          *relay.Relay
+	reach          *reach.Detector
 	// suspects tracks the requests that crash servers; quarantines stores those found.
 	suspects    *suspect.Tracker
 	quarantines *quarantineWriter
@@ -137,6 +142,9 @@
 	// Rank returns this node's rank among the live nodes for a key, as membership defines it;
 	// nil means 0.
 	Rank func(key string) int
+	// Nodes returns the other live nodes, to which calls are handed over while this node reaches
+	// no backend server; nil if nothing is known of other nodes.
+	Nodes func() []relay.Node
 	// SinceBoot is the clock that measures the placement lease while the VM is suspended;
 	// nil means clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -153,7 +161,7 @@
 	if opts.Policies.Place == nil {
 		opts.Policies.Place = placement.Mix{}
 	}
-	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
+	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), nodePool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
 		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
@@ -162,12 +170,14 @@
 	n.quarantines = newQuarantineWriter(p.Store, scope, cfg.Node, log)
 	n.suspects = suspect.New(suspect.Options{Node: cfg.Node, TriggerHeartbeat: opts.TriggerHeartbeat, Peers: n.livePeers, Rank: opts.Rank,
 		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime, MaxTurnWait: maxTurnWait}, Log: log})
-	n.relay = relay.New(relay.Options{
+	relayOptions := relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
 		Suspects: n.suspects, Leaving: n.isLeaving,
 		OnStall: n.onStall,
 		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window, Nodes: cfg.Retries.Nodes}),
-	})
+	}
+	n.enableHandOver(&relayOptions, opts)
+	n.relay = relay.New(relayOptions)
 	leaseKey, datagramKey := store.PlacementLeaseKey(scope), store.DatagramKey(scope)
 	n.servers = fleet.NewTracker(p.DecodeServer, log)
 	views := []fleet.View{{Prefix: p.ConfigKey, OnChange: n.configChanged}}
@@ -216,7 +226,7 @@
 	for _, run := range []func(context.Context){n.control.Run, n.strandedLoop, n.outages.run} {
 		tasks.Go(func() { run(regionCtx) })
 	}
-	for _, run := range []func(context.Context){n.mirror.Run, n.relay.Run, n.sweepLoop, n.quarantines.run} {
+	for _, run := range []func(context.Context){n.mirror.Run, n.relay.Run, n.sweepLoop, n.quarantines.run, n.reach.Run} {
 		tasks.Go(func() { run(ctx) })
 	}
 	tasks.Wait()
@@ -232,6 +242,7 @@
 		n.feed.Close()
 	}
 	n.pool.Close()
+	n.nodePool.Close()
 }
 
 const (
@@ -274,7 +285,7 @@
 func (n *Core) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	n.requestSeen.Store(true)
 	c.EstimatedWork = n.estimateWork(c)
-	if c.EstimatedWork > 0 && !c.LikelyRetry() && c.ResumeAfter == "" {
+	if c.EstimatedWork > 0 && !c.LikelyRetry() && c.ResumeAfter == "" && !c.HandedOver() {
 		n.work.Record(cluster.GroupName(c.Model), c.EstimatedWork, time.Now())
 	}
 	n.relay.Serve(ctx, c, sink)
@@ -385,5 +396,6 @@
 			s := list.Find(p.Server)
 			return s != nil && s.Addr == p.Addr && s.StartedAt.UnixMilli() == p.StartedUnixMs
 		}, now)
+		n.nodePool.Sweep(func(conns.Peer) bool { return true }, now)
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,7 @@
 		opts.OnDatagramKey = func(c fleet.Change) { n.peers.keyChanged(c) }
 		opts.Broadcast = func(section membership.Section) { n.peers.broadcast(section) }
 		opts.Responsible = func(task string, nodes int) bool { return n.peers.responsible(task, nodes) }
+		opts.Nodes = func() []relay.Node { return n.peers.nodes() }
 		opts.Rank = func(key string) int { return n.peers.rank(key) }
 		opts.TriggerHeartbeat = func() { n.peers.triggerHeartbeat() }
 	}
--- a/internal/fennelerr/fennelerr.go
+++ b/internal/fennelerr/fennelerr.go
@@ -39,16 +39,18 @@
 	LimitExceeded    Code = "team_limit_exceeded"
 	DeadlineTooShort Code = "deadline_too_short"
 	NoReplica        Code = "no_whole_replica"
-	StoreUnavailable Code = "store_unavailable"
-	BackendFailed    Code = "backend_failed"
-	StreamTruncated  Code = "stream_truncated"
-	AnswerMismatch   Code = "answer_mismatch"
-	NotReady         Code = "not_ready"
-	StaleFence       Code = "stale_fence"
-	LeaseLost        Code = "lease_lost"
-	Timeout          Code = "timeout"
-	Canceled         Code = "canceled"
-	Internal         Code = "internal"
+	// ServersUnreachable means that this node reaches no backend server; others may.
+	ServersUnreachable Code = "servers_unreachable"
+	StoreUnavailable   Code = "store_unavailable"
+	BackendFailed      Code = "backend_failed"
+	StreamTruncated    Code = "stream_truncated"
+	AnswerMismatch     Code = "answer_mismatch"
+	NotReady           Code = "not_ready"
+	StaleFence         Code = "stale_fence"
+	LeaseLost          Code = "lease_lost"
+	Timeout            Code = "timeout"
+	Canceled           Code = "canceled"
+	Internal           Code = "internal"
 )
 
 // RunState says whether a backend server executed the request.
--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -63,6 +63,22 @@
 	return v != nil && v.crashed && b.w.reaches(b.zone, v.entry.Zone)
 }
 
+// Accepts implements relay.Backend.
+func (b *backend) Accepts(ctx context.Context, p conns.Peer) bool {
+	time.Sleep(roundTrip)
+	b.w.mu.Lock()
+	v := b.w.vms[p.Server]
+	cut, isolated := b.w.isolated[b.node]
+	reachable := v != nil && !isolated && b.w.reaches(b.zone, v.entry.Zone)
+	refused := isolated && cut.refuse || reachable && v.crashed
+	accepted := reachable && !v.crashed && !v.dead
+	b.w.mu.Unlock()
+	if !accepted && !refused {
+		<-ctx.Done()
+	}
+	return accepted
+}
+
 // resumeOffset returns the number of the last piece that the caller already has, 0 if it
 // has none.
 func resumeOffset(id string) int {
--- /dev/null
+++ b/internal/reach/detector.go
@@ -0,0 +1,172 @@
+// Package reach detects that a node has lost its path to the backend servers while everything
+// else still works. Servers that end or stall look the same to a single call; a few connections
+// to other servers tell the two apart.
+package reach
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+)
+
+const (
+	// minFailures is the number of servers that must have failed, without any answer since, for
+	// the path to be probed.
+	minFailures = 2
+	// probedServers is the number of servers to which a probe opens connections, and
+	// probeTimeout how long it waits for them. A connection takes a round trip, or a second
+	// more if its first packet is lost.
+	probedServers = 6
+	probeTimeout  = 400 * time.Millisecond
+	// probeInterval is the time between two probes while no server is reachable, and
+	// quietInterval the shortest one otherwise.
+	probeInterval = 300 * time.Millisecond
+	quietInterval = time.Second
+	// recoveredProbes is the number of probes in a row that must reach most servers for the path
+	// to count as restored.
+	recoveredProbes = 2
+)
+
+var (
+	probesTotal = metrics.NewCounter("fennel_reach_probes_total")
+	lossesTotal = metrics.NewCounter("fennel_reach_losses_total")
+)
+
+// Options are the dependencies of a Detector.
+type Options struct {
+	// Servers returns the listed servers.
+	Servers func() []conns.Peer
+	// Accepts reports whether a server accepts a connection before ctx ends.
+	Accepts func(ctx context.Context, server conns.Peer) bool
+	// OnLost is called when the servers have become unreachable.
+	OnLost func()
+	Log    *slog.Logger
+}
+
+// Detector tells whether this node reaches the backend servers. All methods are safe for
+// concurrent use.
+type Detector struct {
+	opts        Options
+	unreachable atomic.Bool
+	// suspected receives a value when the path is to be probed.
+	suspected chan struct{}
+
+	mu sync.Mutex
+	// failed holds the servers that failed since the last answer of any.
+	failed    map[string]struct{}
+	hasFailed atomic.Bool
+}
+
+// NewDetector returns a Detector; Run makes it work.
+func NewDetector(opts Options) *Detector {
+	return &Detector{opts: opts, suspected: make(chan struct{}, 1), failed: make(map[string]struct{})}
+}
+
+// Unreachable reports whether this node reaches no backend server.
+func (d *Detector) Unreachable() bool { return d.unreachable.Load() }
+
+// Failed records that a server, named by any unique text, could not be reached or did not answer.
+func (d *Detector) Failed(server string) {
+	d.mu.Lock()
+	d.failed[server] = struct{}{}
+	enough := len(d.failed) >= minFailures
+	d.hasFailed.Store(true)
+	d.mu.Unlock()
+	if !enough {
+		return
+	}
+	select {
+	case d.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// Answered records that a server answered.
+func (d *Detector) Answered() {
+	if !d.hasFailed.Load() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.failed)
+	d.hasFailed.Store(false)
+}
+
+// failures returns the number of servers that failed since the last answer.
+func (d *Detector) failures() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.failed)
+}
+
+// Run probes the path whenever it is suspected to be lost, until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.suspected:
+		}
+		if d.failures() < minFailures {
+			continue // a server has answered meanwhile
+		}
+		accepted, probed := d.probe(ctx)
+		if probed == 0 || accepted > 0 || ctx.Err() != nil {
+			d.Answered()
+			clock.Pause(ctx, quietInterval)
+			continue
+		}
+		d.awaitRecovery(ctx, probed)
+	}
+}
+
+// awaitRecovery marks the servers as unreachable until most of them accept connections again.
+func (d *Detector) awaitRecovery(ctx context.Context, probed int) {
+	lostAt := time.Now()
+	d.unreachable.Store(true)
+	defer d.unreachable.Store(false)
+	lossesTotal.Inc()
+	d.opts.Log.Warn("backend servers unreachable", "failed", d.failures(), "probed", probed)
+	d.opts.OnLost()
+	for reached := 0; reached < recoveredProbes; {
+		if !clock.Pause(ctx, probeInterval) {
+			return
+		}
+		accepted, probed := d.probe(ctx)
+		reached++
+		if 2*accepted < probed {
+			reached = 0
+		}
+	}
+	d.Answered()
+	d.opts.Log.Info("backend servers reachable again", "after", time.Since(lostAt))
+}
+
+// probe opens connections to a few random servers and returns how many were accepted.
+func (d *Detector) probe(ctx context.Context) (accepted, probed int) {
+	probesTotal.Inc()
+	servers := d.opts.Servers()
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	servers = servers[:min(len(servers), probedServers)]
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var count atomic.Int32
+	var running sync.WaitGroup
+	for _, server := range servers {
+		running.Go(func() {
+			if d.opts.Accepts(ctx, server) {
+				count.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	return int(count.Load()), len(servers)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -32,6 +32,8 @@
 	load *Load
 	// rateLimit is the limit that the server named; 0 if it named none.
 	rateLimit float64
+	// node is the node that the call is handed over to; nil for an attempt on a replica.
+	node *Node
 	// crashed is set if the attempt failed because its server crashed.
 	crashed bool
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
@@ -40,7 +42,7 @@
 
 func newAttempt(ctx context.Context, s *session, choice routing.Choice, peer conns.Peer) *attempt {
 	a := &attempt{s: s, choice: choice, peer: peer, started: time.Now(), idempotent: s.call.Route.Policy.Idempotent()}
-	a.canRetry = a.idempotent && s.sent+1 < s.call.Route.Policy.MaxAttempts
+	a.canRetry = a.idempotent && s.sent+1 < s.call.MaxAttempts()
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
@@ -49,9 +51,11 @@
 // was received.
 func (a *attempt) run() (routing.Result, error) {
 	a.lastActivity.Store(a.started.UnixNano())
-	a.s.r.register(a.choice.Replica.ID, a)
-	defer a.s.r.unregister(a.choice.Replica.ID, a)
-	if a.s.streams() {
+	if a.node == nil {
+		a.s.r.register(a.choice.Replica.ID, a)
+		defer a.s.r.unregister(a.choice.Replica.ID, a)
+	}
+	if a.node == nil && a.s.streams() {
 		a.s.r.stalls.begin(a.choice.Replica.ID, a.started)
 		defer a.s.r.stalls.end(a.choice.Replica.ID)
 	}
@@ -59,10 +63,7 @@
 	a.resetIdleTimer(a.firstPieceTimeout())
 	defer a.stopIdleTimer()
 
-	reply, err := a.s.r.opts.Backend.Send(a.ctx, Attempt{
-		Call: a.s.call, Peer: a.peer, Replica: a.choice.Replica.ID, Timeout: time.Until(a.s.end),
-		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(),
-	})
+	reply, err := a.send()
 	if err != nil {
 		if notRun, ok := errors.Into[*NotRunError](err); ok {
 			if notRun.Received {
@@ -88,6 +89,31 @@
 	return a.forwardUnary(reply)
 }
 
+// send sends the call to the replica's server, or to the node that is to take it over.
+func (a *attempt) send() (*Reply, error) {
+	attempt := Attempt{
+		Call: a.s.call, Peer: a.peer, Replica: a.choice.Replica.ID, Timeout: time.Until(a.s.end),
+		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(), MaxAttempts: a.s.attemptsLeft(),
+	}
+	if a.node != nil {
+		return a.s.r.opts.NodeClient.Send(a.ctx, attempt)
+	}
+	unanswered := time.AfterFunc(unansweredTimeout, func() { a.s.r.recordFailure(a.peer.Addr) })
+	defer unanswered.Stop()
+	reply, err := a.s.r.opts.Backend.Send(a.ctx, attempt)
+	switch notRun, isNotRun := errors.Into[*NotRunError](err); {
+	case err == nil || isNotRun && notRun.Received:
+		a.s.r.recordAnswer()
+	case isNotRun && a.ctx.Err() == nil:
+		a.s.r.recordFailure(a.peer.Addr)
+	}
+	return reply, err
+}
+
+// unansweredTimeout is how long a server may take to begin its answer before it may be out of
+// reach.
+const unansweredTimeout = 700 * time.Millisecond
+
 // serverFailure is the error of an attempt that the server answered with a failure.
 func serverFailure(reply *Reply) *BrokenError {
 	return &BrokenError{Reason: "the server failed", Err: errors.Errorf("status %d", reply.Head.Status)}
@@ -112,6 +138,9 @@
 
 // reportRateLimit passes the limit that the server named, or 0 for none, on to the router.
 func (a *attempt) reportRateLimit(perSecond float64) {
+	if a.node != nil {
+		return
+	}
 	a.rateLimit = perSecond
 	if a.s.r.opts.Router.ReportRateLimit(a.choice.Replica.ID, perSecond, a.started, time.Now()) {
 		a.s.r.opts.Log.Info("rate limit", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "per_second", perSecond, "request", a.s.call.ID)
@@ -241,6 +270,10 @@
 // recordActivity records the arrival of a piece.
 func (a *attempt) recordActivity(now time.Time) {
 	a.lastActivity.Store(now.UnixNano())
+	if a.node != nil {
+		return
+	}
+	a.s.r.recordAnswer()
 	a.s.r.stalls.recordActivity(a.choice.Replica.ID, now)
 }
 
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -23,6 +23,9 @@
 	ResumeAfter string
 	// MaxIdle is the longest idle time of a connection that may be reused.
 	MaxIdle time.Duration
+	// MaxAttempts is the number of backend servers that may receive a call that is handed over
+	// to another node.
+	MaxAttempts int
 }
 
 // Load is the load that a backend server reports in an answer.
@@ -56,6 +59,8 @@
 	// Refuses reports whether the peer's address refuses connections: its process has ended.
 	// A peer that does not respond is not known to have ended.
 	Refuses(ctx context.Context, p conns.Peer) bool
+	// Accepts reports whether the peer's address accepts a connection before ctx ends.
+	Accepts(ctx context.Context, p conns.Peer) bool
 }
 
 // NotRunError reports that an attempt did not run the call and never will.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -41,6 +41,7 @@
 }
 
 func (b *refusingBackend) Refuses(context.Context, conns.Peer) bool { return b.refuses }
+func (b *refusingBackend) Accepts(context.Context, conns.Peer) bool { return !b.refuses }
 
 // serveOnce serves an unsafe call with one attempt.
 func serveOnce(b relay.Backend, suspects relay.Suspects, leaving bool) *recorder {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -101,6 +101,7 @@
 }
 
 func (*fakeBackend) Refuses(context.Context, conns.Peer) bool { return false }
+func (*fakeBackend) Accepts(context.Context, conns.Peer) bool { return true }
 
 func (b *fakeBackend) sent() []relay.Attempt {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/relay/nodes.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+)
+
+// Reachability tells whether this node reaches the backend servers. *reach.Detector implements
+// it.
+type Reachability interface {
+	// Failed records that a server, named by any unique text, could not be reached or did not
+	// answer, and Answered that one did.
+	Failed(server string)
+	Answered()
+	// Unreachable reports whether this node reaches no backend server.
+	Unreachable() bool
+}
+
+// Node is another node that may take calls over.
+type Node struct {
+	ID   cluster.NodeID
+	Addr string // where it takes callers' requests
+}
+
+// NodeClient passes calls to other nodes, which handle them as their own callers' requests. Send
+// fails with a *NotRunError if the node cannot be reached, with a *NodeRefusalError if it refuses
+// the call, and with a *BrokenError otherwise. Of the attempt, Call, Peer.Addr, Timeout,
+// ResumeAfter, MaxIdle and MaxAttempts count.
+type NodeClient interface {
+	Send(ctx context.Context, a Attempt) (*Reply, error)
+}
+
+// NodeRefusalError is another node's refusal of a call.
+type NodeRefusalError struct{ Refusal *fennelerr.Error }
+
+// Error implements error.
+func (e *NodeRefusalError) Error() string { return "another node: " + e.Refusal.Error() }
+
+// Unwrap returns the refusal.
+func (e *NodeRefusalError) Unwrap() error { return e.Refusal }
+
+// retriable reports whether yet another node may take the call.
+func (e *NodeRefusalError) retriable() bool {
+	if e.Refusal.Run != fennelerr.NotRun {
+		return false
+	}
+	switch e.Refusal.Code {
+	case fennelerr.ServersUnreachable, fennelerr.NotReady:
+		return true
+	}
+	return false
+}
+
+const (
+	// maxUnconnected is the number of servers to which a call could not be sent after which
+	// another node takes it over.
+	maxUnconnected = 2
+	// maxNodes is the number of nodes that a call is offered to.
+	maxNodes = 3
+	// nodeBackoff is how long a node that did not take a call is offered none, unless all are
+	// backed off.
+	nodeBackoff = 500 * time.Millisecond
+	// retryAfterUnreachable is the retry time of a call that no node takes over. Callers retry
+	// at another node.
+	retryAfterUnreachable = time.Second
+)
+
+var (
+	handedOverTotal    = metrics.NewCounter(`fennel_relay_handed_over_calls_total{outcome="answered"}`)
+	handOverRefused    = metrics.NewCounter(`fennel_relay_handed_over_calls_total{outcome="refused"}`)
+	handOverFailed     = metrics.NewCounter(`fennel_relay_handed_over_calls_total{outcome="failed"}`)
+	takenOverTotal     = metrics.NewCounter("fennel_relay_taken_over_calls_total")
+	unreachableRefused = metrics.NewCounter("fennel_relay_unreachable_refusals_total")
+)
+
+// errUnreachable cancels attempts on servers that this node does not reach any more.
+var errUnreachable = errors.New("no backend server is reachable")
+
+// nodeBackoffs holds until when nodes that did not take a call are offered none.
+type nodeBackoffs struct {
+	mu    sync.Mutex
+	until map[cluster.NodeID]time.Time
+}
+
+func (b *nodeBackoffs) add(id cluster.NodeID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, until := range b.until {
+		if now.After(until) {
+			delete(b.until, id)
+		}
+	}
+	if b.until == nil {
+		b.until = make(map[cluster.NodeID]time.Time)
+	}
+	b.until[id] = now.Add(nodeBackoff)
+}
+
+// pick returns a random one of the nodes that are not excluded. It prefers those that are not
+// backed off.
+func (b *nodeBackoffs) pick(nodes []Node, excluded []cluster.NodeID, now time.Time) (best Node, found bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bestBackedOff := false
+	for _, i := range rand.Perm(len(nodes)) {
+		backedOff := now.Before(b.until[nodes[i].ID])
+		if contains(excluded, nodes[i].ID) || found && (backedOff || !bestBackedOff) {
+			continue
+		}
+		best, found, bestBackedOff = nodes[i], true, backedOff
+	}
+	return best, found
+}
+
+func contains(ids []cluster.NodeID, id cluster.NodeID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// LostServers cancels the attempts that can be made at another node, once this node reaches no
+// backend server.
+func (r *Relay) LostServers() (canceled int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, attempts := range r.running {
+		for a := range attempts {
+			if a.canRetry && a.idleFor(now) > minIdleToCancel {
+				a.cancel(errUnreachable)
+				canceled++
+			}
+		}
+	}
+	return canceled
+}
+
+// needsNode reports whether another node should take the call over. A call that was handed over
+// is not handed over again.
+func (s *session) needsNode() bool {
+	return s.r.opts.Reach != nil && !s.call.HandedOver() && (s.unconnected >= maxUnconnected || s.r.opts.Reach.Unreachable())
+}
+
+// chooseNode chooses the node that takes the call over, or returns false if there is none.
+func (s *session) chooseNode() bool {
+	s.node = nil
+	if len(s.nodesTried) >= maxNodes {
+		return false
+	}
+	node, found := s.r.nodeBackoffs.pick(s.r.opts.Nodes(), s.nodesTried, time.Now())
+	if !found {
+		return false
+	}
+	s.node = &node
+	return true
+}
+
+// attemptsLeft returns how many more backend servers may receive the call.
+func (s *session) attemptsLeft() int { return max(s.call.MaxAttempts()-s.sent, 1) }
+
+// attemptNode hands the call over to the chosen node and forwards the answer.
+func (s *session) attemptNode(ctx context.Context) error {
+	node := *s.node
+	s.nodesTried = append(s.nodesTried, node.ID)
+	a := newAttempt(ctx, s, routing.Choice{}, conns.Peer{Addr: node.Addr})
+	a.node, a.canRetry = &node, false // that node watches over the call
+	result, err := a.run()
+	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
+		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "unconnected", s.unconnected, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
+		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
+	refusal, refused := errors.Into[*NodeRefusalError](err)
+	switch {
+	case err == nil:
+		handedOverTotal.Inc()
+		return nil
+	case refused && refusal.retriable():
+		s.r.nodeBackoffs.add(node.ID, time.Now())
+		return &NotRunError{Reason: "refused by another node", Err: err}
+	case refused:
+		handOverRefused.Inc()
+		s.mayHaveRun = s.mayHaveRun || refusal.Refusal.Run != fennelerr.NotRun
+		s.finishRefused(refusal.Refusal)
+		return nil
+	}
+	handOverFailed.Inc()
+	if _, notRun := errors.Into[*NotRunError](err); notRun {
+		s.r.nodeBackoffs.add(node.ID, time.Now())
+		return err
+	}
+	s.sent = s.call.MaxAttempts() // the node may have used all that were left
+	return err
+}
+
+// finishRefused reports another node's refusal to the caller.
+func (s *session) finishRefused(refusal *fennelerr.Error) {
+	if s.mayHaveRun && refusal.Run == fennelerr.NotRun {
+		refusal = s.failure(refusal) // an earlier attempt may have run
+	}
+	if s.started {
+		s.sink.Abort(refusal)
+		return
+	}
+	s.sink.Refuse(refusal)
+}
+
+// failUnreachable ends a call that no server and no node takes.
+func (s *session) failUnreachable() error {
+	unreachableRefused.Inc()
+	err := fennelerr.Wrap(errUnreachable, fennelerr.ServersUnreachable, "this node reaches no backend server").WithRetryAfter(retryAfterUnreachable)
+	s.r.opts.Log.Info("no node", "request", s.call.ID, "route", s.call.Route.Policy.Name, "tried", s.nodesTried, "held", time.Since(s.call.ReceivedAt))
+	s.finish(err, func() *fennelerr.Error { return err })
+	return err
+}
+
+// outcomeOf returns the outcome of an attempt as logged.
+func outcomeOf(err error) string {
+	if err == nil {
+		return "answered"
+	}
+	return err.Error()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,7 @@
 	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Outcome))
 }
 
-// Options are the dependencies of a Relay. All are required except OnStall and Log.
+// Options are the dependencies of a Relay. All are required except OnStall, Reach and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
@@ -51,7 +51,12 @@
 	// OnStall is called with the replicas that this node's requests show to be stalled,
 	// and with whether other replicas work; may be nil.
 	OnStall func(ids []cluster.ReplicaID, othersWork bool)
-	Log     *slog.Logger
+	// Reach tells whether this node reaches the backend servers. While it does not, calls go
+	// to another one of Nodes, by NodeClient. Reach may be nil; then calls never do.
+	Reach      Reachability
+	Nodes      func() []Node
+	NodeClient NodeClient
+	Log        *slog.Logger
 }
 
 // Limits of a Relay.
@@ -84,6 +89,8 @@
 	advisor *retryAdvisor
 	limits  *concurrencyLimits
 	crashes *crashDetector
+	// nodeBackoffs holds the nodes that did not take calls over.
+	nodeBackoffs nodeBackoffs
 	// running holds the attempts by replica, to cancel them when the replica fails.
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
@@ -111,6 +118,7 @@
 	clock.Every(ctx, stallCheckInterval, func(now time.Time) {
 		found, othersWork := r.stalls.check(now)
 		for _, id := range found {
+			r.recordFailure(string(id))
 			r.opts.Log.Warn("replica stalled", "replica", id, "moved", r.cancelAttempts(id, errStalled), "others_responding", othersWork)
 		}
 		if len(found) > 0 && r.opts.OnStall != nil {
@@ -166,6 +174,20 @@
 	return count
 }
 
+// recordFailure records that a server could not be reached or did not answer.
+func (r *Relay) recordFailure(server string) {
+	if r.opts.Reach != nil {
+		r.opts.Reach.Failed(server)
+	}
+}
+
+// recordAnswer records that a server answered.
+func (r *Relay) recordAnswer() {
+	if r.opts.Reach != nil {
+		r.opts.Reach.Answered()
+	}
+}
+
 func (r *Relay) register(id cluster.ReplicaID, a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -50,6 +50,11 @@
 	attempts     int
 	// alone is set if the current attempt must run on a replica without other suspects.
 	alone bool
+	// unconnected counts the servers to which the call could not be sent. node is the node that
+	// the current attempt hands the call over to, if any, and nodesTried holds all of them.
+	unconnected int
+	node        *Node
+	nodesTried  []cluster.NodeID
 	// lastPieceAt is when the caller was last sent a piece, and maxGap the longest time
 	// between two pieces.
 	lastPieceAt time.Time
@@ -68,7 +73,11 @@
 	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter, fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body)}
 	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
 	s.group = GroupOf(s.service, c.Model)
-	r.opts.Budget.RecordCall(s.service, c.ReceivedAt)
+	if c.HandedOver() {
+		takenOverTotal.Inc() // the node that handed it over has recorded it
+	} else {
+		r.opts.Budget.RecordCall(s.service, c.ReceivedAt)
+	}
 	if !s.end.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.end)
@@ -90,6 +99,18 @@
 func (s *session) Choose(ctx context.Context) error {
 	s.attempts++
 	s.remaining = time.Until(s.end)
+	if s.needsNode() {
+		if s.chooseNode() {
+			return nil
+		}
+		if s.r.opts.Reach.Unreachable() {
+			return s.failUnreachable()
+		}
+	}
+	if s.call.HandedOver() && s.r.opts.Reach != nil && s.r.opts.Reach.Unreachable() {
+		return s.failUnreachable()
+	}
+	s.node = nil
 	if err := s.admit(ctx); err != nil {
 		return err
 	}
@@ -155,6 +176,9 @@
 
 // Attempt implements recovery.Call.
 func (s *session) Attempt(ctx context.Context) error {
+	if s.node != nil {
+		return s.attemptNode(ctx)
+	}
 	a := newAttempt(ctx, s, s.choice, s.peer)
 	endRun := s.r.opts.Suspects.Begin(s.fingerprint, s.choice.Replica.ID, s.choice.Replica.Generation, s.alone)
 	result, err := a.run()
@@ -270,13 +294,18 @@
 		s.sent++ // an attempt on a replica that lost a member does not count
 	}
 	s.mayHaveRun = s.mayHaveRun || !isNotRun
-	s.exclude = append(s.exclude, s.choice.Replica.ID)
+	if s.node == nil {
+		s.exclude = append(s.exclude, s.choice.Replica.ID)
+		if !delivered {
+			s.unconnected++
+		}
+	}
 	s.remaining = time.Until(s.end)
 	f := recovery.Failure{
 		MayHaveRun: s.mayHaveRun, Repeatable: s.call.Route.Policy.Idempotent(),
 		// Any replica can continue a stream after the id of its last piece.
 		ResponseStarted: s.started, CanContinue: true,
-		Attempts: s.sent, MaxAttempts: s.call.Route.Policy.MaxAttempts, OutOfTime: s.remaining < minAttemptTime || stopping(ctx),
+		Attempts: s.sent, MaxAttempts: s.call.MaxAttempts(), OutOfTime: s.remaining < minAttemptTime || stopping(ctx),
 		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, time.Now()) },
 	}
 	if isNotRun {
@@ -367,10 +396,6 @@
 	if result.FirstToken > 0 {
 		firstPieceSeconds.Update(result.FirstToken.Seconds())
 	}
-	outcome := "answered"
-	if err != nil {
-		outcome = err.Error()
-	}
 	terms, choice := s.call.Route.Policy, a.choice
 	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
@@ -385,7 +410,7 @@
 	if a.rateLimit > 0 {
 		fields = append(fields, "rate_limit", a.rateLimit)
 	}
-	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.crashed, "outcome", outcome)...)
+	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.crashed, "outcome", outcomeOf(err))...)
 }
 
 // streams reports whether the answer is a stream of pieces.
