internal/reach: a path with very few reachable servers counts as lost too

The path now counts as lost when fewer than a third of the probed servers accept. Calls still go to the servers that are left if no other node takes them and a probe of the last two seconds found any; else they are refused at once. TestPathIsRestoredOnlyWithMostServers has both.

--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
@@ -33,6 +34,9 @@
 	// recoveredProbes is the number of probes in a row that must reach most servers for the path
 	// to count as restored.
 	recoveredProbes = 2
+	// acceptedLifetime is how long a probe's accepted connection shows that some servers are
+	// reachable.
+	acceptedLifetime = 2 * time.Second
 )
 
 var (
@@ -56,6 +60,9 @@
 type Detector struct {
 	opts        Options
 	unreachable atomic.Bool
+	// acceptedAt is when a server last accepted a connection of a probe, in Unix nanoseconds.
+	acceptedAt atomic.Int64
+	shared     singleflight.Group
 	// suspected receives a value when the path is to be probed.
 	suspected chan struct{}
 
@@ -70,7 +77,8 @@
 	return &Detector{opts: opts, suspected: make(chan struct{}, 1), failed: make(map[string]struct{})}
 }
 
-// Unreachable reports whether this node reaches no backend server.
+// Unreachable reports whether this node reaches no backend server, or so few that other nodes
+// should serve its callers.
 func (d *Detector) Unreachable() bool { return d.unreachable.Load() }
 
 // Failed records that a server, named by any unique text, could not be reached or did not answer.
@@ -118,31 +126,30 @@
 		if d.failures() < minFailures {
 			continue // a server has answered meanwhile
 		}
-		accepted, probed := d.probe(ctx)
-		if probed == 0 || accepted > 0 || ctx.Err() != nil {
+		result := d.probe(ctx)
+		if !result.lost() || ctx.Err() != nil {
 			d.Answered()
 			clock.Pause(ctx, quietInterval)
 			continue
 		}
-		d.awaitRecovery(ctx, probed)
+		d.awaitRecovery(ctx, result)
 	}
 }
 
 // awaitRecovery marks the servers as unreachable until most of them accept connections again.
-func (d *Detector) awaitRecovery(ctx context.Context, probed int) {
+func (d *Detector) awaitRecovery(ctx context.Context, result probeResult) {
 	lostAt := time.Now()
 	d.unreachable.Store(true)
 	defer d.unreachable.Store(false)
 	lossesTotal.Inc()
-	d.opts.Log.Warn("backend servers unreachable", "failed", d.failures(), "probed", probed)
+	d.opts.Log.Warn("backend servers unreachable", "failed", d.failures(), "probed", result.probed, "accepted", result.accepted)
 	d.opts.OnLost()
 	for reached := 0; reached < recoveredProbes; {
 		if !clock.Pause(ctx, probeInterval) {
 			return
 		}
-		accepted, probed := d.probe(ctx)
 		reached++
-		if 2*accepted < probed {
+		if result = d.probe(ctx); !result.restored() {
 			reached = 0
 		}
 	}
@@ -150,23 +157,54 @@
 	d.opts.Log.Info("backend servers reachable again", "after", time.Since(lostAt))
 }
 
-// probe opens connections to a few random servers and returns how many were accepted.
-func (d *Detector) probe(ctx context.Context) (accepted, probed int) {
+// probeResult is the number of servers that were probed, and of those that accepted.
+type probeResult struct{ accepted, probed int }
+
+// lost reports whether so few servers accepted that the path counts as lost.
+func (r probeResult) lost() bool { return r.probed > 0 && 3*r.accepted < r.probed }
+
+// restored reports whether most servers accepted.
+func (r probeResult) restored() bool { return 2*r.accepted >= r.probed }
+
+// Probe opens connections to a few servers and reports whether this node reaches them.
+// Concurrent calls share one probe.
+func (d *Detector) Probe(ctx context.Context) bool {
+	if d.Unreachable() {
+		return false
+	}
+	result := d.shared.DoChan("", func() (any, error) { return d.probe(context.WithoutCancel(ctx)), nil })
+	select {
+	case <-ctx.Done():
+		return false
+	case r := <-result:
+		found, _ := r.Val.(probeResult)
+		return !found.lost()
+	}
+}
+
+// SomeReachable reports whether any server has accepted a connection of a recent probe.
+func (d *Detector) SomeReachable() bool {
+	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
+}
+
+// probe opens connections to a few random servers.
+func (d *Detector) probe(ctx context.Context) probeResult {
 	probesTotal.Inc()
 	servers := d.opts.Servers()
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	servers = servers[:min(len(servers), probedServers)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var count atomic.Int32
+	var accepted atomic.Int32
 	var running sync.WaitGroup
 	for _, server := range servers {
 		running.Go(func() {
 			if d.opts.Accepts(ctx, server) {
-				count.Add(1)
+				accepted.Add(1)
+				d.acceptedAt.Store(time.Now().UnixNano())
 			}
 		})
 	}
 	running.Wait()
-	return int(count.Load()), len(servers)
+	return probeResult{int(accepted.Load()), len(servers)}
 }
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -34,7 +34,7 @@
 const servers = 20
 
 // withDetector runs test with a detector in virtual time; lost counts the calls of OnLost.
-func withDetector(t *testing.T, test func(d *reach.Detector, n *network, lost *atomic.Int32)) {
+func withDetector(t *testing.T, test func(t *testing.T, d *reach.Detector, n *network, lost *atomic.Int32)) {
 	synctest.Test(t, func(t *testing.T) {
 		n, lost := &network{}, &atomic.Int32{}
 		n.up.Store(servers)
@@ -50,7 +50,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); d.Run(ctx) }()
-		test(d, n, lost)
+		test(t, d, n, lost)
 		cancel()
 		<-done
 	})
@@ -59,22 +59,25 @@
 // Guards against a node that goes on trying servers one after the other, and one that never
 // returns to them.
 func TestLostPathIsFoundAndItsReturnToo(t *testing.T) {
-	withDetector(t, func(d *reach.Detector, n *network, lost *atomic.Int32) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, lost *atomic.Int32) {
 		n.up.Store(0)
 		d.Failed("a")
 		d.Failed("b")
 		time.Sleep(time.Second)
 		require.True(t, d.Unreachable())
+		require.False(t, d.SomeReachable())
+		require.False(t, d.Probe(t.Context()))
 		require.EqualValues(t, 1, lost.Load())
 		n.up.Store(servers)
 		time.Sleep(2 * time.Second)
 		require.False(t, d.Unreachable())
+		require.True(t, d.Probe(t.Context()))
 	})
 }
 
 // Guards against a node that takes a few dead or silent servers for a lost path.
 func TestFailedServersAreNoLostPath(t *testing.T) {
-	withDetector(t, func(d *reach.Detector, n *network, _ *atomic.Int32) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, _ *atomic.Int32) {
 		n.up.Store(servers - 3)
 		for range 100 {
 			d.Failed("a")
@@ -89,7 +92,7 @@
 
 // Guards against probes where single servers fail among others that answer.
 func TestAnswersBetweenFailuresKeepThePath(t *testing.T) {
-	withDetector(t, func(d *reach.Detector, n *network, _ *atomic.Int32) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, _ *atomic.Int32) {
 		for range 100 {
 			d.Failed("a")
 			d.Answered()
@@ -104,7 +107,7 @@
 // Guards against a node that swings between the servers and other nodes while few servers are
 // reachable.
 func TestPathIsRestoredOnlyWithMostServers(t *testing.T) {
-	withDetector(t, func(d *reach.Detector, n *network, lost *atomic.Int32) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, lost *atomic.Int32) {
 		n.up.Store(0)
 		d.Failed("a")
 		d.Failed("b")
@@ -112,6 +115,7 @@
 		n.up.Store(2)
 		time.Sleep(5 * time.Second)
 		require.True(t, d.Unreachable())
+		require.True(t, d.SomeReachable())
 		require.EqualValues(t, 1, lost.Load())
 	})
 }
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -22,8 +22,13 @@
 	// answer, and Answered that one did.
 	Failed(server string)
 	Answered()
-	// Unreachable reports whether this node reaches no backend server.
+	// Unreachable reports whether this node reaches so few servers that other nodes should
+	// serve its callers.
 	Unreachable() bool
+	// Probe opens connections to a few servers and reports whether this node reaches them.
+	Probe(ctx context.Context) bool
+	// SomeReachable reports whether any server has lately accepted a connection.
+	SomeReachable() bool
 }
 
 // Node is another node that may take calls over.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -103,7 +103,7 @@
 		if s.chooseNode() {
 			return nil
 		}
-		if s.r.opts.Reach.Unreachable() {
+		if s.r.opts.Reach.Unreachable() && !s.r.opts.Reach.SomeReachable() {
 			return s.failUnreachable()
 		}
 	}
