internal/relay: a node that reaches no server does not report crashes

Cause: a reset connection and a refused new one are the evidence of a crash, and a lost path gives both for every server. The request then counts as a suspect on all nodes.

Change: a refusal counts only if the node reaches other servers: six connections, shared by all requests that broke off together, a round trip in the usual case. That is what an innocent request pays after a true crash.

TestOnlyACrashMakesSuspects/no_other_server_is_reachable fails without the guard.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -39,7 +39,8 @@
 
 // crashed reports whether an attempt failed because the process crashed: the connection ended,
 // the process has not announced that it leaves, and nothing listens at its address any more.
-// Silence is no evidence: a network partition or a power failure of the VM causes it too.
+// Silence is no evidence: a network partition or a power failure of the VM causes it too. Nor is
+// a refusal on a node that reaches no other server either.
 func (d *crashDetector) crashed(ctx context.Context, p conns.Peer, err error) bool {
 	broken, ok := errors.Into[*BrokenError](err)
 	if !ok || !broken.ConnectionLost || ctx.Err() != nil || d.opts.Leaving(p) {
@@ -49,7 +50,7 @@
 	if first {
 		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 		defer cancel()
-		c.crashed = d.opts.Backend.Refuses(checkCtx, p)
+		c.crashed = d.opts.Backend.Refuses(checkCtx, p) && (d.opts.Reach == nil || d.opts.Reach.Probe(checkCtx))
 		close(c.done)
 	}
 	select {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -43,13 +43,27 @@
 func (b *refusingBackend) Refuses(context.Context, conns.Peer) bool { return b.refuses }
 func (b *refusingBackend) Accepts(context.Context, conns.Peer) bool { return !b.refuses }
 
+// fixedReach is a relay.Reachability that never changes.
+type fixedReach struct{ lost bool }
+
+// probedReach is a fixedReach whose loss only a probe shows.
+type probedReach struct{ fixedReach }
+
+func (probedReach) Unreachable() bool { return false }
+
+func (fixedReach) Failed(string)                {}
+func (fixedReach) Answered()                    {}
+func (r fixedReach) Unreachable() bool          { return r.lost }
+func (r fixedReach) Probe(context.Context) bool { return !r.lost }
+func (r fixedReach) SomeReachable() bool        { return !r.lost }
+
 // serveOnce serves an unsafe call with one attempt.
-func serveOnce(b relay.Backend, suspects relay.Suspects, leaving bool) *recorder {
+func serveOnce(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool) *recorder {
 	r := relay.New(relay.Options{
 		Router: &listRouter{ids: []cluster.ReplicaID{"a"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-		Suspects: suspects, Leaving: func(conns.Peer) bool { return leaving }, Log: slog.New(slog.DiscardHandler),
+		Suspects: suspects, Leaving: func(conns.Peer) bool { return leaving }, Reach: probedReach{fixedReach{pathLost}}, Log: slog.New(slog.DiscardHandler),
 	})
 	terms := rules.RoutePolicy{Kind: rules.CallUnsafe, MaxAttempts: 1, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
 	got := &recorder{}
@@ -62,12 +76,13 @@
 func TestOnlyACrashMakesSuspects(t *testing.T) {
 	lost := &relay.BrokenError{Reason: "no answer", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
 	for name, c := range map[string]struct {
-		err              error
-		refuses, leaving bool
-		want             suspect.Outcome
+		err                        error
+		refuses, leaving, pathLost bool
+		want                       suspect.Outcome
 	}{
 		"process has ended":              {err: lost, refuses: true, want: suspect.Crashed},
 		"connection reset or silent":     {err: lost, want: suspect.Abandoned},
+		"no other server is reachable":   {err: lost, refuses: true, pathLost: true, want: suspect.Abandoned},
 		"planned end":                    {err: lost, refuses: true, leaving: true, want: suspect.Abandoned},
 		"answer of another request":      {err: &relay.BrokenError{Reason: "id", Err: io.EOF}, refuses: true, want: suspect.Abandoned},
 		"never reached the server":       {err: errRefused, refuses: true, want: suspect.Abandoned},
@@ -80,7 +95,7 @@
 			}
 			b := &refusingBackend{fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}, c.refuses}
 			suspects := &outcomeRecorder{}
-			serveOnce(b, suspects, c.leaving)
+			serveOnce(b, suspects, c.leaving, c.pathLost)
 			require.Equal(t, []suspect.Outcome{c.want}, suspects.outcomes)
 		})
 	}
@@ -91,7 +106,7 @@
 func TestQuarantinedRequestIsNotSent(t *testing.T) {
 	b := &refusingBackend{}
 	refusal := fennelerr.New(fennelerr.Quarantined, "quarantined").WithRun(fennelerr.NotRun).WithRetryAfter(time.Minute)
-	got := serveOnce(b, &outcomeRecorder{err: refusal}, false)
+	got := serveOnce(b, &outcomeRecorder{err: refusal}, false, false)
 	require.Empty(t, b.sent())
 	requireNotRun(t, got.refused)
 	require.Equal(t, fennelerr.Quarantined, got.refused.Code)
