internal/formation: a holder that reaches no server leaves the lease to another node

A node that is cut off from the servers, and not from the store, kept the placement lease for as long as the cut lasted: its orders and probes went nowhere, and no lost replica was replaced. While its servers are unreachable it now ends its term and does not compete.

TestHolderWithoutServersGivesUpTheLease fails without the guard.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -210,6 +210,7 @@
 		Refresh:             n.mirror.Refresh,
 		LeaseHeld:           func() bool { return n.leaseHeld.Load() || !n.mirror.Loaded() },
 		Standby:             n.feed != nil,
+		ServersUnreachable:  n.reach.Unreachable,
 		UnmeteredLoads:      func() bool { return cfg.Process.FirstStart && !n.requestSeen.Load() },
 		OnMembersResponsive: n.onReplicaWorking,
 		Client:              p.Orders, SinceBoot: opts.SinceBoot, Work: n.totalWork, Policy: opts.Policies.Place, Log: log,
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -57,6 +57,9 @@
 	Log                 *slog.Logger
 	// LeaseTTL is the time to live of the placement lease; zero means DefaultLeaseTTL.
 	LeaseTTL time.Duration
+	// ServersUnreachable reports whether this node reaches no server; it then leaves the lease
+	// to the others. May be nil.
+	ServersUnreachable func() bool
 	// SinceBoot is the clock that measures the lease while the VM is suspended; nil means
 	// clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -121,7 +124,7 @@
 	for ctx.Err() == nil {
 		list, listed := c.opts.List()
 		c.recordListed(list, time.Now())
-		free := listed && c.opts.Rules() != nil && !c.opts.LeaseHeld()
+		free := listed && c.opts.Rules() != nil && !c.opts.LeaseHeld() && !c.serversUnreachable()
 		if schedule.due(free, time.Now()) {
 			schedule.recordAttempt(c.tryAcquire(ctx), time.Now())
 		}
@@ -160,8 +163,14 @@
 	reasonFenced       = "superseded-by-later-holder"
 	reasonLeaseLost    = "lease-not-found"
 	reasonLeaseExpired = "lease-not-extended"
+	reasonUnreachable  = "servers-unreachable"
 )
 
+// serversUnreachable reports whether this node cannot give orders to servers.
+func (c *Controller) serversUnreachable() bool {
+	return c.opts.ServersUnreachable != nil && c.opts.ServersUnreachable()
+}
+
 // HoldsLease reports whether this node holds the lease.
 func (c *Controller) HoldsLease() bool { return c.holdsLease.Load() }
 
@@ -213,7 +222,7 @@
 	t := newTerm(c.opts, lease, lastListed)
 	defer t.waitInFlight()
 	termStart := time.Now()
-	for ctx.Err() == nil && lease.Remaining(time.Now()) > 0 {
+	for ctx.Err() == nil && lease.Remaining(time.Now()) > 0 && !c.serversUnreachable() {
 		list, _ := c.opts.List()
 		now := time.Now()
 		if list.Version != c.listed.Version {
@@ -233,14 +242,14 @@
 		}
 		t.waitForNextStep(ctx, c.opts.StepInterval, stepGap(time.Since(now), c.opts.StepInterval))
 	}
-	reason = termEndReason(ctx, t, lease)
+	reason = c.termEndReason(ctx, t, lease)
 	lease.MarkLost()
 	cancel()
 	<-extenderDone
 	return reason
 }
 
-func termEndReason(ctx context.Context, t *term, lease *grouping.Lease) string {
+func (c *Controller) termEndReason(ctx context.Context, t *term, lease *grouping.Lease) string {
 	switch {
 	case ctx.Err() != nil:
 		return reasonNodeStopping
@@ -248,6 +257,8 @@
 		return reasonFenced
 	case lease.Lost():
 		return reasonLeaseLost
+	case c.serversUnreachable():
+		return reasonUnreachable
 	}
 	return reasonLeaseExpired
 }
--- a/internal/formation/holder_test.go
+++ b/internal/formation/holder_test.go
@@ -132,6 +132,21 @@
 	})
 }
 
+// Guards against a holder that keeps the lease though its orders reach no server.
+func TestHolderWithoutServersGivesUpTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New(memstore.Options{})
+		defer mem.Close()
+		c, lease := newHolder(t, 8, &cpuBoundClient{cpu: make(singleCPU, 1)}, mem, longLeaseTTL)
+		var unreachable atomic.Bool
+		c.opts.ServersUnreachable = unreachable.Load
+		time.AfterFunc(time.Second, func() { unreachable.Store(true) })
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		require.Equal(t, reasonUnreachable, c.runTerm(ctx, lease))
+	})
+}
+
 // Guards against long steps taking the processor time that the lease and callers need.
 func TestStepGapGrowsWithStepDuration(t *testing.T) {
 	const limit = 100 * time.Millisecond
