--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,7 +120,7 @@
 	bestBackedOff := false
 	for _, i := range rand.Perm(len(nodes)) {
 		backedOff := now.Before(b.until[nodes[i].ID])
-		if contains(excluded, nodes[i].ID) || found && (backedOff || !bestBackedOff) {
+		if slices.Contains(excluded, nodes[i].ID) || found && (backedOff || !bestBackedOff) {
 			continue
 		}
 		best, found, bestBackedOff = nodes[i], true, backedOff
@@ -127,15 +128,6 @@
 	return best, found
 }
 
-func contains(ids []cluster.NodeID, id cluster.NodeID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // LostServers cancels the attempts that can be made at another node, once this node reaches no
 // backend server.
 func (r *Relay) LostServers() (canceled int) {
@@ -153,24 +145,31 @@
 	return canceled
 }
 
-// needsNode reports whether another node should take the call over. A call that was handed over
-// is not handed over again.
-func (s *session) needsNode() bool {
-	return s.r.opts.Reach != nil && !s.call.HandedOver() && (s.unconnected >= maxUnconnected || s.r.opts.Reach.Unreachable())
-}
-
-// chooseNode chooses the node that takes the call over, or returns false if there is none.
-func (s *session) chooseNode() bool {
+// chooseNode chooses the node that takes the call over, if another node should. Otherwise it
+// returns false, and an error if the call ends here. A call is handed over once at most.
+func (s *session) chooseNode() (chosen bool, err error) {
 	s.node = nil
-	if len(s.nodesTried) >= maxNodes {
-		return false
+	reach := s.r.opts.Reach
+	if reach == nil {
+		return false, nil
 	}
-	node, found := s.r.nodeBackoffs.pick(s.r.opts.Nodes(), s.nodesTried, time.Now())
-	if !found {
-		return false
+	unreachable := reach.Unreachable()
+	switch {
+	case s.call.HandedOver() && unreachable:
+		return false, s.failUnreachable()
+	case s.call.HandedOver(), !unreachable && s.unconnected < maxUnconnected:
+		return false, nil
+	}
+	if len(s.nodesTried) < maxNodes {
+		if node, found := s.r.nodeBackoffs.pick(s.r.opts.Nodes(), s.nodesTried, time.Now()); found {
+			s.node = &node
+			return true, nil
+		}
+	}
+	if unreachable && !reach.SomeReachable() {
+		return false, s.failUnreachable()
 	}
-	s.node = &node
-	return true
+	return false, nil
 }
 
 // attemptsLeft returns how many more backend servers may receive the call.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -99,18 +99,9 @@
 func (s *session) Choose(ctx context.Context) error {
 	s.attempts++
 	s.remaining = time.Until(s.end)
-	if s.needsNode() {
-		if s.chooseNode() {
-			return nil
-		}
-		if s.r.opts.Reach.Unreachable() && !s.r.opts.Reach.SomeReachable() {
-			return s.failUnreachable()
-		}
-	}
-	if s.call.HandedOver() && s.r.opts.Reach != nil && s.r.opts.Reach.Unreachable() {
-		return s.failUnreachable()
+	if chosen, err := s.chooseNode(); chosen || err != nil {
+		return err
 	}
-	s.node = nil
 	if err := s.admit(ctx); err != nil {
 		return err
 	}
