--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -72,7 +72,7 @@
 	// another node takes it over.
 	maxUnconnected = 2
 	// maxNodes is the number of nodes that a call is offered to.
-	maxNodes = 3
+	maxNodes = 5
 	// nodeBackoff is how long a node that did not take a call is offered none, unless all are
 	// backed off.
 	nodeBackoff = 500 * time.Millisecond
