internal/reach: a check of a crash does not wait for silent servers

The check of a crash had 200 ms, a probe up to 400 ms if one of the six servers was silent: a crash beside a dark server would not have counted as one. A probe now ends when most servers have accepted. TestProbeDoesNotWaitForSilentServers took 400 ms before. A refusal of another node is reported like any other end of a call.

--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -187,7 +187,7 @@
 	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
 }
 
-// probe opens connections to a few random servers.
+// probe opens connections to a few random servers. It ends early if most accept.
 func (d *Detector) probe(ctx context.Context) probeResult {
 	probesTotal.Inc()
 	servers := d.opts.Servers()
@@ -195,16 +195,19 @@
 	servers = servers[:min(len(servers), probedServers)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var accepted atomic.Int32
-	var running sync.WaitGroup
+	accepted := make(chan bool, len(servers))
 	for _, server := range servers {
-		running.Go(func() {
-			if d.opts.Accepts(ctx, server) {
-				accepted.Add(1)
-				d.acceptedAt.Store(time.Now().UnixNano())
-			}
-		})
+		go func() { accepted <- d.opts.Accepts(ctx, server) }()
 	}
-	running.Wait()
-	return probeResult{int(accepted.Load()), len(servers)}
+	result := probeResult{probed: len(servers)}
+	for range servers {
+		if !<-accepted {
+			continue
+		}
+		d.acceptedAt.Store(time.Now().UnixNano())
+		if result.accepted++; result.restored() {
+			break
+		}
+	}
+	return result
 }
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -90,6 +90,16 @@
 	})
 }
 
+// Guards against the check of a crash that times out because other servers are silent.
+func TestProbeDoesNotWaitForSilentServers(t *testing.T) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, _ *atomic.Int32) {
+		n.up.Store(servers - 3)
+		began := time.Now()
+		require.True(t, d.Probe(t.Context()))
+		require.Zero(t, time.Since(began))
+	})
+}
+
 // Guards against probes where single servers fail among others that answer.
 func TestAnswersBetweenFailuresKeepThePath(t *testing.T) {
 	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, _ *atomic.Int32) {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -50,7 +50,7 @@
 	if first {
 		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 		defer cancel()
-		c.crashed = d.opts.Backend.Refuses(checkCtx, p) && (d.opts.Reach == nil || d.opts.Reach.Probe(checkCtx))
+		c.crashed = d.opts.Backend.Refuses(checkCtx, p) && (d.opts.Reach == nil || d.opts.Reach.Probe(context.WithoutCancel(ctx)))
 		close(c.done)
 	}
 	select {
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -196,7 +196,8 @@
 	case refused:
 		handOverRefused.Inc()
 		s.mayHaveRun = s.mayHaveRun || refusal.Refusal.Run != fennelerr.NotRun
-		s.finishRefused(refusal.Refusal)
+		s.remaining = time.Until(s.end)
+		s.finish(err, func() *fennelerr.Error { return refusal.Refusal })
 		return nil
 	}
 	handOverFailed.Inc()
@@ -208,18 +209,6 @@
 	return err
 }
 
-// finishRefused reports another node's refusal to the caller.
-func (s *session) finishRefused(refusal *fennelerr.Error) {
-	if s.mayHaveRun && refusal.Run == fennelerr.NotRun {
-		refusal = s.failure(refusal) // an earlier attempt may have run
-	}
-	if s.started {
-		s.sink.Abort(refusal)
-		return
-	}
-	s.sink.Refuse(refusal)
-}
-
 // failUnreachable ends a call that no server and no node takes.
 func (s *session) failUnreachable() error {
 	unreachableRefused.Inc()
