internal/reach, internal/relay: a node of a zone that is cut off goes on with its own servers

In the cut of zone serra-c (34 to 40 s) ten of its nodes took their path for lost, since one or none of six servers drawn from all zones accepted; of 961 calls that they handed over 304 were answered, some 190 waited 1.5 s for nodes beyond the cut.

- A probe takes half of its servers from the node's own zone, and the path counts as lost below a sixth: one of eight.
- A node in a zone that was not tried comes first, then one that is not backed off, then one of the own zone; connections to nodes open within 400 ms or another one is tried.
- A call goes to another node after two servers that refused it, not after two that did not answer: in a cut the next server of the own zone takes it.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -71,16 +71,22 @@
 )
 
 // Pool holds idle connections by peer, in shards with a lock each.
-type Pool struct{ shards [shardCount]shard }
+type Pool struct {
+	dialTimeout time.Duration
+	shards      [shardCount]shard
+}
 
 type shard struct {
 	mu   sync.Mutex
 	idle map[Peer][]*Conn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	p := &Pool{}
+// NewPool returns an empty pool of connections to backend servers.
+func NewPool() *Pool { return NewPoolWithTimeout(dialTimeout) }
+
+// NewPoolWithTimeout returns an empty pool whose connections must open within a timeout.
+func NewPoolWithTimeout(timeout time.Duration) *Pool {
+	p := &Pool{dialTimeout: timeout}
 	for i := range p.shards {
 		p.shards[i].idle = make(map[Peer][]*Conn)
 	}
@@ -90,6 +96,7 @@
 // Conn is one connection, which is dialed on first use. It carries one request at a time.
 type Conn struct {
 	peer        Peer
+	dialTimeout time.Duration
 	transport   *http.Transport
 	dialed      atomic.Bool
 	uses        int
@@ -108,7 +115,7 @@
 		reusedTotal.Inc()
 		return c
 	}
-	c := &Conn{peer: peer, idleTimeout: defaultIdleTimeout, uses: 1}
+	c := &Conn{peer: peer, dialTimeout: p.dialTimeout, idleTimeout: defaultIdleTimeout, uses: 1}
 	c.transport = &http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}
 	return c
 }
@@ -152,7 +159,7 @@
 // tryDial opens a connection and closes it.
 func (p *Pool) tryDial(ctx context.Context, peer Peer) error {
 	dialsTotal.Inc()
-	conn, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Addr)
+	conn, err := sockets.Dialer(p.dialTimeout).DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
 		return err
 	}
@@ -197,7 +204,7 @@
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	return sockets.Dialer(dialTimeout).DialContext(ctx, network, addr)
+	return sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -161,7 +161,7 @@
 	if opts.Policies.Place == nil {
 		opts.Policies.Place = placement.Mix{}
 	}
-	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), nodePool: conns.NewPool(), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
+	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), nodePool: conns.NewPoolWithTimeout(nodeDialTimeout), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
 		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
@@ -10,6 +11,10 @@
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 )
 
+// nodeDialTimeout limits the time to connect to another node. If that takes longer, yet another
+// node may be reached sooner.
+const nodeDialTimeout = 400 * time.Millisecond
+
 // enableHandOver has calls go to another node while this one reaches no backend server.
 func (n *Core) enableHandOver(o *relay.Options, opts CoreOptions) {
 	accepts := func(ctx context.Context, p conns.Peer) bool { return o.Backend.Accepts(ctx, p) }
@@ -17,6 +22,7 @@
 	if n.platform.NodeClient == nil || opts.Nodes == nil {
 		return
 	}
+	o.Zone = n.cfg.Zone
 	o.Reach, o.Nodes, o.NodeClient = n.reach, opts.Nodes, n.platform.NodeClient(n.nodePool)
 }
 
@@ -25,15 +31,22 @@
 	n.log.Warn("calls move to other nodes", "count", n.relay.LostServers())
 }
 
-// listedServers returns the processes of the servers that may be used.
-func (n *Core) listedServers() (out []conns.Peer) {
+// listedServers returns the processes of the servers that may be used, in this node's zone and in
+// others.
+func (n *Core) listedServers() (local, others []conns.Peer) {
 	list, _ := n.currentList()
 	for _, s := range list.Servers {
-		if !s.Draining && !list.IsEvacuated(s.Zone) {
-			out = append(out, conns.Peer{Server: s.ID, Addr: s.Addr, StartedUnixMs: s.StartedAt.UnixMilli()})
+		if s.Draining || list.IsEvacuated(s.Zone) {
+			continue
+		}
+		peer := conns.Peer{Server: s.ID, Addr: s.Addr, StartedUnixMs: s.StartedAt.UnixMilli()}
+		if s.Zone == n.cfg.Zone {
+			local = append(local, peer)
+		} else {
+			others = append(others, peer)
 		}
 	}
-	return out
+	return local, others
 }
 
 // nodes returns the other live nodes. All of them take callers' requests at the same port.
@@ -48,7 +61,7 @@
 		if err != nil || m.Status != membership.Alive || m.Leaving {
 			continue
 		}
-		out = append(out, relay.Node{ID: m.Node, Addr: net.JoinHostPort(host, port)})
+		out = append(out, relay.Node{ID: m.Node, Zone: m.Zone, Addr: net.JoinHostPort(host, port)})
 	}
 	return out
 }
--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -100,7 +100,7 @@
 	b.w.mu.Unlock()
 	switch {
 	case refused:
-		return nil, &relay.NotRunError{Reason: "connection refused", Err: errors.New("connection refused")}
+		return nil, &relay.NotRunError{Reason: "connection refused", Refused: true, Err: errors.New("connection refused")}
 	case reachable && !v.dead:
 		return v, nil
 	}
--- a/internal/player/handover.go
+++ b/internal/player/handover.go
@@ -19,7 +19,7 @@
 func (n *node) others() (out []relay.Node) {
 	for _, other := range n.sys.nodes {
 		if other != n && n.sys.world.nodesReach(n.zone, other.zone) {
-			out = append(out, relay.Node{ID: other.id, Addr: string(other.id)})
+			out = append(out, relay.Node{ID: other.id, Zone: other.zone, Addr: string(other.id)})
 		}
 	}
 	return out
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -22,11 +22,14 @@
 	// minFailures is the number of servers that must have failed, without any answer since, for
 	// the path to be probed.
 	minFailures = 2
-	// probedServers is the number of servers to which a probe opens connections, and
-	// probeTimeout how long it waits for them. A connection takes a round trip, or a second
-	// more if its first packet is lost.
-	probedServers = 6
+	// probedServers is the number of servers to which a probe opens connections, half of them
+	// in this node's zone: if the zone is cut off from the others, its own servers still serve
+	// it. probeTimeout is how long a probe waits for them. A connection takes a round trip, or
+	// a second more if its first packet is lost.
+	probedServers = 8
 	probeTimeout  = 400 * time.Millisecond
+	// lostShare is the share of the probed servers below which the path counts as lost.
+	lostShare = 1. / 6
 	// probeInterval is the time between two probes while no server is reachable, and
 	// quietInterval the shortest one otherwise.
 	probeInterval = 300 * time.Millisecond
@@ -46,8 +49,8 @@
 
 // Options are the dependencies of a Detector.
 type Options struct {
-	// Servers returns the listed servers.
-	Servers func() []conns.Peer
+	// Servers returns the listed servers of this node's zone and those of other zones.
+	Servers func() (local, others []conns.Peer)
 	// Accepts reports whether a server accepts a connection before ctx ends.
 	Accepts func(ctx context.Context, server conns.Peer) bool
 	// OnLost is called when the servers have become unreachable.
@@ -161,7 +164,9 @@
 type probeResult struct{ accepted, probed int }
 
 // lost reports whether so few servers accepted that the path counts as lost.
-func (r probeResult) lost() bool { return r.probed > 0 && 3*r.accepted < r.probed }
+func (r probeResult) lost() bool {
+	return r.probed > 0 && float64(r.accepted) < lostShare*float64(r.probed)
+}
 
 // restored reports whether most servers accepted.
 func (r probeResult) restored() bool { return 2*r.accepted >= r.probed }
@@ -187,12 +192,20 @@
 	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
 }
 
-// probe opens connections to a few random servers. It ends early if most accept.
+// sample returns the servers to probe, chosen at random.
+func (d *Detector) sample() []conns.Peer {
+	local, others := d.opts.Servers()
+	for _, servers := range [][]conns.Peer{local, others} {
+		rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	}
+	fromLocal := min(len(local), max(probedServers/2, probedServers-len(others)))
+	return append(local[:fromLocal:fromLocal], others[:min(len(others), probedServers-fromLocal)]...)
+}
+
+// probe opens connections to a few servers. It ends early if most accept.
 func (d *Detector) probe(ctx context.Context) probeResult {
 	probesTotal.Inc()
-	servers := d.opts.Servers()
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	servers = servers[:min(len(servers), probedServers)]
+	servers := d.sample()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	accepted := make(chan bool, len(servers))
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -66,6 +66,8 @@
 // NotRunError reports that an attempt did not run the call and never will.
 type NotRunError struct {
 	Reason string
+	// Refused is true if the connection was refused.
+	Refused bool
 	// Received is true if the server received the call and refused it, which counts
 	// against the retry budget.
 	Received bool
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -35,6 +35,7 @@
 // Node is another node that may take calls over.
 type Node struct {
 	ID   cluster.NodeID
+	Zone cluster.ZoneID
 	Addr string // where it takes callers' requests
 }
 
@@ -68,9 +69,9 @@
 }
 
 const (
-	// maxUnconnected is the number of servers to which a call could not be sent after which
-	// another node takes it over.
-	maxUnconnected = 2
+	// maxRefused is the number of servers that may refuse a connection for a call before another
+	// node takes it over.
+	maxRefused = 2
 	// maxNodes is the number of nodes that a call is offered to.
 	maxNodes = 5
 	// nodeBackoff is how long a node that did not take a call is offered none, unless all are
@@ -112,20 +113,40 @@
 	b.until[id] = now.Add(nodeBackoff)
 }
 
-// pick returns a random one of the nodes that are not excluded. It prefers those that are not
-// backed off.
-func (b *nodeBackoffs) pick(nodes []Node, excluded []cluster.NodeID, now time.Time) (best Node, found bool) {
+// contains reports whether the node is backed off.
+func (b *nodeBackoffs) contains(id cluster.NodeID, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bestBackedOff := false
+	return now.Before(b.until[id])
+}
+
+// pickNode returns a random one of the nodes that were not offered the call. Nodes of zones that
+// were not tried come first, as a cut often affects a whole zone, then those that are not backed
+// off, then those of this node's zone.
+func (s *session) pickNode(now time.Time) (best *Node) {
+	bestRank := 0
+	nodes := s.r.opts.Nodes()
 	for _, i := range rand.Perm(len(nodes)) {
-		backedOff := now.Before(b.until[nodes[i].ID])
-		if slices.Contains(excluded, nodes[i].ID) || found && (backedOff || !bestBackedOff) {
+		node := &nodes[i]
+		tried := func(other Node) bool { return other.ID == node.ID }
+		if slices.ContainsFunc(s.nodesTried, tried) {
 			continue
 		}
-		best, found, bestBackedOff = nodes[i], true, backedOff
+		rank := 0
+		if slices.ContainsFunc(s.nodesTried, func(other Node) bool { return other.Zone == node.Zone }) {
+			rank += 4
+		}
+		if s.r.nodeBackoffs.contains(node.ID, now) {
+			rank += 2
+		}
+		if node.Zone != s.r.opts.Zone {
+			rank++
+		}
+		if best == nil || rank < bestRank {
+			best, bestRank = node, rank
+		}
 	}
-	return best, found
+	return best
 }
 
 // LostServers cancels the attempts that can be made at another node, once this node reaches no
@@ -157,12 +178,11 @@
 	switch {
 	case s.call.HandedOver() && unreachable:
 		return false, s.failUnreachable()
-	case s.call.HandedOver(), !unreachable && s.unconnected < maxUnconnected:
+	case s.call.HandedOver(), !unreachable && s.refusedBy < maxRefused:
 		return false, nil
 	}
 	if len(s.nodesTried) < maxNodes {
-		if node, found := s.r.nodeBackoffs.pick(s.r.opts.Nodes(), s.nodesTried, time.Now()); found {
-			s.node = &node
+		if s.node = s.pickNode(time.Now()); s.node != nil {
 			return true, nil
 		}
 	}
@@ -178,12 +198,12 @@
 // attemptNode hands the call over to the chosen node and forwards the answer.
 func (s *session) attemptNode(ctx context.Context) error {
 	node := *s.node
-	s.nodesTried = append(s.nodesTried, node.ID)
+	s.nodesTried = append(s.nodesTried, node)
 	a := newAttempt(ctx, s, routing.Choice{}, conns.Peer{Addr: node.Addr})
 	a.node, a.canRetry = &node, false // that node watches over the call
 	result, err := a.run()
 	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
-		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "unconnected", s.unconnected, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
+		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "refused_by", s.refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
 	switch {
@@ -213,7 +233,7 @@
 func (s *session) failUnreachable() error {
 	unreachableRefused.Inc()
 	err := fennelerr.Wrap(errUnreachable, fennelerr.ServersUnreachable, "this node reaches no backend server").WithRetryAfter(retryAfterUnreachable)
-	s.r.opts.Log.Info("no node", "request", s.call.ID, "route", s.call.Route.Policy.Name, "tried", s.nodesTried, "held", time.Since(s.call.ReceivedAt))
+	s.r.opts.Log.Info("no node", "request", s.call.ID, "route", s.call.Route.Policy.Name, "tried", len(s.nodesTried), "held", time.Since(s.call.ReceivedAt))
 	s.finish(err, func() *fennelerr.Error { return err })
 	return err
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -50,11 +50,11 @@
 	attempts     int
 	// alone is set if the current attempt must run on a replica without other suspects.
 	alone bool
-	// unconnected counts the servers to which the call could not be sent. node is the node that
+	// refusedBy counts the servers that refused a connection for the call. node is the node that
 	// the current attempt hands the call over to, if any, and nodesTried holds all of them.
-	unconnected int
-	node        *Node
-	nodesTried  []cluster.NodeID
+	refusedBy  int
+	node       *Node
+	nodesTried []Node
 	// lastPieceAt is when the caller was last sent a piece, and maxGap the longest time
 	// between two pieces.
 	lastPieceAt time.Time
@@ -287,8 +287,8 @@
 	s.mayHaveRun = s.mayHaveRun || !isNotRun
 	if s.node == nil {
 		s.exclude = append(s.exclude, s.choice.Replica.ID)
-		if !delivered {
-			s.unconnected++
+		if isNotRun && notRun.Refused {
+			s.refusedBy++
 		}
 	}
 	s.remaining = time.Until(s.end)
