--- a/internal/entry/config_age_test.go
+++ b/internal/entry/config_age_test.go
@@ -12,8 +12,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
 
-// Guards against callers who are told for good that a route or a key does not exist by a
-// configuration that may have been replaced.
+// Guards against final refusals (404, 401) by a configuration that may have been replaced.
 func TestUnknownRouteIsNotRefusedByAnOldConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const maxChangeDelay = 2 * time.Second // in which a change must be in force
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -192,7 +192,7 @@
 	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
 }
 
-// sample returns the servers to probe, chosen at random.
+// sample returns a random sample of the servers.
 func (d *Detector) sample() []conns.Peer {
 	local, others := d.opts.Servers()
 	for _, servers := range [][]conns.Peer{local, others} {
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -195,7 +195,7 @@
 // attemptsLeft returns how many more backend servers may receive the call.
 func (s *session) attemptsLeft() int { return max(s.call.MaxAttempts()-s.sent, 1) }
 
-// attemptNode hands the call over to the chosen node and forwards the answer.
+// attemptNode hands the call over to s.node and forwards the answer.
 func (s *session) attemptNode(ctx context.Context) error {
 	node := *s.node
 	s.nodesTried = append(s.nodesTried, node)
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -116,8 +116,7 @@
 	}
 }
 
-// Guards against callers who are told another reason, or another time to come back, than the
-// node that refused their call gave.
+// Guards against refusals with another reason or retry time than the refusing node gave.
 func TestRefusalOfAnotherNodeIsPassedOn(t *testing.T) {
 	refusal := fennelerr.New(fennelerr.Overloaded, "no room").WithRun(fennelerr.NotRun).WithRetryAfter(300 * time.Millisecond)
 	reach, others := &severedReach{}, &otherNodes{err: &relay.NodeRefusalError{Refusal: refusal}}
