Attempts log the parts of their prompts

Change: the parts are read into the call and logged as hashes, all but the last one, which belongs to the request itself. No decision depends on them yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -37,6 +37,9 @@
 	// PromptTokens is the length of the prompt, MaxOutputTokens the limit on the output and
 	// OutputTokensHint the caller's estimate of the output's length. Each is 0 if not given.
 	PromptTokens, MaxOutputTokens, OutputTokensHint int
+	// PromptParts are the IDs of the parts of the prompt, in order. Requests share parts; the last
+	// one belongs to the request itself or to its session. Empty if unknown.
+	PromptParts []uint64
 	// EstimatedWork is the estimated part of a replica's time that the call takes on a fully
 	// loaded replica; 0 if unknown.
 	EstimatedWork time.Duration
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -30,6 +30,8 @@
 	end     time.Time
 	// fingerprint identifies the request over all of its caller's attempts.
 	fingerprint suspect.Fingerprint
+	// parts are the parts of the prompt that other requests may share.
+	parts []suspect.Part
 
 	// sent counts the backend servers that received the call.
 	sent int
@@ -70,7 +72,8 @@
 // Serve handles the call until it is answered or given up. ctx ends when the caller
 // disconnects.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
-	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter, fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body)}
+	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter, fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body),
+		parts: suspect.PartsOf(c.Model, c.PromptParts)}
 	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
 	s.group = GroupOf(s.service, c.Model)
 	if c.HandedOver() {
@@ -395,6 +398,9 @@
 	if s.streams() {
 		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.maxGap, "pause_target", terms.TargetGap)
 	}
+	if len(s.parts) > 0 {
+		fields = append(fields, "parts", suspect.JoinParts(s.parts))
+	}
 	if a.load != nil {
 		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
 	}
