--- a/internal/player/callers.go
+++ b/internal/player/callers.go
@@ -55,6 +55,8 @@
 	FirstServed bool
 	// Quarantined is set if the call was refused as one that crashes servers.
 	Quarantined bool
+	// FirstPart is the first part of the call's prompt.
+	FirstPart uint64
 	// Work is the time of a replica that the call takes, computed from the engine's figures.
 	Work time.Duration
 }
@@ -130,11 +132,12 @@
 // or breaks off.
 func (c *callers) runCall(n *node, k *CallKind, id string, at time.Duration, prompt, answer, hint int) {
 	sent := time.Now()
-	result := CallResult{Kind: k.Name, Node: n.id, SentAt: at, Outcome: Failed, Work: c.sys.scenario.work(k, prompt, answer)}
-	resume := ""
+	r := request{uri: "/" + id, parts: promptParts(k, id), sent: sent, prompt: prompt, answer: answer, hint: hint}
+	result := CallResult{Kind: k.Name, Node: n.id, SentAt: at, Outcome: Failed, FirstPart: r.parts[0], Work: c.sys.scenario.work(k, prompt, answer)}
 	for try := range 2 {
 		result.Attempts = try + 1
-		s := c.attempt(n, k, fmt.Sprintf("%s-%d", id, try), "/"+id, nil, sent, prompt, answer, hint, resume)
+		r.id = fmt.Sprintf("%s-%d", id, try)
+		s := c.attempt(n, k, r)
 		result.recordAttempt(s, k)
 		result.FirstServed = result.FirstServed || s.ended && try == 0
 		if s.ended {
@@ -147,7 +150,7 @@
 			result.Quarantined = s.refused.Code == fennelerr.Quarantined
 			time.Sleep(min(s.refused.RetryAfter, remaining/retryWaitDivisor))
 		case s.pieces > 0:
-			resume = fmt.Sprint(s.pieces)
+			r.resume = fmt.Sprint(s.pieces)
 		}
 		n = c.sys.retryNode(n, c.rng)
 	}
@@ -172,21 +175,32 @@
 	}
 }
 
-// attempt sends the call to a node once, resuming after the piece named by resume if it is
-// set.
-func (c *callers) attempt(n *node, k *CallKind, id, uri string, body []byte, sent time.Time, prompt, answer, hint int, resume string) *sink {
+// request is one attempt of a call. prompt, answer and hint are numbers of tokens.
+type request struct {
+	id, uri string
+	body    []byte
+	parts   []uint64
+	// sent is when the caller sent the first attempt.
+	sent                 time.Time
+	prompt, answer, hint int
+	// resume is the id of the piece after which the answer is resumed, or empty.
+	resume string
+}
+
+// attempt sends a call to a node once.
+func (c *callers) attempt(n *node, k *CallKind, r request) *sink {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &sink{sent: sent, timeout: max(minTimeout, timeoutTargets*k.Target, timeoutGaps*k.TargetGap)}
+	s := &sink{sent: r.sent, timeout: max(minTimeout, timeoutTargets*k.Target, timeoutGaps*k.TargetGap)}
 	s.timer = time.AfterFunc(s.timeout, cancel)
 	defer s.timer.Stop()
 	c.mu.Lock()
-	c.tokens[id] = answer
+	c.tokens[r.id] = r.answer
 	route := c.routes[k.Name]
 	c.mu.Unlock()
 	now := time.Now()
-	n.serve(ctx, &call.Call{ID: id, URI: uri, Body: body, Route: route, RulesRevision: 1, Model: k.Model, PromptTokens: prompt, MaxOutputTokens: int(k.Answer.Max), OutputTokensHint: hint,
-		Priority: k.Priority, ReceivedAt: now, Deadline: sent.Add(k.Deadline), ResumeAfter: resume}, s)
+	n.serve(ctx, &call.Call{ID: r.id, URI: r.uri, Body: r.body, Route: route, RulesRevision: 1, Model: k.Model, PromptTokens: r.prompt, PromptParts: r.parts,
+		MaxOutputTokens: int(k.Answer.Max), OutputTokensHint: r.hint, Priority: k.Priority, ReceivedAt: now, Deadline: r.sent.Add(k.Deadline), ResumeAfter: r.resume}, s)
 	return s
 }
 
--- a/internal/player/crash.go
+++ b/internal/player/crash.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fennelcourse/fennelcourse/internal/call"
 )
 
@@ -22,7 +25,9 @@
 // crashRequestBody marks the requests that crash servers.
 var crashRequestBody = []byte("crash")
 
-func isCrashRequest(c *call.Call) bool { return string(c.Body) == string(crashRequestBody) }
+func isCrashRequest(c *call.Call) bool {
+	return string(c.Body) == string(crashRequestBody) || slices.Contains(c.PromptParts, crashPart)
+}
 
 // sendCrashRequests sends a request that crashes servers again and again, each time through
 // another node, until the end of the fault.
@@ -33,11 +38,49 @@
 	for try := 0; time.Now().Before(end); try++ {
 		n := sys.pickNode(rng)
 		id := fmt.Sprintf("crash-%d", try)
-		sys.callers.attempt(n, kind, id, "/crash", crashRequestBody, time.Now(), crashRequestTokens, crashRequestTokens, crashRequestTokens, "")
+		sys.callers.attempt(n, kind, request{id: id, uri: "/crash", body: crashRequestBody, parts: promptParts(kind, "crash"), sent: time.Now(),
+			prompt: crashRequestTokens, answer: crashRequestTokens, hint: crashRequestTokens})
 		time.Sleep(crashRequestPause)
 	}
 }
 
+const (
+	// crashPart is the part of a prompt that crashes servers.
+	crashPart = 0xdead
+	// firstParts is the number of first parts of a kind's prompts, secondParts that of the second
+	// parts that occur with each of them.
+	firstParts  = 4
+	secondParts = 6
+)
+
+// promptParts returns the parts of a call's prompt. The last one is its own.
+func promptParts(k *CallKind, id string) []uint64 {
+	h := xxhash.Sum64String(id)
+	first := xxhash.Sum64String(k.Name) + h%firstParts
+	return []uint64{first, xxhash.Sum64String(fmt.Sprint(first, h/firstParts%secondParts)), h}
+}
+
+// sendCrashPart sends requests that hold crashPart, no two alike, each through another node,
+// until the end of the fault. Other calls share their other parts.
+func (sys *Simulation) sendCrashPart(f Fault) {
+	kind := sys.kindOf(f.Model)
+	shared := promptParts(kind, "crash-part")
+	rng := rand.New(rand.NewPCG(sys.opts.Seed, 9))
+	end := time.Now().Add(f.Duration)
+	for i := 0; ; i++ {
+		time.Sleep(time.Duration(rng.ExpFloat64() / f.Factor * float64(time.Second)))
+		if !time.Now().Before(end) {
+			return
+		}
+		id, n := fmt.Sprintf("crash-part-%d", i), sys.pickNode(rng)
+		r := request{id: id, uri: "/" + id, parts: []uint64{crashPart, shared[1], uint64(i)}, sent: time.Now(), prompt: crashRequestTokens, answer: crashRequestTokens, hint: crashRequestTokens}
+		if f.Middle {
+			r.parts = []uint64{shared[0], crashPart, shared[1], uint64(i)}
+		}
+		sys.callers.inFlight.Go(func() { sys.callers.attempt(n, kind, r) })
+	}
+}
+
 // kindOf returns the first kind of call to the model.
 func (sys *Simulation) kindOf(model string) *CallKind {
 	for i := range sys.scenario.Kinds {
--- a/internal/player/crash_test.go
+++ b/internal/player/crash_test.go
@@ -48,3 +48,85 @@
 	}
 	require.LessOrEqual(t, failed, len(res.Calls)/100)
 }
+
+const (
+	// partCrashes is the number of crashes after which a part of a prompt is to be known as one
+	// that crashes servers, contact the time that nodes have for it, and partRequests how many
+	// requests with it may reach servers after that.
+	partCrashes  = 5
+	contact      = 3 * time.Second
+	partRequests = 3
+)
+
+// crashPartFaults are a part of a prompt that crashes servers, in the middle and first.
+func crashPartFaults(perSecond float64) map[string]player.Fault {
+	f := player.Fault{Kind: player.CrashPart, Model: "small", At: 3 * time.Second, Duration: 14 * time.Second, Factor: perSecond}
+	middle := f
+	middle.Middle = true
+	return map[string]player.Fault{"first": f, "middle": middle}
+}
+
+// Guards against requests, no two alike, that share a part which crashes servers, and against a refusal of those that share the other parts.
+func TestPartThatCrashesServersIsRefusedAndOthersAreServed(t *testing.T) {
+	for _, name := range []string{"overload", "few-large-many-small"} {
+		for place, fault := range crashPartFaults(7) {
+			for seed := range uint64(2) {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, place, seed), func(t *testing.T) {
+					s := load(t, name)
+					s.Bursts, s.Length, s.Faults = nil, 17*time.Second, []player.Fault{fault}
+					res := simulate(t, s, player.Options{Seed: seed + 1})
+					require.GreaterOrEqual(t, len(res.Crashes), 2, "the part had no effect")
+					require.LessOrEqual(t, deliveriesAfterBound(res), partRequests, "of %d, %d crashes", len(res.CrashDeliveries), len(res.Crashes))
+					requireOthersServed(t, res, fault)
+				})
+			}
+		}
+	}
+}
+
+// boundStart returns when requests with a part that crashes servers are to be refused.
+func boundStart(res *player.Result) time.Time {
+	return res.Crashes[min(partCrashes, len(res.Crashes))-1].Add(contact)
+}
+
+func deliveriesAfterBound(res *player.Result) (late int) {
+	for _, at := range res.CrashDeliveries {
+		if len(res.Crashes) >= partCrashes && at.After(boundStart(res)) {
+			late++
+		}
+	}
+	return late
+}
+
+// requireOthersServed requires that calls to the model are served at the first attempt nine tenths
+// as often as before the fault, whatever their first part.
+func requireOthersServed(t *testing.T, res *player.Result, f player.Fault) {
+	t.Helper()
+	from := boundStart(res).Add(contact).Sub(res.Start)
+	type count struct{ calls, served float64 }
+	before, after := make(map[uint64]*count), make(map[uint64]*count)
+	for _, c := range res.Calls {
+		period := before
+		switch {
+		case res.ModelOf(c.Kind) != f.Model:
+			continue
+		case c.SentAt >= from:
+			period = after
+			require.False(t, c.Quarantined, "%+v", c)
+		case c.SentAt >= f.At:
+			continue
+		}
+		if period[c.FirstPart] == nil {
+			period[c.FirstPart] = &count{}
+		}
+		period[c.FirstPart].calls++
+		if c.FirstServed {
+			period[c.FirstPart].served++
+		}
+	}
+	require.NotEmpty(t, after)
+	for part, a := range after {
+		b := before[part]
+		require.GreaterOrEqual(t, a.served/a.calls, 0.9*b.served/b.calls, "first part %x: %v of %v, %v of %v before", part, a.served, a.calls, b.served, b.calls)
+	}
+}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -55,6 +55,8 @@
 		sys.isolateNodes(f)
 	case CrashRequests:
 		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
+	case CrashPart:
+		sys.callers.inFlight.Go(func() { sys.sendCrashPart(f) })
 	}
 }
 
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -14,7 +14,9 @@
 // Result holds the results of all calls and samples of the VMs' states.
 type Result struct {
 	Scenario *Scenario
-	Calls    []CallResult
+	// Start is when the load began.
+	Start time.Time
+	Calls []CallResult
 	// VMSamples are taken every second.
 	VMSamples []VMSample
 	// Violations are broken invariants of replicas; each is a bug in the nodes' decisions.
@@ -158,6 +160,9 @@
 	return row
 }
 
+// ModelOf returns the model of a kind of call.
+func (r *Result) ModelOf(kind string) string { return r.kindByName(kind).Model }
+
 func (r *Result) kindByName(name string) CallKind {
 	at := slices.IndexFunc(r.Scenario.Kinds, func(k CallKind) bool { return k.Name == name })
 	return r.Scenario.Kinds[at]
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -120,7 +120,8 @@
 // PartitionZone separates a zone from all others and from the store for a time.
 // RestartNodes kills nodes at once and restarts them after a second. StoreDown makes the
 // store unavailable for a time. CrashRequests has a request to the model sent again and again
-// that crashes the head of each replica that runs it. CrashHeads crashes the heads of several
+// that crashes the head of each replica that runs it. CrashPart has Factor new requests a second
+// to the model hold a part of the prompt that does so, the first part or, with Middle set, the second one. CrashHeads crashes the heads of several
 // replicas at once. LimitServers has heads of replicas name a
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
@@ -134,6 +135,7 @@
 	RestartNodes  FaultKind = "restart-nodes"
 	StoreDown     FaultKind = "store-down"
 	CrashRequests FaultKind = "crash-requests"
+	CrashPart     FaultKind = "crash-part"
 	CrashHeads    FaultKind = "crash-heads"
 	LimitServers  FaultKind = "limit"
 	ColdServers   FaultKind = "cold"
@@ -154,6 +156,8 @@
 	Factor float64 `yaml:"factor"`
 	// Refuse has connections of isolated nodes be refused instead of hang.
 	Refuse bool `yaml:"refuse"`
+	// Middle has CrashPart use the second part of the prompt.
+	Middle bool `yaml:"middle"`
 }
 
 // figures returns the engine's performance profile for a model.
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -72,7 +72,7 @@
 	time.Sleep(s.Warmup)
 	sys.world.startServing()
 	ctx, stopSampling := context.WithCancel(context.Background())
-	res := &Result{Scenario: s}
+	res := &Result{Scenario: s, Start: time.Now()}
 	var background sync.WaitGroup
 	background.Go(func() { sys.sampleVMs(ctx, res) })
 	background.Go(func() { sys.gossip(ctx) })
