A part of the prompt under which servers crash is refused on all nodes

Cause: a request that crashes servers was recognised by team, path and body only. These requests are no two alike, so that each was new when it arrived and became a suspect only by its own crash. Class: a safeguard that is keyed by one attribute of the cause.

Change: each node counts, per part of a model's prompts, the crashes under requests whose answer had not begun. An answer withdraws all earlier crashes against its parts, since such a part ends every replica that begins on it. Three crashes (five if answers are known) quarantine a part: under different requests (a request that crashes servers by its body is no evidence against its parts), at different times (a rack), at least half of the model's crashes since the first (requests in the queue of servers that crash for another reason), and with other requests of the model answered since (servers that crash whatever they run). Of several parts the most exact one is taken, and its crashes are withdrawn against all requests and parts beside it. Evidence travels in the marks of crashes, the quarantine as that of a request: marks, store, probation.

--- a/internal/player/crash_test.go
+++ b/internal/player/crash_test.go
@@ -75,6 +75,7 @@
 					s := load(t, name)
 					s.Bursts, s.Length, s.Faults = nil, 17*time.Second, []player.Fault{fault}
 					res := simulate(t, s, player.Options{Seed: seed + 1})
+					t.Logf("%d crashes, %d requests sent to servers, %d after the bound", len(res.Crashes), len(res.CrashDeliveries), deliveriesAfterBound(res))
 					require.GreaterOrEqual(t, len(res.Crashes), 2, "the part had no effect")
 					require.LessOrEqual(t, deliveriesAfterBound(res), partRequests, "of %d, %d crashes", len(res.CrashDeliveries), len(res.Crashes))
 					requireOthersServed(t, res, fault)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // attempt sends a session's call to one replica and forwards the answer.
@@ -34,6 +35,8 @@
 	rateLimit float64
 	// node is the node that the call is handed over to; nil for an attempt on a replica.
 	node *Node
+	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
+	suspectRun suspect.Run
 	// crashed is set if the attempt failed because its server crashed.
 	crashed bool
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
@@ -190,6 +193,9 @@
 			a.judgeQueue(reply.Load, first > a.s.call.Route.Policy.Target)
 		}
 		pieces++
+		if a.suspectRun != nil {
+			a.suspectRun.Piece()
+		}
 		a.recordActivity(time.Now())
 		a.resetIdleTimer(a.pieceTimeout())
 		if err := a.forwardPiece(reply, data); err != nil {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -26,13 +26,16 @@
 	outcomes []suspect.Outcome
 }
 
-func (r *outcomeRecorder) Admit(context.Context, suspect.Fingerprint) (bool, error) {
-	return false, r.err
+func (r *outcomeRecorder) Refuse(suspect.Request) error { return nil }
+func (r *outcomeRecorder) AdmitRequest(context.Context, suspect.Request) (suspect.Admission, error) {
+	return suspect.Admission{}, r.err
 }
 func (*outcomeRecorder) MayRetryOn(cluster.ReplicaID) bool { return true }
-func (r *outcomeRecorder) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Outcome) {
-	return func(o suspect.Outcome) { r.outcomes = append(r.outcomes, o) }
+func (r *outcomeRecorder) BeginRequest(suspect.Request, cluster.ReplicaID, int64, suspect.Admission) suspect.Run {
+	return r
 }
+func (r *outcomeRecorder) Piece()                {}
+func (r *outcomeRecorder) End(o suspect.Outcome) { r.outcomes = append(r.outcomes, o) }
 
 // refusingBackend is a fakeBackend whose servers refuse further connections.
 type refusingBackend struct {
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -202,7 +202,7 @@
 	a := newAttempt(ctx, s, routing.Choice{}, conns.Peer{Addr: node.Addr})
 	a.node, a.canRetry = &node, false // that node watches over the call
 	result, err := a.run()
-	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
+	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
 		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "refused_by", s.refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,13 +28,14 @@
 
 // Suspects tracks the requests that crash backend servers. *suspect.Tracker implements it.
 type Suspects interface {
-	// Admit returns an error for a quarantined request. If it returns alone set, the request
-	// must run on a replica without other suspects.
-	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	// Refuse returns an error for a request that holds a quarantined part. It never waits.
+	Refuse(req suspect.Request) error
+	// AdmitRequest returns an error for a request that is quarantined or holds a quarantined part.
+	AdmitRequest(ctx context.Context, req suspect.Request) (suspect.Admission, error)
 	// MayRetryOn reports whether this node may now run a suspect on the replica.
 	MayRetryOn(replica cluster.ReplicaID) bool
-	// Begin records the start of a run. The returned func ends it.
-	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Outcome))
+	// BeginRequest records the start of a run.
+	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
 
 // Options are the dependencies of a Relay. All are required except OnStall, Reach and Log.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -28,10 +28,8 @@
 	service cluster.Service
 	group   cluster.GroupName
 	end     time.Time
-	// fingerprint identifies the request over all of its caller's attempts.
-	fingerprint suspect.Fingerprint
-	// parts are the parts of the prompt that other requests may share.
-	parts []suspect.Part
+	// suspect identifies the request over all of its caller's attempts.
+	suspect suspect.Request
 
 	// sent counts the backend servers that received the call.
 	sent int
@@ -50,8 +48,8 @@
 	// succeeds.
 	failedAnswer *storedAnswer
 	attempts     int
-	// alone is set if the current attempt must run on a replica without other suspects.
-	alone bool
+	// admission says how the current attempt may run.
+	admission suspect.Admission
 	// refusedBy counts the servers that refused a connection for the call. node is the node that
 	// the current attempt hands the call over to, if any, and nodesTried holds all of them.
 	refusedBy  int
@@ -72,8 +70,8 @@
 // Serve handles the call until it is answered or given up. ctx ends when the caller
 // disconnects.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
-	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter, fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body),
-		parts: suspect.PartsOf(c.Model, c.PromptParts)}
+	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter,
+		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body), Model: c.Model, Parts: suspect.PartsOf(c.Model, c.PromptParts)}}
 	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
 	s.group = GroupOf(s.service, c.Model)
 	if c.HandedOver() {
@@ -102,6 +100,9 @@
 func (s *session) Choose(ctx context.Context) error {
 	s.attempts++
 	s.remaining = time.Until(s.end)
+	if err := s.r.opts.Suspects.Refuse(s.suspect); err != nil {
+		return s.failNotAdmitted(err)
+	}
 	if chosen, err := s.chooseNode(); chosen || err != nil {
 		return err
 	}
@@ -115,11 +116,15 @@
 			return err
 		}
 		peer, listed := s.r.opts.Peer(choice)
-		if listed {
+		err = s.r.opts.Suspects.Refuse(s.suspect) // a quarantine may have begun while the call waited
+		if listed && err == nil {
 			s.choice, s.peer = choice, peer
 			return nil
 		}
 		s.endChoice(choice, routing.Result{Canceled: true})
+		if err != nil {
+			return s.failNotAdmitted(err)
+		}
 		s.exclude = append(s.exclude, choice.Replica.ID)
 	}
 }
@@ -141,7 +146,7 @@
 	}
 	for {
 		choice, err := s.chooseReplica()
-		if err == nil || !s.alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
+		if err == nil || !s.admission.Alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
 			return choice, err
 		}
 		clock.Pause(ctx, alonePollInterval)
@@ -152,13 +157,16 @@
 }
 
 // admit refuses a quarantined request. A suspect waits until no other run of it is under way.
-func (s *session) admit(ctx context.Context) error {
-	alone, err := s.r.opts.Suspects.Admit(ctx, s.fingerprint)
-	s.alone = alone
-	if err == nil {
-		return nil
+func (s *session) admit(ctx context.Context) (err error) {
+	if s.admission, err = s.r.opts.Suspects.AdmitRequest(ctx, s.suspect); err != nil {
+		return s.failNotAdmitted(err)
 	}
-	s.r.opts.Log.Info("request not admitted", "request", s.call.ID, "fingerprint", s.fingerprint.Short(), "code", fennelerr.CodeOf(err), "sent", s.sent)
+	return nil
+}
+
+// failNotAdmitted ends a call that the tracker of suspects does not let run.
+func (s *session) failNotAdmitted(err error) error {
+	s.r.opts.Log.Info("request not admitted", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "code", fennelerr.CodeOf(err), "sent", s.sent)
 	s.finish(err, func() *fennelerr.Error {
 		if refusal, ok := errors.Into[*fennelerr.Error](err); ok {
 			return refusal
@@ -174,10 +182,10 @@
 		return s.attemptNode(ctx)
 	}
 	a := newAttempt(ctx, s, s.choice, s.peer)
-	endRun := s.r.opts.Suspects.Begin(s.fingerprint, s.choice.Replica.ID, s.choice.Replica.Generation, s.alone)
+	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, s.choice.Replica.ID, s.choice.Replica.Generation, s.admission)
 	result, err := a.run()
 	a.crashed = s.r.crashes.crashed(ctx, s.peer, err)
-	endRun(suspectOutcome(result, a.crashed))
+	a.suspectRun.End(suspectOutcome(result, a.crashed))
 	if result.OK {
 		s.r.advisor.recordCompleted(s.group, time.Now())
 	}
@@ -242,7 +250,7 @@
 }
 
 func (s *session) chooseAnyReplica() (routing.Choice, error) {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
 	if stalled := s.r.stalls.stalled(time.Now()); len(stalled) > 0 {
 		req.Exclude = append(stalled, s.exclude...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
@@ -391,15 +399,15 @@
 		firstPieceSeconds.Update(result.FirstToken.Seconds())
 	}
 	terms, choice := s.call.Route.Policy, a.choice
-	fields := []any{"request", s.call.ID, "fingerprint", s.fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
+	fields := []any{"request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
 		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
-		"reason", choice.Reason, "considered", choice.Considered, "alone", s.alone, "waited", a.started.Sub(s.call.ReceivedAt),
+		"reason", choice.Reason, "considered", choice.Considered, "alone", s.admission.Alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
 	if s.streams() {
 		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.maxGap, "pause_target", terms.TargetGap)
 	}
-	if len(s.parts) > 0 {
-		fields = append(fields, "parts", suspect.JoinParts(s.parts))
+	if len(s.suspect.Parts) > 0 {
+		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
 	}
 	if a.load != nil {
 		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -18,6 +18,20 @@
 	keys       []key
 	// sends holds the send statistics for each mark of up to keysPerMark fingerprints.
 	sends [maxCrashKeys / keysPerMark]sendStats
+	// model is a hash of the replica's model. parts are those of the prompts of requests whose
+	// answer had not begun, partSends the send statistics of their marks.
+	model     uint32
+	parts     []heldPart
+	partSends [maxCrashParts / partsPerMark]sendStats
+	// explained is set once one of the parts is quarantined.
+	explained bool
+}
+
+// heldPart is a part of the prompt of a request that was in flight in a crash.
+type heldPart struct {
+	part Part
+	// request identifies the request among those that hold the part.
+	request uint32
 }
 
 const (
@@ -26,6 +40,9 @@
 	// keysPerMark is the number of fingerprints per mark. It is small enough for a mark
 	// to fit into a datagram next to others.
 	keysPerMark = 16
+	// maxCrashParts bounds the parts recorded for one crash, partsPerMark those in one mark.
+	maxCrashParts = 128
+	partsPerMark  = 8
 	// crashesPerShard bounds the crashes remembered per shard.
 	crashesPerShard = 64
 	// crashWindow is how long after a crash a request in flight on the replica may
@@ -126,6 +143,75 @@
 	return true
 }
 
+// addParts adds parts to a crash and returns those that were not known yet.
+func (s *crashShard) addParts(c *crash, held []heldPart) (added []heldPart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range held {
+		if len(c.parts) < maxCrashParts && !slices.Contains(c.parts, h) {
+			c.partSends[len(c.parts)/partsPerMark] = sendStats{}
+			c.parts = append(c.parts, h)
+			added = append(added, h)
+		}
+	}
+	return added
+}
+
+// crashesSince counts the crashes of replicas of a model since a time that are not explained.
+func (s *crashShard) crashesSince(model uint32, since time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.crashes {
+		if c.model == model && !c.explained && !c.at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// setModel records the model that the crashed replica served; 0 if unknown.
+func (s *crashShard) setModel(c *crash, model uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if model != 0 {
+		c.model = model
+	}
+}
+
+// explain marks the crashes of requests that hold the part as explained by it, and returns them.
+func (s *crashShard) explain(p Part) (explained []explainedCrash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.crashes {
+		e := explainedCrash{id: c.id, replica: c.replica}
+		for _, h := range c.parts {
+			if h.part == p {
+				e.requests = append(e.requests, h.request)
+			}
+		}
+		if len(e.requests) > 0 {
+			c.explained = true
+			e.keys = slices.Clone(c.keys)
+			explained = append(explained, e)
+		}
+	}
+	return explained
+}
+
+// explainedCrash is a crash caused by requests that hold a quarantined part.
+type explainedCrash struct {
+	id       uint64
+	replica  cluster.ReplicaID
+	keys     []key
+	requests []uint32
+}
+
+func (s *crashShard) isExplained(c *crash) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.explained
+}
+
 // keysOf returns the fingerprints known to have been in flight in a crash.
 func (s *crashShard) keysOf(id uint64) []key {
 	s.mu.Lock()
--- a/internal/suspect/gossip.go
+++ b/internal/suspect/gossip.go
@@ -33,6 +33,7 @@
 
 const (
 	classQuarantine markClass = iota
+	classPart
 	classCrash
 	classRetry
 	classCleared
@@ -114,7 +115,10 @@
 		return pendingMark{}, false
 	}
 	mark.size, mark.class = markSize(m), classRetry
-	if m.Cleared {
+	switch {
+	case m.Cleared && r.part:
+		mark.class = classPart
+	case m.Cleared:
 		mark.class = classCleared
 	}
 	mark.add = func(s *membership.Section) { s.Suspects = append(s.Suspects, m) }
@@ -147,6 +151,9 @@
 		if now.Sub(c.at) > crashGossipDuration {
 			continue
 		}
+		for i, parts := range slices.Collect(slices.Chunk(c.parts, partsPerMark)) {
+			marks = append(marks, s.partMark(c, i, parts, now))
+		}
 		for i, keys := range slices.Collect(slices.Chunk(c.keys, keysPerMark)) {
 			marks = append(marks, s.crashMark(c, i, keys, now))
 		}
@@ -155,22 +162,37 @@
 }
 
 func (s *crashShard) crashMark(c *crash, chunk int, keys []key, now time.Time) pendingMark {
-	m := &wirepb.CrashMark{
-		CrashId: c.id, Replica: string(c.replica), Generation: c.generation, AgeMs: now.Sub(c.at).Milliseconds(),
-	}
+	m := c.mark(now)
 	for _, k := range keys {
 		m.Fingerprints = append(m.Fingerprints, k.bytes()...)
 	}
+	return s.pendingCrashMark(m, classCrash, &c.sends[chunk])
+}
+
+func (s *crashShard) partMark(c *crash, chunk int, parts []heldPart, now time.Time) pendingMark {
+	m := c.mark(now)
+	for _, h := range parts {
+		m.Parts = h.append(m.Parts)
+	}
+	return s.pendingCrashMark(m, classPart, &c.partSends[chunk])
+}
+
+func (c *crash) mark(now time.Time) *wirepb.CrashMark {
+	return &wirepb.CrashMark{CrashId: c.id, Replica: string(c.replica), Generation: c.generation, AgeMs: now.Sub(c.at).Milliseconds(), Model: c.model}
+}
+
+// pendingCrashMark returns a mark whose sends are counted in stats, which s.mu guards.
+func (s *crashShard) pendingCrashMark(m *wirepb.CrashMark, class markClass, stats *sendStats) pendingMark {
 	return pendingMark{
-		priority: c.sends[chunk].priority(),
-		class:    classCrash,
+		priority: stats.priority(),
+		class:    class,
 		size:     markSize(m),
 		add:      func(section *membership.Section) { section.Crashes = append(section.Crashes, m) },
 		onSent: func(round uint64) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			c.sends[chunk].count++
-			c.sends[chunk].last = round
+			stats.count++
+			stats.last = round
 		},
 	}
 }
@@ -203,11 +225,16 @@
 	}
 	newSuspects := t.crashShard(replica).isNew(m.CrashId, replica, m.Generation, at)
 	c, added := t.crashShard(replica).recordRemote(m.CrashId, replica, m.Generation, at, keys)
+	explained := t.crashShard(replica).isExplained(c)
 	for _, k := range added {
+		if explained {
+			break
+		}
 		t.upsert(k, func(r *record) {
 			newSuspects = r.addEvidence(evidence{crash: c.id, replica: replica, at: c.at}, now, t.timing) || newSuspects
 		})
 	}
+	newParts := t.addCrashParts(c, m.Model, parseHeldParts(m.Parts), now)
 	if newSuspects {
 		// A node that detects the crash later than others begins its own turns then.
 		t.restartTurns(now)
@@ -216,7 +243,7 @@
 		t.log.Info("crash reported by another node", "replica", replica, "generation", m.Generation, "crash", c.id,
 			"age", now.Sub(c.at), "fingerprints", added)
 	}
-	return len(added) > 0
+	return len(added) > 0 || newParts
 }
 
 func (t *Tracker) receiveSuspect(m *wirepb.SuspectMark, now time.Time) bool {
@@ -226,7 +253,8 @@
 	}
 	at := now.Add(-clampAge(m.AgeMs))
 	if m.Cleared {
-		return t.clear(k, at)
+		partChanged := t.partAnsweredElsewhere(Part(k), at)
+		return t.clear(k, at) || partChanged
 	}
 	if !m.RunningAlone || cluster.NodeID(m.Runner) == t.node || clampAge(m.AgeMs) >= t.timing.RunnerTTL {
 		return false
@@ -271,6 +299,7 @@
 	t.upsert(k, func(r *record) { isNew = r.adoptQuarantine(remaining, now, t.timing) })
 	if isNew {
 		t.log.Warn("quarantine reported by another node", "fingerprint", k, "expires_in_ms", remaining.Milliseconds(), "source", source)
+		t.explain(Part(k), now)
 	}
 	return isNew
 }
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -58,7 +58,9 @@
 	clearedAt     time.Time
 	// probation is set from the first quarantine until the fingerprint is cleared.
 	probation bool
-	retry     retry
+	// part is set if the key is that of a part of prompts.
+	part  bool
+	retry retry
 
 	// changed is closed when the record changes; nil if no request waits.
 	changed chan struct{}
@@ -249,6 +251,24 @@
 	return true
 }
 
+// withdraw removes a crash that another request caused. Without other evidence the fingerprint is
+// cleared.
+func (r *record) withdraw(crashID uint64, now time.Time, t Timing) {
+	r.evidence = slices.DeleteFunc(r.evidence, func(e evidence) bool { return e.crash == crashID })
+	if r.phase != suspected && r.phase != awaitingVerdict || r.probation {
+		return
+	}
+	r.phase = suspected
+	if len(r.evidence) > 0 {
+		return
+	}
+	r.phase = cleared
+	r.clearedAt = now
+	r.retry = retry{}
+	r.until = now.Add(t.SuspectFor)
+	r.sends.count = urgentSends // the other nodes learn it from the quarantine of the part
+}
+
 // observeRetry applies another node's report of a claimed or running retry. It reports
 // whether the report was new.
 func (r *record) observeRetry(self cluster.NodeID, other retry, now time.Time, t Timing) bool {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -56,6 +56,7 @@
 	byReplica [shardCount]crashShard
 	sections  sectionCounter
 	ranks     rankCache
+	parts     *partTable
 }
 
 type keyShard struct {
@@ -96,6 +97,7 @@
 	if t.log == nil {
 		t.log = slog.Default()
 	}
+	t.parts = newPartTable(t.now())
 	for i := range shardCount {
 		t.byKey[i].records = make(map[key]*record)
 		t.byReplica[i].retries = make(map[cluster.ReplicaID]map[key]retryOnReplica)
@@ -113,26 +115,7 @@
 // Begin records the start of a run of fp on the replica. The returned func ends the run
 // and must be called once. A retry alone that finishes clears the fingerprint.
 func (t *Tracker) Begin(fp Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(Outcome)) {
-	k, began := fp.key(), t.now()
-	if alone {
-		t.startRetry(k, replica)
-	}
-	var once sync.Once
-	return func(outcome Outcome) {
-		once.Do(func() {
-			if alone {
-				t.crashShard(replica).endRetry(replica, k, t.now())
-			}
-			switch {
-			case outcome == Crashed:
-				t.recordCrash(k, replica, generation, began, alone)
-			case alone && outcome == Finished:
-				t.retryFinished(k)
-			case alone:
-				t.retryAbandoned(k)
-			}
-		})
-	}
+	return t.BeginRequest(Request{Fingerprint: fp}, replica, generation, Admission{Alone: alone, suspected: alone}).End
 }
 
 // maxRetryDuration expires a retry of this node that is never ended.
@@ -191,14 +174,16 @@
 	return r
 }
 
-func (t *Tracker) recordCrash(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) {
+// recordCrash records that the replica crashed under a run. It returns the crash, or nil if it is
+// no evidence.
+func (t *Tracker) recordCrash(k key, replica cluster.ReplicaID, generation int64, began time.Time, alone bool) *crash {
 	metricCrashed.Inc()
 	now := t.now()
 	c := t.crashShard(replica).recordLocal(replica, generation, k, began, now, rand.Uint64())
-	if c == nil {
-		t.log.Info("crash not counted", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone)
+	if c == nil || t.crashShard(replica).isExplained(c) {
+		t.log.Info("crash not counted", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone, "explained", c != nil)
 		t.retryAbandoned(k)
-		return
+		return c
 	}
 	t.restartTurns(now)
 	var undecided bool
@@ -211,14 +196,13 @@
 	})
 	t.log.Warn("replica crashed under a request", "fingerprint", k, "replica", replica, "generation", generation, "alone", alone, "crash", c.id)
 	t.triggerHeartbeat()
-	if !undecided {
-		return
-	}
-	if t.peers() == 0 {
+	switch {
+	case undecided && t.peers() == 0:
 		t.decideVerdict(k, c.id, replica, now)
-		return
+	case undecided:
+		t.scheduleVerdict(k, c.id, replica, now)
 	}
-	t.scheduleVerdict(k, c.id, replica, now)
+	return c
 }
 
 // maxVerdictLateness is how late a verdict may be decided. A process that got no
