internal/suspect: a part is not quarantined for crashes that many requests may have caused

Change: each crash counts by the share of the part's requests among those that may have caused it (sum of 1.5 for a new part, 2.5 for one with known answers), a part with known answers needs three quarters of the model's crashes, and the verdict waits 150 ms for the other requests of the crash and for answers. TestPartOfRequestsInQueuesIsNotQuarantined failed without the delay (seen).

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -109,8 +109,7 @@
 	}
 }
 
-// addCrashParts adds the parts of requests to a crash and decides whether one of them caused it.
-// It reports whether any was new.
+// addCrashParts adds the parts of requests to a crash, as evidence against them. It reports whether any was new.
 func (t *Tracker) addCrashParts(c *crash, model uint32, held []heldPart, now time.Time) bool {
 	t.crashShard(c.replica).setModel(c, model)
 	added := t.crashShard(c.replica).addParts(c, held)
@@ -125,11 +124,23 @@
 	for _, h := range added {
 		t.parts.crashed(h.part, partCrash{crash: c.id, at: c.at, request: h.request})
 	}
+	if len(added) > 0 {
+		time.AfterFunc(partVerdictDelay, func() { t.judgeParts(model, candidates) })
+	}
+	return len(added) > 0
+}
+
+// partVerdictDelay is how long a verdict on parts waits for the other requests that were in flight
+// in the crash, and for answers.
+const partVerdictDelay = 150 * time.Millisecond
+
+// judgeParts quarantines one of the parts if the evidence suffices.
+func (t *Tracker) judgeParts(model uint32, candidates []Part) {
+	now := t.now()
 	crashesSince := func(since time.Time) int { return t.crashesSince(model, since) }
 	if p, count, found := t.parts.culprit(model, candidates, now, crashesSince); found {
 		t.quarantinePart(p, count, now)
 	}
-	return len(added) > 0
 }
 
 // crashesSince counts the crashes of replicas of a model since a time.
@@ -151,7 +162,7 @@
 		return
 	}
 	metricPartsQuarantined.Inc()
-	t.log.Warn("part quarantined", "part", p, "crashes", count.crashes, "replicas", count.replicas, "requests", count.requests, "answers_before", count.answers, "for", t.timing.QuarantineFor)
+	t.log.Warn("part quarantined", "part", p, "crashes", count.crashes, "replicas", count.replicas, "requests", count.requests, "weight", count.weight, "answers_before", count.answers, "for", t.timing.QuarantineFor)
 	t.onQuarantined(key(p).String())
 	t.explain(p, now)
 	t.triggerHeartbeat()
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -151,6 +151,25 @@
 	})
 }
 
+// Guards against a refusal of requests that wait in the queues of overloaded replicas.
+func TestPartOfRequestsInQueuesIsNotQuarantined(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		for i := range enoughCrashes {
+			replica := cluster.ReplicaID(fmt.Sprintf("queue-%d", i))
+			for n := range 10 {
+				id := uint64(0x1000*(i+1) + n)
+				if n == 0 {
+					id = crashID
+				}
+				p.BeginRequest(p.request(id), replica, 1, suspect.Admission{}).End(suspect.Crashed)
+			}
+			time.Sleep(250 * time.Millisecond)
+			p.answer(otherID)
+		}
+		require.False(t, p.refuses(crashID))
+	})
+}
+
 // Guards against a refusal of a part that other requests are answered with.
 func TestAnswerWithdrawsEarlierCrashes(t *testing.T) {
 	testParts(t, func(t *testing.T, p *partTest) {
--- a/internal/suspect/parttable.go
+++ b/internal/suspect/parttable.go
@@ -16,23 +16,34 @@
 	maxCrashedParts  = 1024
 	// maxPartCrashes bounds the crashes remembered per part.
 	maxPartCrashes = 16
-	// newPartCrashes is the number of crashes that quarantine a part of which no answer is
-	// known, knownPartCrashes that for other parts.
-	newPartCrashes   = 3
-	knownPartCrashes = 5
 	// minCrashInterval is the time between two crashes that count. The loss of a rack ends
 	// several replicas at once.
 	minCrashInterval = 200 * time.Millisecond
-	// minCrashShare is the share of the model's crashes, since the first one under the part, that
-	// occurred under it. Requests that wait in the queue of a replica that crashes for another
-	// reason have no answer either.
-	minCrashShare = 0.5
 	// recentAnswer is how long after an answer crashes are no evidence against the part.
 	recentAnswer = time.Second
 	// partHistory is how long a node must have run to know which parts were answered.
 	partHistory = 10 * time.Second
 )
 
+// requiredEvidence is the evidence that quarantines a part.
+type requiredEvidence struct {
+	// crashes is the number of crashes.
+	crashes int
+	// weight is the sum, over the crashes, of the share of the requests with the part among those
+	// that may have caused it. Many requests wait in the queue of an overloaded replica, and have
+	// no answer either when it crashes for another reason.
+	weight float64
+	// crashShare is the share of the model's crashes, since the first one under the part, that
+	// occurred under it.
+	crashShare float64
+}
+
+var (
+	// newPartEvidence quarantines a part of which no answer is known, knownPartEvidence any part.
+	newPartEvidence   = requiredEvidence{crashes: 3, weight: 1.5, crashShare: 0.5}
+	knownPartEvidence = requiredEvidence{crashes: 5, weight: 2.5, crashShare: 0.75}
+)
+
 // partCrash is a crash in which a request with the part was in flight that had no answer yet.
 type partCrash struct {
 	crash   uint64
@@ -51,6 +62,8 @@
 	// crashes counts the crashes since the last answer, at different times and under different
 	// requests, replicas all of them and requests the requests. answers counts the answers before.
 	crashes, replicas, requests, answers int
+	// weight is as in requiredEvidence.
+	weight float64
 	// since is when the first of the crashes occurred.
 	since time.Time
 }
@@ -175,7 +188,7 @@
 	defer t.mu.Unlock()
 	for _, p := range candidates {
 		c := t.count(p)
-		if c.crashes < t.required(c, now) || !t.othersAnswered(model, p) || float64(c.replicas) < minCrashShare*float64(crashesSince(c.since)) {
+		if !t.suffices(c, now, crashesSince) || !t.othersAnswered(model, c) {
 			continue
 		}
 		if !found || c.crashes > count.crashes || c.crashes == count.crashes && c.answers <= count.answers {
@@ -185,19 +198,20 @@
 	return best, count, found
 }
 
-// required returns the number of crashes that quarantine a part.
-func (t *partTable) required(c partCount, now time.Time) int {
+// suffices reports whether the evidence quarantines a part.
+func (t *partTable) suffices(c partCount, now time.Time, crashesSince func(time.Time) int) bool {
+	required := newPartEvidence
 	if c.answers > 0 || now.Sub(t.startedAt) < partHistory {
-		return knownPartCrashes
+		required = knownPartEvidence
 	}
-	return newPartCrashes
+	return c.crashes >= required.crashes && c.weight >= required.weight &&
+		float64(c.replicas) >= required.crashShare*float64(crashesSince(c.since))
 }
 
 // othersAnswered reports whether a request for the model has had an answer since the first crash
 // under the part. If none has, the replicas may crash whatever they run.
-func (t *partTable) othersAnswered(model uint32, p Part) bool {
-	crashes, _ := t.crashes.Peek(p)
-	return len(crashes) > 0 && t.modelAnsweredAt[model].After(crashes[0].at)
+func (t *partTable) othersAnswered(model uint32, c partCount) bool {
+	return t.modelAnsweredAt[model].After(c.since)
 }
 
 // count returns the evidence against a part.
@@ -205,10 +219,15 @@
 	answers, _ := t.answers.Peek(p)
 	c.answers = answers.count
 	crashes, _ := t.crashes.Peek(p)
-	requests, replicas := make(map[uint32]bool), make(map[uint64]bool)
+	if len(crashes) == 0 {
+		return c
+	}
+	c.since = crashes[0].at
+	holders, all := requestsByCrash(crashes), t.possibleCauses(crashes)
+	c.replicas = len(holders)
+	requests := make(map[uint32]bool)
 	var last time.Time
 	for _, crash := range crashes {
-		replicas[crash.crash] = true
 		if requests[crash.request] {
 			continue
 		}
@@ -216,11 +235,34 @@
 		if crash.at.Sub(last) >= minCrashInterval {
 			last = crash.at
 			c.crashes++
+			c.weight += float64(len(holders[crash.crash])) / float64(len(all[crash.crash]))
 		}
 	}
-	c.requests, c.replicas = len(requests), len(replicas)
-	if len(crashes) > 0 {
-		c.since = crashes[0].at
-	}
+	c.requests = len(requests)
 	return c
 }
+
+// possibleCauses returns, by crash, the requests that may have caused it: those that hold a part
+// against which the crash is evidence.
+func (t *partTable) possibleCauses(crashes []partCrash) map[uint64]map[uint32]bool {
+	causes := requestsByCrash(crashes)
+	for _, evidence := range t.crashes.Values() {
+		for _, c := range evidence {
+			if requests := causes[c.crash]; requests != nil {
+				requests[c.request] = true
+			}
+		}
+	}
+	return causes
+}
+
+func requestsByCrash(crashes []partCrash) map[uint64]map[uint32]bool {
+	requests := make(map[uint64]map[uint32]bool)
+	for _, c := range crashes {
+		if requests[c.crash] == nil {
+			requests[c.crash] = make(map[uint32]bool)
+		}
+		requests[c.crash][c.request] = true
+	}
+	return requests
+}
