An unframed answer is complete only if its server has not ended with it

What callers would see: an answer with neither length nor chunks ends with its connection.

A check from before the end does not count unless it showed the end.

Not known: a server that goes on and closes between two events; nothing in the protocol tells it from the end of the answer.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -165,6 +165,9 @@
 	if err != nil {
 		return a.result(false, 0, 0), a.withCancelCause(err)
 	}
+	if err := a.checkUnframedEnd(reply); err != nil {
+		return a.result(false, 0, 0), err
+	}
 	first := time.Since(a.started)
 	if reply.Head.Status >= http.StatusInternalServerError && a.s.call.Route.Policy.Kind == rules.CallSafe {
 		a.s.failedAnswer = &storedAnswer{reply.Head, body}
@@ -176,6 +179,15 @@
 	return a.result(true, first, 1), nil
 }
 
+// checkUnframedEnd returns an error if an unframed answer ended because the server's process did:
+// it may be incomplete.
+func (a *attempt) checkUnframedEnd(reply *Reply) error {
+	if !reply.Unframed || a.node != nil || !a.s.r.crashes.endedWith(a.ctx, a.peer) {
+		return nil
+	}
+	return &BrokenError{Reason: "the server ended as its answer did", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
+}
+
 // forwardStream forwards pieces as they arrive.
 func (a *attempt) forwardStream(reply *Reply) (routing.Result, error) {
 	pieces := 0
@@ -183,7 +195,9 @@
 	for {
 		data, id, err := reply.Body.Next()
 		if errors.Is(err, io.EOF) {
-			return a.endStream(reply, first, pieces)
+			if err = a.checkUnframedEnd(reply); err == nil {
+				return a.endStream(reply, first, pieces)
+			}
 		}
 		if err != nil {
 			return a.result(false, first, pieces), a.withCancelCause(err)
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -39,7 +39,10 @@
 	// RateLimit is the number of requests per second that the server takes from all nodes
 	// together; 0 if it named no limit.
 	RateLimit float64
-	Body      Body
+	// Unframed is true if the answer has neither a length nor chunks: it ends with its connection,
+	// as it does if the server's process ends.
+	Unframed bool
+	Body     Body
 }
 
 // Body reads the rest of an answer.
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -28,9 +28,11 @@
 }
 
 type crashCheck struct {
-	at      time.Time
-	done    chan struct{}
-	crashed bool
+	at   time.Time
+	done chan struct{}
+	// refused is set if the address refused a connection, crashed if other servers were reachable
+	// then.
+	refused, crashed bool
 }
 
 func newCrashDetector(opts Options) *crashDetector {
@@ -46,23 +48,38 @@
 	if !ok || !broken.ConnectionLost || ctx.Err() != nil || d.opts.Leaving(p) {
 		return false
 	}
-	c, first := d.begin(p, time.Now())
+	c := d.check(ctx, p, false)
+	return c != nil && c.crashed
+}
+
+// endedWith reports whether the process had ended when it ended an answer. It holds for a planned
+// end too.
+func (d *crashDetector) endedWith(ctx context.Context, p conns.Peer) bool {
+	c := d.check(ctx, p, true)
+	return c != nil && c.refused
+}
+
+// check returns the result of a check of the process, or nil if ctx ends before. With fresh set, an
+// earlier result counts only if it shows that the process had ended.
+func (d *crashDetector) check(ctx context.Context, p conns.Peer, fresh bool) *crashCheck {
+	c, first := d.begin(p, time.Now(), fresh)
 	if first {
 		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 		defer cancel()
-		c.crashed = d.opts.Backend.Refuses(checkCtx, p) && (d.opts.Reach == nil || d.opts.Reach.Probe(context.WithoutCancel(ctx)))
+		c.refused = d.opts.Backend.Refuses(checkCtx, p)
+		c.crashed = c.refused && (d.opts.Reach == nil || d.opts.Reach.Probe(context.WithoutCancel(ctx)))
 		close(c.done)
 	}
 	select {
 	case <-c.done:
-		return c.crashed
+		return c
 	case <-ctx.Done():
-		return false
+		return nil
 	}
 }
 
 // begin returns the check of the process that is under way or recent, or a new one.
-func (d *crashDetector) begin(p conns.Peer, now time.Time) (c *crashCheck, first bool) {
+func (d *crashDetector) begin(p conns.Peer, now time.Time, fresh bool) (c *crashCheck, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for peer, old := range d.checks {
@@ -70,10 +87,20 @@
 			delete(d.checks, peer)
 		}
 	}
-	if c = d.checks[p]; c != nil {
+	if c = d.checks[p]; c != nil && (!fresh || c.showsEnd()) {
 		return c, false
 	}
 	c = &crashCheck{at: now, done: make(chan struct{})}
 	d.checks[p] = c
 	return c, true
 }
+
+// showsEnd reports whether the check is complete and found that the process had ended.
+func (c *crashCheck) showsEnd() bool {
+	select {
+	case <-c.done:
+		return c.refused
+	default:
+		return false
+	}
+}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -62,13 +63,25 @@
 
 // serveOnce serves an unsafe call with one attempt.
 func serveOnce(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool) *recorder {
-	r := relay.New(relay.Options{
+	return serveKind(b, suspects, leaving, pathLost, rules.CallUnsafe)
+}
+
+// serveKind serves a call of the kind with one attempt.
+func serveKind(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool, kind rules.CallKind) *recorder {
+	return serveOn(newCrashRelay(b, suspects, leaving, pathLost), kind)
+}
+
+func newCrashRelay(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool) *relay.Relay {
+	return relay.New(relay.Options{
 		Router: &listRouter{ids: []cluster.ReplicaID{"a"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 		Suspects: suspects, Leaving: func(conns.Peer) bool { return leaving }, Reach: probedReach{fixedReach{pathLost}}, Log: slog.New(slog.DiscardHandler),
 	})
-	terms := rules.RoutePolicy{Kind: rules.CallUnsafe, MaxAttempts: 1, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
+}
+
+func serveOn(r *relay.Relay, kind rules.CallKind) *recorder {
+	terms := rules.RoutePolicy{Kind: kind, MaxAttempts: 1, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
 	got := &recorder{}
 	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
 	return got
@@ -114,3 +127,47 @@
 	requireNotRun(t, got.refused)
 	require.Equal(t, fennelerr.Quarantined, got.refused.Code)
 }
+
+// Guards against an answer without length or chunks that is cut short by the end of its server and passed on as complete.
+func TestUnframedAnswerOfAnEndedServerIsIncomplete(t *testing.T) {
+	whole := &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}}
+	for _, c := range []struct {
+		name                                 string
+		kind                                 rules.CallKind
+		unframed, refuses, leaving, complete bool
+	}{
+		{"stream, server runs", rules.CallStream, true, false, false, true},
+		{"stream, server crashed", rules.CallStream, true, true, false, false},
+		{"stream, server left as planned", rules.CallStream, true, true, true, false},
+		{"framed stream, server crashed", rules.CallStream, false, true, false, true},
+		{"plain, server runs", rules.CallUnsafe, true, false, false, true},
+		{"plain, server crashed", rules.CallUnsafe, true, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			handle := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+				reply := *whole
+				reply.Unframed, reply.Body = c.unframed, &fakeBody{ctx: ctx, next: 1, last: 3, err: io.EOF}
+				return &reply, nil
+			}
+			b := &refusingBackend{fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}, c.refuses}
+			got := serveKind(b, &outcomeRecorder{}, c.leaving, false, c.kind)
+			require.Equal(t, c.complete, got.ended)
+			if !c.complete && c.kind == rules.CallUnsafe {
+				require.Equal(t, fennelerr.Unknown, got.refused.Run)
+			}
+		})
+	}
+}
+
+// Guards against a check from before the server's end that makes an incomplete answer look complete.
+func TestUnframedAnswerIsCheckedAnew(t *testing.T) {
+	b := &refusingBackend{}
+	handle := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+		return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, Unframed: true, Body: &fakeBody{ctx: ctx, next: 1, last: 3, err: io.EOF}}, nil
+	}
+	b.handlers = map[cluster.ReplicaID]handler{"a": handle}
+	r := newCrashRelay(b, &outcomeRecorder{}, false, false)
+	require.True(t, serveOn(r, rules.CallStream).ended)
+	b.refuses = true
+	require.False(t, serveOn(r, rules.CallStream).ended)
+}
