internal/relay: the limit of a node rises faster while the replicas are half empty

Cause: after an overload each node has a limit on its own requests that rises by 5% each 0.3 s. When most new connections go to one node it gets the calls of all, and refuses them for seconds although the replicas have room (class: a limit by what a node had before).

Change: while no answer was late for a queue and the replicas' mean load is at most one half, the limit rises by half each 0.3 s.

Not covered: the processor and the link of one node.

--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -53,6 +53,8 @@
 		w.coolHeads(f)
 	case IsolateNodes:
 		sys.isolateNodes(f)
+	case OneNode:
+		sys.oneNode.Store(true)
 	case CrashRequests:
 		sys.callers.inFlight.Go(func() { sys.sendCrashRequests(f) })
 	case CrashPart:
@@ -80,6 +82,8 @@
 		w.store.SetFaults(memstore.Faults{})
 	case IsolateNodes:
 		sys.endIsolation(f)
+	case OneNode:
+		sys.oneNode.Store(false)
 	}
 }
 
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -125,7 +125,7 @@
 // replicas at once. LimitServers has heads of replicas name a
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
-// nothing else, for a time.
+// nothing else, for a time. OneNode has all callers' first attempts arrive at the first node for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -140,6 +140,7 @@
 	LimitServers  FaultKind = "limit"
 	ColdServers   FaultKind = "cold"
 	IsolateNodes  FaultKind = "isolate-nodes"
+	OneNode       FaultKind = "one-node"
 )
 
 // Fault is a fault injected at a time after the first call.
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
@@ -31,6 +32,8 @@
 	mu        sync.Mutex
 	nodes     []*node
 	nodesDone sync.WaitGroup
+	// oneNode is set while all first attempts arrive at one node.
+	oneNode atomic.Bool
 }
 
 // Options configures a simulation.
@@ -167,6 +170,9 @@
 // pickNode returns the node to which the platform's load balancer sends a caller.
 func (sys *Simulation) pickNode(rng *rand.Rand) *node {
 	remaining := rng.Float64()
+	if sys.oneNode.Load() {
+		return sys.nodes[0]
+	}
 	for i, z := range sys.scenario.Zones {
 		if remaining -= z.Share; remaining >= 0 && i < len(sys.scenario.Zones)-1 {
 			continue
--- a/internal/relay/concurrency.go
+++ b/internal/relay/concurrency.go
@@ -16,11 +16,13 @@
 	limitWindow = 300 * time.Millisecond
 	// minLimitSamples is the smallest number of answers to judge.
 	minLimitSamples = 8
-	// The limit rises by limitIncrease while at most queuedLow of the answers waited in a
-	// queue and were late for it. Otherwise it follows the replicas' load, but changes by at
-	// most maxDecrease at a time.
+	// The limit rises while at most queuedLow of the answers waited in a queue and were late for
+	// it: by limitIncrease, or by fastIncrease if the replicas' load is at most lowLoad. Otherwise it follows the replicas' load, but changes by at most
+	// maxDecrease at a time.
 	queuedLow     = 0.3
 	limitIncrease = 1.05
+	fastIncrease  = 1.5
+	lowLoad       = 0.5
 	maxDecrease   = 0.8
 	// returningShare is the part of the limit that callers who were refused before may fill.
 	returningShare = 0.8
@@ -128,6 +130,8 @@
 		return
 	}
 	switch mean := g.load / float64(max(g.samples, 1)); {
+	case g.samples >= minLimitSamples && g.queued == 0 && mean <= lowLoad:
+		g.limit *= fastIncrease
 	case g.samples < minLimitSamples, float64(g.queued) <= queuedLow*float64(g.samples):
 		g.limit *= limitIncrease
 	default:
--- a/internal/relay/concurrency_test.go
+++ b/internal/relay/concurrency_test.go
@@ -67,3 +67,19 @@
 	require.Equal(t, int(returningShare*10), fill(g, returningShare, 10, now))
 	require.Equal(t, 10-int(returningShare*10), fill(g, 1, 10, now))
 }
+
+// Guards against a node that refuses the calls of all others once they arrive at it alone.
+func TestLimitRisesFasterWhileReplicasAreHalfEmpty(t *testing.T) {
+	for load, least := range map[float64]float64{0.4: 4, 0.8: 1.2} {
+		now := time.Unix(1000, 0)
+		g := newConcurrencyLimit(now)
+		g.limit = 10
+		for range 4 {
+			now = now.Add(limitWindow)
+			for range minLimitSamples {
+				g.record(load, false, now)
+			}
+		}
+		require.InDelta(t, least*10, g.limit, 0.35*least*10, "load %v", load)
+	}
+}
