internal/gateway: messages under which engines crash are refused in the product's own form too

The same class elsewhere: the front of the product's own form recognised requests that crash engines by team, path and body too. The parts of a prompt are its messages there, all but the last one.

--- a/internal/call/model.go
+++ b/internal/call/model.go
@@ -16,6 +16,9 @@
 	// PrefixHashes identify prefixes of the prompt. They are matched with the prefixes that
 	// replicas have cached.
 	PrefixHashes []uint64
+	// PromptParts are the hashes of the prompt's parts, in order; the last one belongs to the call
+	// itself.
+	PromptParts []uint64
 	// NewExchange returns the exchange that writes the answer to a caller.
 	NewExchange func(to Caller) Exchange
 }
--- a/internal/engine/prompt.go
+++ b/internal/engine/prompt.go
@@ -54,3 +54,12 @@
 	}
 	return hashes
 }
+
+// MessageHashes returns the hash of each message.
+func MessageHashes(messages []Message) []uint64 {
+	hashes := make([]uint64, len(messages))
+	for i, m := range messages {
+		hashes[i] = xxhash.Sum64String(PromptText([]Message{m}, nil))
+	}
+	return hashes
+}
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -92,13 +92,13 @@
 
 // Quarantine blocks requests that crash replicas.
 type Quarantine interface {
-	// Admit refuses a quarantined fingerprint with a Quarantined error. For a suspect, it
-	// waits until no other node or request retries it and returns alone=true. The caller must
-	// then choose a replica that runs no other suspect.
-	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	// AdmitRequest refuses a request that is quarantined or holds a quarantined part with a
+	// Quarantined error. For a suspect, it waits until no other node or request retries it and
+	// returns Alone set. The caller must then choose a replica that runs no other suspect.
+	AdmitRequest(ctx context.Context, req suspect.Request) (suspect.Admission, error)
 	// MayRetryOn reports whether a suspect may run on the replica now: no suspect of another
 	// node runs there, and it is this node's turn to use the replica.
 	MayRetryOn(replica cluster.ReplicaID) bool
-	// Begin records that fp runs on the replica. The returned function records the outcome.
-	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Outcome))
+	// BeginRequest records that the request runs on the replica.
+	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -151,13 +151,17 @@
 // fakeQuarantine admits every request and counts crashes.
 type fakeQuarantine struct{ crashes atomic.Int64 }
 
-func (q *fakeQuarantine) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
-func (q *fakeQuarantine) MayRetryOn(cluster.ReplicaID) bool                        { return true }
-func (q *fakeQuarantine) Begin(suspect.Fingerprint, cluster.ReplicaID, int64, bool) func(suspect.Outcome) {
-	return func(how suspect.Outcome) {
-		if how == suspect.Crashed {
-			q.crashes.Add(1)
-		}
+func (q *fakeQuarantine) AdmitRequest(context.Context, suspect.Request) (suspect.Admission, error) {
+	return suspect.Admission{}, nil
+}
+func (q *fakeQuarantine) MayRetryOn(cluster.ReplicaID) bool { return true }
+func (q *fakeQuarantine) BeginRequest(suspect.Request, cluster.ReplicaID, int64, suspect.Admission) suspect.Run {
+	return q
+}
+func (q *fakeQuarantine) Piece() {}
+func (q *fakeQuarantine) End(how suspect.Outcome) {
+	if how == suspect.Crashed {
+		q.crashes.Add(1)
 	}
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -66,7 +66,8 @@
 			WithField("path").WithRun(fennelerr.NotRun)
 	}
 	return &session{g: g, c: c, modelCall: modelCall, path: r.URL.Path, body: body, route: route, run: fennelerr.NotRun, started: now,
-		fp: suspect.FingerprintOf(c.team.Name, r.URL.Path, body)}, deadline, nil
+		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.team.Name, r.URL.Path, body), Model: modelCall.Model,
+			Parts: suspect.PartsOf(modelCall.Model, modelCall.PromptParts)}}, deadline, nil
 }
 
 // runSession acquires a slot and runs the session while holding it.
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -4,11 +4,15 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
 	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
@@ -44,3 +48,39 @@
 		requireCompleteStream(t, b.send(http.MethodPost, "/v1/chat/completions", body), body)
 	}
 }
+
+// Guards against requests, no two alike, that share a message which crashes engines.
+func TestMessageThatCrashesEnginesIsRefused(t *testing.T) {
+	const engines, sends = 12, 12
+	var uptime atomic.Int64
+	quarantine := suspect.New(suspect.Options{Node: "node-a", Log: slog.New(slog.DiscardHandler),
+		Clock: func() time.Time { return time.Now().Add(time.Duration(uptime.Load())) }})
+	uptime.Store(int64(time.Minute))
+	b := newFixture(t, engines, standinengine.Options{CrashMarker: "poison"}, func(b *fixture) { b.opts.Quarantine = quarantine })
+	refused, crashed := 0, 0
+	for i := range sends {
+		body := `{"model":"assistente-fit","stream":true,"messages":[{"role":"system","content":"be kind"},{"role":"system","content":"%s"},{"role":"user","content":"question %d"}]}`
+		if b.chat(fmt.Sprintf(body, "poison", i)).status == fennelerr.Quarantined.HTTPStatus() {
+			refused++
+		}
+		crashed = b.removeCrashed()
+		time.Sleep(250 * time.Millisecond)
+		sound := fmt.Sprintf(body, "hello", i)
+		requireCompleteStream(t, b.send(http.MethodPost, "/v1/chat/completions", sound), sound)
+	}
+	require.LessOrEqual(t, crashed, 3*2, "three requests that crash two engines each")
+	require.GreaterOrEqual(t, refused, sends-3)
+}
+
+// removeCrashed removes crashed engines from the router and returns how many there are.
+func (b *fixture) removeCrashed() (crashed int) {
+	b.router.mu.Lock()
+	defer b.router.mu.Unlock()
+	for i, e := range b.engines {
+		if e.Runs().Crashes > 0 {
+			crashed++
+			b.router.choices = slices.DeleteFunc(b.router.choices, func(c routing.Choice) bool { return c.Addr == b.addrs[i] })
+		}
+	}
+	return crashed
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -37,7 +37,7 @@
 	path      string
 	body      []byte // unchanged from the caller
 	route     *rules.Route
-	fp        suspect.Fingerprint
+	suspect   suspect.Request
 	run       fennelerr.RunState
 	// exchange translates the engines' events into the caller's answer.
 	exchange call.Exchange
@@ -72,7 +72,7 @@
 // target is the replica that a session runs on and the state to release afterwards.
 type target struct {
 	choice       routing.Choice
-	endRun       func(suspect.Outcome)
+	run          suspect.Run
 	startedAt    time.Time
 	firstTokenAt time.Time
 	tokens       int
@@ -98,26 +98,26 @@
 
 // Choose implements recovery.Call. It chooses the replica for the next attempt.
 func (s *session) Choose(ctx context.Context) error {
-	alone, err := s.g.opts.Quarantine.Admit(ctx, s.fp)
+	admission, err := s.g.opts.Quarantine.AdmitRequest(ctx, s.suspect)
 	if err != nil {
 		if canceled := s.cancelError(ctx, err); canceled != nil {
 			return canceled
 		}
 		return s.withRunState(err)
 	}
-	choice, err := s.chooseReplica(ctx, alone)
+	choice, err := s.chooseReplica(ctx, admission.Alone)
 	if err != nil {
 		if canceled := s.cancelError(ctx, err); canceled != nil {
 			return canceled
 		}
 		return s.withRunState(err)
 	}
-	endRun := s.g.opts.Quarantine.Begin(s.fp, choice.Replica.ID, choice.Replica.Generation, alone)
-	s.target = &target{choice: choice, endRun: endRun, startedAt: time.Now()}
+	run := s.g.opts.Quarantine.BeginRequest(s.suspect, choice.Replica.ID, choice.Replica.Generation, admission)
+	s.target = &target{choice: choice, run: run, startedAt: time.Now()}
 	s.resume = false
 	s.g.opts.Log.Info("route", "request", s.c.requestID, "team", s.c.team.Name, "group", s.route.Group, "rule_line", s.route.Line,
 		"replica", choice.Replica.ID, "generation", choice.Replica.Generation, "addr", choice.Addr, "reason", choice.Reason,
-		"considered", choice.Considered, "alone", alone, "after_event", s.exchange.LastEventID())
+		"considered", choice.Considered, "alone", admission.Alone, "after_event", s.exchange.LastEventID())
 	return nil
 }
 
@@ -202,6 +202,7 @@
 func (s *session) recordToken() {
 	s.tokens++
 	s.target.tokens++
+	s.target.run.Piece()
 	if s.target.firstTokenAt.IsZero() {
 		s.target.firstTokenAt = time.Now()
 	}
@@ -264,7 +265,7 @@
 	if !t.firstTokenAt.IsZero() {
 		res.FirstToken = t.firstTokenAt.Sub(t.startedAt)
 	}
-	t.endRun(suspectOutcome(res, crashed))
+	t.run.End(suspectOutcome(res, crashed))
 	s.g.opts.Router.End(t.choice, res)
 }
 
--- a/internal/openai/protocol.go
+++ b/internal/openai/protocol.go
@@ -21,7 +21,7 @@
 		return nil, err
 	}
 	return &call.ModelCall{
-		Model: req.model, Cost: req.cost(), PrefixHashes: req.prefixHashes,
+		Model: req.model, Cost: req.cost(), PrefixHashes: req.prefixHashes, PromptParts: req.promptParts,
 		NewExchange: func(to call.Caller) call.Exchange { return newExchange(req, to) },
 	}, nil
 }
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -21,6 +21,7 @@
 	choices      int
 	maxTokens    int
 	prefixHashes []uint64
+	promptParts  []uint64
 }
 
 // knownFields are the fields that the gateway reads; all others are forwarded unchanged.
@@ -76,6 +77,7 @@
 		req.maxTokens = *bound
 	}
 	req.prefixHashes = engine.PrefixHashes(f.promptText(path))
+	req.promptParts = engine.MessageHashes(f.Messages)
 	return req, nil
 }
 
--- a/internal/suspect/sim_test.go
+++ b/internal/suspect/sim_test.go
@@ -16,16 +16,15 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
-	"github.com/fennelcourse/fennelcourse/internal/gateway"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 	"github.com/fennelcourse/fennelcourse/internal/wire"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wiretest"
 )
 
-var _ gateway.Quarantine = (*suspect.Tracker)(nil)
+var _ tracking = (*suspect.Tracker)(nil)
 
-// naive implements gateway.Quarantine without any tracking.
+// naive implements tracking without any tracking.
 type naive struct{}
 
 func (naive) Admit(context.Context, suspect.Fingerprint) (bool, error) { return false, nil }
@@ -34,6 +33,13 @@
 	return func(suspect.Outcome) {}
 }
 
+// tracking is what a node does about suspects.
+type tracking interface {
+	Admit(ctx context.Context, fp suspect.Fingerprint) (alone bool, err error)
+	MayRetryOn(replica cluster.ReplicaID) bool
+	Begin(fp suspect.Fingerprint, replica cluster.ReplicaID, generation int64, alone bool) (end func(suspect.Outcome))
+}
+
 // scenario configures a simulation of several nodes and replicas on the fake clock.
 type scenario struct {
 	nodes, replicas int
@@ -79,7 +85,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	replicas  []*fakeReplica
-	trackers  []gateway.Quarantine
+	trackers  []tracking
 	members   []*membership.Service
 	out       outcome
 	firstKill time.Time
