--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -25,9 +25,16 @@
 type outcomeRecorder struct {
 	err      error
 	outcomes []suspect.Outcome
+	// refuse returns the error of each further check for quarantined parts; nil refuses none.
+	refuse func() error
 }
 
-func (r *outcomeRecorder) Refuse(suspect.Request) error { return nil }
+func (r *outcomeRecorder) Refuse(suspect.Request) error {
+	if r.refuse == nil {
+		return nil
+	}
+	return r.refuse()
+}
 func (r *outcomeRecorder) AdmitRequest(context.Context, suspect.Request) (suspect.Admission, error) {
 	return suspect.Admission{}, r.err
 }
@@ -171,3 +178,33 @@
 	b.refuses = true
 	require.False(t, serveOn(r, rules.CallStream).ended)
 }
+
+var errQuarantined = fennelerr.New(fennelerr.Quarantined, "quarantined").WithRun(fennelerr.NotRun).WithRetryAfter(time.Minute)
+
+// Guards against a request with a quarantined part that is sent because it was waiting as its quarantine began.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	checks := 0
+	suspects := &outcomeRecorder{refuse: func() error {
+		if checks++; checks > 1 {
+			return errQuarantined
+		}
+		return nil
+	}}
+	b := &refusingBackend{}
+	got := serveOnce(b, suspects, false, false)
+	require.Empty(t, b.sent())
+	requireNotRun(t, got.refused)
+	require.Equal(t, fennelerr.Quarantined, got.refused.Code)
+}
+
+// Guards against a request with a quarantined part that is handed over to a node that does not know the quarantine.
+func TestRequestWithQuarantinedPartIsNotHandedOver(t *testing.T) {
+	suspects := &outcomeRecorder{refuse: func() error { return errQuarantined }}
+	others := &otherNodes{}
+	r := relay.New(relay.Options{Suspects: suspects, Reach: fixedReach{lost: true}, NodeClient: others, Log: slog.New(slog.DiscardHandler),
+		Budget: relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
+		Nodes:  func() []relay.Node { return []relay.Node{{ID: "node-1", Addr: "addr-1"}} }})
+	got := serveOn(r, rules.CallStream)
+	require.Empty(t, others.sent)
+	requireNotRun(t, got.refused)
+}
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -67,7 +67,9 @@
 	}
 }
 
+// refuses reports whether requests with these parts are refused once all verdicts have been reached.
 func (p *partTest) refuses(ids ...uint64) bool {
+	time.Sleep(200 * time.Millisecond)
 	return fennelerr.Is(p.Refuse(p.request(ids...)), fennelerr.Quarantined)
 }
 
@@ -176,6 +178,7 @@
 		for range enoughCrashes {
 			p.crashSeries(2, crashID)
 			p.answer(crashID)
+			time.Sleep(2 * time.Second)
 		}
 		require.False(t, p.refuses(crashID))
 	})
@@ -198,7 +201,9 @@
 	testParts(t, func(t *testing.T, p *partTest) {
 		p.answer(crashID)
 		time.Sleep(2 * time.Second)
-		p.crashSeries(5, crashID)
+		p.crashSeries(4, crashID)
+		require.False(t, p.refuses(crashID))
+		p.crashSeries(1, crashID)
 		require.True(t, p.refuses(crashID))
 	})
 }
@@ -225,11 +230,11 @@
 	testParts(t, func(t *testing.T, p *partTest) {
 		for i := 0; !p.refuses(crashID); i++ {
 			require.Less(t, i, 200)
-			ids := []uint64{crashID}
+			var ids []uint64
 			for n := range 40 {
 				ids = append(ids, uint64(0x10000+100*i+n))
 			}
-			p.crashSeries(1, ids...)
+			p.crashSeries(1, append(ids, crashID)...)
 		}
 	})
 }
@@ -326,11 +331,15 @@
 		for range 50 {
 			p.BeginRequest(p.request(0x100, 0x200, 0x300+uint64(p.sent), crashID), "replica-1", 1, suspect.Admission{}).End(suspect.Crashed)
 		}
+		sent := 0
 		for range 200 {
 			section := p.Section(180)
 			require.LessOrEqual(t, membership.SectionSize(section), 180)
-			require.NotEmpty(t, section.Crashes)
+			for _, mark := range section.Crashes {
+				sent += len(mark.Parts)
+			}
 		}
+		require.NotZero(t, sent)
 	})
 }
 
@@ -344,3 +353,103 @@
 		require.True(t, p.refuses(crashID))
 	})
 }
+
+// Guards against a refusal of a part that two others which crash replicas share, for the crashes of both.
+func TestCrashesOfAQuarantinedPartCountOnce(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		p.answer(soundID)
+		time.Sleep(2 * time.Second)
+		for _, id := range []uint64{crashID, crashID + 1} {
+			p.crashSeries(3, soundID, id)
+			require.True(t, p.refuses(id))
+			require.False(t, p.refuses(soundID))
+		}
+	})
+}
+
+// Guards against a refusal of the more frequent of two parts under which replicas crash.
+func TestPartWithFewerAnswersIsQuarantined(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		p.answer(crashID)
+		for range 3 {
+			p.answer(soundID)
+		}
+		time.Sleep(2 * time.Second)
+		p.crashSeries(5, crashID, soundID)
+		require.True(t, p.refuses(crashID))
+		require.False(t, p.refuses(soundID))
+	})
+}
+
+// Guards against a refusal of a part with which another node has answers.
+func TestAnswerAtAnotherNodeWithdrawsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := newPeers("node-a", "node-b")
+		time.Sleep(time.Minute)
+		a, b := &partTest{Tracker: peers[0]}, &partTest{Tracker: peers[1], sent: 1000}
+		for range enoughCrashes {
+			b.crashSeries(2, soundID)
+			exchange(peers...)
+			a.answer(soundID)
+			exchange(peers...)
+			time.Sleep(2 * time.Second)
+		}
+		require.False(t, b.refuses(soundID))
+	})
+}
+
+// Guards against a refusal for few of many crashes, of which other nodes saw most.
+func TestCrashesAtOtherNodesCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := newPeers("node-a", "node-b")
+		time.Sleep(time.Minute)
+		a, b := &partTest{Tracker: peers[0]}, &partTest{Tracker: peers[1], sent: 1000}
+		for range enoughCrashes {
+			for range 3 {
+				a.crash(a.request(), 0)
+			}
+			exchange(peers...)
+			b.crashSeries(1, crashID)
+		}
+		require.False(t, b.refuses(crashID))
+	})
+}
+
+// Guards against marks of a popular part with each crash, which would take the place of others.
+func TestRecentlyAnsweredPartIsNotReported(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		p.answer(soundID)
+		p.crash(p.request(soundID), 0)
+		for _, mark := range p.Section(1000).Crashes {
+			require.Empty(t, mark.Parts)
+		}
+	})
+}
+
+// Guards against a refusal of the more general of two new parts, which more requests share.
+func TestMoreSpecificPartIsQuarantined(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		p.crashSeries(3, soundID, crashID)
+		require.True(t, p.refuses(crashID))
+		require.False(t, p.refuses(soundID))
+	})
+}
+
+// Guards against requests that wait for a replica of their own at a node which learns of the quarantine from
+// the store.
+func TestQuarantineFromTheStoreClearsRequestsBesideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := newPeers("node-a", "node-b")
+		time.Sleep(time.Minute)
+		a, b := &partTest{Tracker: peers[0]}, &partTest{Tracker: peers[1], sent: 1000}
+		beside := b.request(soundID)
+		b.BeginRequest(beside, "shared", 1, suspect.Admission{}).End(suspect.Crashed)
+		a.BeginRequest(a.request(crashID), "shared", 1, suspect.Admission{}).End(suspect.Crashed)
+		exchange(peers...)
+		b.AdoptQuarantine(suspect.PartsOf("m", []uint64{crashID, 0})[0].String())
+		require.True(t, b.refuses(crashID))
+		admission, err := b.AdmitRequest(t.Context(), beside)
+		require.NoError(t, err)
+		require.False(t, admission.Alone)
+	})
+}
