--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Guards against requests, no two alike, that share a message which crashes engines.
+// Guards against new requests that share a message which crashes engines.
 func TestMessageThatCrashesEnginesIsRefused(t *testing.T) {
 	const engines, sends = 12, 12
 	var uptime atomic.Int64
--- a/internal/player/crash.go
+++ b/internal/player/crash.go
@@ -60,7 +60,7 @@
 	return []uint64{first, xxhash.Sum64String(fmt.Sprint(first, h/firstParts%secondParts)), h}
 }
 
-// sendCrashPart sends requests that hold crashPart, no two alike, each through another node,
+// sendCrashPart sends new requests that hold crashPart, each through another node,
 // until the end of the fault. Other calls share their other parts.
 func (sys *Simulation) sendCrashPart(f Fault) {
 	kind := sys.kindOf(f.Model)
--- a/internal/player/crash_test.go
+++ b/internal/player/crash_test.go
@@ -66,7 +66,7 @@
 	return map[string]player.Fault{"first": f, "middle": middle}
 }
 
-// Guards against requests, no two alike, that share a part which crashes servers, and against a refusal of those that share the other parts.
+// Guards against new requests that share a part which crashes servers, and against a refusal of those that share the other parts.
 func TestPartThatCrashesServersIsRefusedAndOthersAreServed(t *testing.T) {
 	for _, name := range []string{"overload", "few-large-many-small"} {
 		for place, fault := range crashPartFaults(7) {
@@ -85,6 +85,21 @@
 	}
 }
 
+// Guards against a part that crashes servers anew at nodes that have just started, or that hear no store.
+func TestRefusalOfPartOutlastsRestartsAndNeedsNoStore(t *testing.T) {
+	for name, fault := range map[string]player.Fault{
+		"restart of all nodes": {Kind: player.RestartNodes, At: 10 * time.Second},
+		"store down":           {Kind: player.StoreDown, At: 2 * time.Second, Duration: 15 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := load(t, "overload")
+			s.Bursts, s.Length, s.Faults = nil, 17*time.Second, []player.Fault{crashPartFaults(7)["middle"], fault}
+			res := simulate(t, s, player.Options{Seed: 1})
+			require.LessOrEqual(t, deliveriesAfterBound(res), partRequests, "of %d, %d crashes", len(res.CrashDeliveries), len(res.Crashes))
+		})
+	}
+}
+
 // boundStart returns when requests with a part that crashes servers are to be refused.
 func boundStart(res *player.Result) time.Time {
 	return res.Crashes[min(partCrashes, len(res.Crashes))-1].Add(contact)
