internal/suspect: a crash reported after a later answer is no evidence against a part

Found by reading: the report of an answer at another node may arrive before the marks of the crashes that it withdraws, and a node's own later answer was not looked at either; the crashes then stood as evidence against a sound part until its next answer. Evidence also had no end: three crashes in as many months quarantined a rarely used part. Now a crash counts only if no later answer is known, and for ten minutes.

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// addCrashParts adds the parts of requests to a crash, as evidence against them. It reports whether any was new.
+// addCrashParts adds the parts of requests to a crash, as evidence against them. It reports whether
+// any was new.
 func (t *Tracker) addCrashParts(c *crash, model uint32, held []heldPart, now time.Time) bool {
 	t.crashShard(c.replica).setModel(c, model)
 	added := t.crashShard(c.replica).addParts(c, held)
--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
@@ -15,6 +17,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
+	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
 
 // crashID is the id of a part that crashes replicas; the other ids are of sound parts.
@@ -453,3 +456,37 @@
 		require.False(t, admission.Alone)
 	})
 }
+
+// Guards against a refusal for crashes that are reported after a later answer, by this node or by another.
+func TestCrashReportedAfterALaterAnswerIsNoEvidence(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		testParts(t, func(t *testing.T, p *partTest) {
+			part := suspect.PartsOf("m", []uint64{soundID, 0})[0]
+			p.answer(otherID)
+			if elsewhere {
+				p.Receive(membership.Member{}, &wirepb.Datagram{Suspects: []*wirepb.SuspectMark{
+					{Fingerprint: binary.BigEndian.AppendUint64(nil, uint64(part)), Cleared: true}}})
+			} else {
+				p.answer(soundID)
+			}
+			for i := range enoughCrashes {
+				held := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, uint64(part)), uint32(i))
+				p.Receive(membership.Member{}, &wirepb.Datagram{Crashes: []*wirepb.CrashMark{
+					{CrashId: uint64(i + 1), Replica: fmt.Sprint("late-", i), Generation: 1, AgeMs: int64(1000 * (i + 1)), Parts: held, Model: uint32(xxhash.Sum64String("m"))}}})
+			}
+			p.answer(otherID)
+			require.False(t, p.refuses(soundID))
+		})
+	}
+}
+
+// Guards against a refusal for crashes that are far apart.
+func TestOldCrashesAreNoEvidence(t *testing.T) {
+	testParts(t, func(t *testing.T, p *partTest) {
+		for range enoughCrashes {
+			p.crashSeries(1, crashID)
+			time.Sleep(6 * time.Minute)
+		}
+		require.False(t, p.refuses(crashID))
+	})
+}
--- a/internal/suspect/parttable.go
+++ b/internal/suspect/parttable.go
@@ -19,6 +19,8 @@
 	// minCrashInterval is the time between two crashes that count. The loss of a rack ends
 	// several replicas at once.
 	minCrashInterval = 200 * time.Millisecond
+	// partEvidenceFor is how long a crash is evidence.
+	partEvidenceFor = 10 * time.Minute
 	// recentAnswer is how long after an answer crashes are no evidence against the part.
 	recentAnswer = time.Second
 	// partHistory is how long a node must have run to know which parts were answered.
@@ -108,12 +110,10 @@
 }
 
 // withdraw records an answer to a request with the part and reports whether evidence was withdrawn.
+// The report of an answer may arrive before that of an earlier crash.
 func (t *partTable) withdraw(p Part, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.crashes.Contains(p) {
-		return false
-	}
 	return t.withdrawLocked(p, at)
 }
 
@@ -141,12 +141,16 @@
 	return true
 }
 
-// crashed adds a crash to the evidence against a part.
+// crashed adds a crash to the evidence against a part, unless a later answer is known.
 func (t *partTable) crashed(p Part, c partCrash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if answers, found := t.answers.Peek(p); found && !c.at.After(answers.lastAt) {
+		return
+	}
 	crashes, _ := t.crashes.Peek(p)
-	crashes = append(slices.Clone(crashes), c)
+	crashes = slices.DeleteFunc(slices.Clone(crashes), func(old partCrash) bool { return c.at.Sub(old.at) > partEvidenceFor })
+	crashes = append(crashes, c)
 	slices.SortFunc(crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
 	t.crashes.Add(p, crashes[max(0, len(crashes)-maxPartCrashes):])
 }
@@ -180,9 +184,8 @@
 }
 
 // culprit returns the part that caused the crashes of the requests which hold the candidates, if
-// the evidence suffices. crashesSince counts the model's crashes since a time. Of several parts it
-// returns the one with the most crashes, then the one with the fewest answers, then
-// the last one.
+// the evidence suffices: of several the one with the most crashes, then the one with the fewest
+// answers, then the last one. crashesSince counts the model's crashes since a time.
 func (t *partTable) culprit(model uint32, candidates []Part, now time.Time, crashesSince func(time.Time) int) (best Part, count partCount, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
