internal/reach: a probe takes the servers that were probed least recently

What callers saw: a node that reaches a few of many servers took itself for one that reaches none, and refused calls that it could have tried.

--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -4,9 +4,11 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +75,9 @@
 	// failed holds the servers that failed since the last answer of any.
 	failed    map[string]struct{}
 	hasFailed atomic.Bool
+	// probes counts the probes, and lastProbe holds the last one of each listed server.
+	probes    uint64
+	lastProbe map[conns.Peer]uint64
 }
 
 // NewDetector returns a Detector; Run makes it work.
@@ -192,14 +197,28 @@
 	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
 }
 
-// sample returns a random sample of the servers.
+// sample returns the servers to probe: those that were probed least recently, in random order if
+// equal, so that a few reachable servers among many are found within some probes.
 func (d *Detector) sample() []conns.Peer {
 	local, others := d.opts.Servers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := make(map[conns.Peer]uint64, len(local)+len(others))
 	for _, servers := range [][]conns.Peer{local, others} {
+		for _, server := range servers {
+			last[server] = d.lastProbe[server]
+		}
 		rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+		slices.SortStableFunc(servers, func(a, b conns.Peer) int { return cmp.Compare(last[a], last[b]) })
 	}
 	fromLocal := min(len(local), max(probedServers/2, probedServers-len(others)))
-	return append(local[:fromLocal:fromLocal], others[:min(len(others), probedServers-fromLocal)]...)
+	chosen := append(local[:fromLocal:fromLocal], others[:min(len(others), probedServers-fromLocal)]...)
+	d.probes++
+	for _, server := range chosen {
+		last[server] = d.probes
+	}
+	d.lastProbe = last
+	return chosen
 }
 
 // probe opens connections to a few servers. It ends early if most accept.
