--- a/internal/player/onenode_test.go
+++ b/internal/player/onenode_test.go
@@ -20,6 +20,7 @@
 	for _, name := range []string{"overload", "few-large-many-small"} {
 		for _, burst := range []float64{1, 1.6} {
 			t.Run(fmt.Sprintf("%s/%v", name, burst), func(t *testing.T) {
+				t.Parallel()
 				s := load(t, name)
 				s.Length = 18 * time.Second
 				s.Bursts = []player.Burst{{At: time.Second, Duration: 5 * time.Second, Factor: burst}}
