--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,8 +37,8 @@
 	node *Node
 	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
 	suspectRun suspect.Run
-	// crashed is set if the attempt failed because its server crashed.
-	crashed bool
+	// lossCause is why the attempt lost its connection, if it did.
+	lossCause lossCause
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
 	lastActivity atomic.Int64
 }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -39,17 +39,47 @@
 	return &crashDetector{opts: opts, checks: make(map[conns.Peer]*crashCheck)}
 }
 
-// crashed reports whether an attempt failed because the process crashed: the connection ended,
-// the process has not announced that it leaves, and nothing listens at its address any more.
-// Silence is no evidence: a network partition or a power failure of the VM causes it too. Nor is
-// a refusal on a node that reaches no other server either.
-func (d *crashDetector) crashed(ctx context.Context, p conns.Peer, err error) bool {
+// lossCause is why an attempt lost its connection, as logged.
+type lossCause string
+
+const (
+	lossNone lossCause = ""
+	// lossCrash: the process has crashed. It is the only one that makes suspects.
+	lossCrash lossCause = "crash"
+	// lossPlanned: the process has ended as it had announced.
+	lossPlanned lossCause = "planned-end"
+	// lossConnection: the process goes on, or nothing is known of it.
+	lossConnection lossCause = "connection"
+	// lossPath: this node reaches no other server either.
+	lossPath lossCause = "path"
+	// lossCaller: the caller left before the process was checked.
+	lossCaller lossCause = "caller-left"
+)
+
+// lossCause returns why an attempt lost its connection. The process crashed if it has not
+// announced that it leaves and nothing listens at its address any more. Silence is no evidence:
+// a network partition or a power failure of the VM causes it too. Nor is a refusal on a node that
+// reaches no other server either.
+func (d *crashDetector) lossCause(ctx context.Context, p conns.Peer, err error) lossCause {
 	broken, ok := errors.Into[*BrokenError](err)
-	if !ok || !broken.ConnectionLost || ctx.Err() != nil || d.opts.Leaving(p) {
-		return false
+	switch {
+	case !ok || !broken.ConnectionLost:
+		return lossNone
+	case ctx.Err() != nil:
+		return lossCaller
+	case d.opts.Leaving(p):
+		return lossPlanned
 	}
 	c := d.check(ctx, p, false)
-	return c != nil && c.crashed
+	switch {
+	case c == nil:
+		return lossCaller
+	case c.crashed:
+		return lossCrash
+	case c.refused:
+		return lossPath
+	}
+	return lossConnection
 }
 
 // endedWith reports whether the process had ended when it ended an answer. It holds for a planned
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -184,8 +184,8 @@
 	a := newAttempt(ctx, s, s.choice, s.peer)
 	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, s.choice.Replica.ID, s.choice.Replica.Generation, s.admission)
 	result, err := a.run()
-	a.crashed = s.r.crashes.crashed(ctx, s.peer, err)
-	a.suspectRun.End(suspectOutcome(result, a.crashed))
+	a.lossCause = s.r.crashes.lossCause(ctx, s.peer, err)
+	a.suspectRun.End(suspectOutcome(result, a.lossCause == lossCrash))
 	if result.OK {
 		s.r.advisor.recordCompleted(s.group, time.Now())
 	}
@@ -415,7 +415,10 @@
 	if a.rateLimit > 0 {
 		fields = append(fields, "rate_limit", a.rateLimit)
 	}
-	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.crashed, "outcome", outcomeOf(err))...)
+	if a.lossCause != lossNone {
+		fields = append(fields, "connection_lost", a.lossCause)
+	}
+	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.lossCause == lossCrash, "outcome", outcomeOf(err))...)
 }
 
 // streams reports whether the answer is a stream of pieces.
