An end of a server is planned only some time after its notice

Cause: the crash detector took the state of the entry for the cause of the end, so that no suspect was recorded (connection_lost=planned-end at each end). Servers go on for two seconds or more after their notice, so an end within 1.5 s of it is a crash. The next start of a server in the list shows the end of the one before, whose address accepts connections again.

The case "planned end" of TestOnlyACrashMakesSuspects has the time of the notice now; two cases are new (a notice that comes with the end, a successor that is listed).

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -75,6 +75,7 @@
 	feed       *feed.Follower
 	rules      atomic.Pointer[rules.Set]
 	serverList atomic.Pointer[fleet.List]
+	departures departures
 	leaseHeld  atomic.Bool
 	// handover ends when other nodes are to take over this node's tasks for the region.
 	handover    context.Context
@@ -172,7 +173,7 @@
 		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime, MaxTurnWait: maxTurnWait}, Log: log})
 	relayOptions := relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
-		Suspects: n.suspects, Leaving: n.isLeaving,
+		Suspects: n.suspects, Departure: n.departure,
 		OnStall: n.onStall,
 		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window, Nodes: cfg.Retries.Nodes}),
 	}
@@ -362,6 +363,7 @@
 
 func (n *Core) serversChanged(c fleet.Change) {
 	delta := n.servers.Apply(c)
+	n.departures.update(delta, n.serverList.Load(), n.servers.List(), time.Now())
 	n.publishList(c.Revision, !delta.Empty())
 	if !delta.Empty() {
 		n.updateChangedRoutes(delta)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,7 +8,6 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
-	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/store"
@@ -99,13 +98,6 @@
 	}
 }
 
-// isLeaving reports whether a process has announced that it leaves or is not listed any more.
-func (n *Core) isLeaving(p conns.Peer) bool {
-	list, _ := n.currentList()
-	s := list.Find(p.Server)
-	return s == nil || s.Draining || s.StartedAt.UnixMilli() != p.StartedUnixMs
-}
-
 // SuspectReport returns what this node knows of requests that crash servers, in at most budget
 // bytes, for another node.
 func (n *Core) SuspectReport(budget int) membership.Section { return n.suspects.Section(budget) }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -56,19 +56,42 @@
 	lossCaller lossCause = "caller-left"
 )
 
-// lossCause returns why an attempt lost its connection. The process crashed if it has not
-// announced that it leaves and nothing listens at its address any more. Silence is no evidence:
-// a network partition or a power failure of the VM causes it too. Nor is a refusal on a node that
-// reaches no other server either.
+// Departure is what this node knows of the end of a process.
+type Departure struct {
+	// NoticeAt is when this node learned that the process leaves or is not listed any more; zero
+	// if neither is the case.
+	NoticeAt time.Time
+	// Replaced is true if another start of the same server has taken its place.
+	Replaced bool
+}
+
+// minNotice is the shortest time between the notice of a planned end and the end, as this node sees
+// both. Servers go on for two seconds or more after their notice. An earlier end is a crash that
+// the notice only coincides with, as when a request crashes a server that is about to leave.
+const minNotice = 1500 * time.Millisecond
+
+// planned reports whether an end of the process now is the one that was announced.
+func (d Departure) planned(now time.Time) bool {
+	return !d.NoticeAt.IsZero() && now.Sub(d.NoticeAt) >= minNotice
+}
+
+// lossCause returns why an attempt lost its connection. The process crashed if its end was not
+// planned and nothing listens at its address any more, or its successor does. Silence is no
+// evidence: a network partition or a power failure of the VM causes it too. Nor is a refusal on a
+// node that reaches no other server either.
 func (d *crashDetector) lossCause(ctx context.Context, p conns.Peer, err error) lossCause {
 	broken, ok := errors.Into[*BrokenError](err)
-	switch {
-	case !ok || !broken.ConnectionLost:
+	if !ok || !broken.ConnectionLost {
 		return lossNone
+	}
+	departure := d.opts.Departure(p)
+	switch {
 	case ctx.Err() != nil:
 		return lossCaller
-	case d.opts.Leaving(p):
+	case departure.planned(time.Now()):
 		return lossPlanned
+	case departure.Replaced:
+		return lossCrash
 	}
 	c := d.check(ctx, p, false)
 	switch {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -69,21 +69,21 @@
 func (r fixedReach) SomeReachable() bool        { return !r.lost }
 
 // serveOnce serves an unsafe call with one attempt.
-func serveOnce(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool) *recorder {
-	return serveKind(b, suspects, leaving, pathLost, rules.CallUnsafe)
+func serveOnce(b relay.Backend, suspects relay.Suspects, departure relay.Departure, pathLost bool) *recorder {
+	return serveKind(b, suspects, departure, pathLost, rules.CallUnsafe)
 }
 
 // serveKind serves a call of the kind with one attempt.
-func serveKind(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool, kind rules.CallKind) *recorder {
-	return serveOn(newCrashRelay(b, suspects, leaving, pathLost), kind)
+func serveKind(b relay.Backend, suspects relay.Suspects, departure relay.Departure, pathLost bool, kind rules.CallKind) *recorder {
+	return serveOn(newCrashRelay(b, suspects, departure, pathLost), kind)
 }
 
-func newCrashRelay(b relay.Backend, suspects relay.Suspects, leaving, pathLost bool) *relay.Relay {
+func newCrashRelay(b relay.Backend, suspects relay.Suspects, departure relay.Departure, pathLost bool) *relay.Relay {
 	return relay.New(relay.Options{
 		Router: &listRouter{ids: []cluster.ReplicaID{"a"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-		Suspects: suspects, Leaving: func(conns.Peer) bool { return leaving }, Reach: probedReach{fixedReach{pathLost}}, Log: slog.New(slog.DiscardHandler),
+		Suspects: suspects, Departure: func(conns.Peer) relay.Departure { return departure }, Reach: probedReach{fixedReach{pathLost}}, Log: slog.New(slog.DiscardHandler),
 	})
 }
 
@@ -94,19 +94,28 @@
 	return got
 }
 
+// noticeGiven is the departure of a process that gave notice some time ago.
+func noticeGiven(ago time.Duration) relay.Departure {
+	return relay.Departure{NoticeAt: time.Now().Add(-ago)}
+}
+
 // Guards against requests that count as crashing servers because they ran on one that left as
 // planned, was cut off, or gave a wrong answer.
 func TestOnlyACrashMakesSuspects(t *testing.T) {
 	lost := &relay.BrokenError{Reason: "no answer", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
 	for name, c := range map[string]struct {
-		err                        error
-		refuses, leaving, pathLost bool
-		want                       suspect.Outcome
+		err               error
+		refuses, pathLost bool
+		departure         relay.Departure
+		want              suspect.Outcome
 	}{
 		"process has ended":              {err: lost, refuses: true, want: suspect.Crashed},
 		"connection reset or silent":     {err: lost, want: suspect.Abandoned},
 		"no other server is reachable":   {err: lost, refuses: true, pathLost: true, want: suspect.Abandoned},
-		"planned end":                    {err: lost, refuses: true, leaving: true, want: suspect.Abandoned},
+		"planned end":                    {err: lost, refuses: true, departure: noticeGiven(2 * time.Second), want: suspect.Abandoned},
+		"notice that comes with the end": {err: lost, refuses: true, departure: noticeGiven(time.Second), want: suspect.Crashed},
+		"successor is listed already":    {err: lost, departure: relay.Departure{Replaced: true}, want: suspect.Crashed},
+		"planned restart":                {err: lost, departure: relay.Departure{Replaced: true, NoticeAt: noticeGiven(2 * time.Second).NoticeAt}, want: suspect.Abandoned},
 		"answer of another request":      {err: &relay.BrokenError{Reason: "id", Err: io.EOF}, refuses: true, want: suspect.Abandoned},
 		"never reached the server":       {err: errRefused, refuses: true, want: suspect.Abandoned},
 		"complete answer, then the end ": {refuses: true, want: suspect.Finished},
@@ -118,7 +127,7 @@
 			}
 			b := &refusingBackend{fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}, c.refuses}
 			suspects := &outcomeRecorder{}
-			serveOnce(b, suspects, c.leaving, c.pathLost)
+			serveOnce(b, suspects, c.departure, c.pathLost)
 			require.Equal(t, []suspect.Outcome{c.want}, suspects.outcomes)
 		})
 	}
@@ -129,7 +138,7 @@
 func TestQuarantinedRequestIsNotSent(t *testing.T) {
 	b := &refusingBackend{}
 	refusal := fennelerr.New(fennelerr.Quarantined, "quarantined").WithRun(fennelerr.NotRun).WithRetryAfter(time.Minute)
-	got := serveOnce(b, &outcomeRecorder{err: refusal}, false, false)
+	got := serveOnce(b, &outcomeRecorder{err: refusal}, relay.Departure{}, false)
 	require.Empty(t, b.sent())
 	requireNotRun(t, got.refused)
 	require.Equal(t, fennelerr.Quarantined, got.refused.Code)
@@ -157,7 +166,11 @@
 				return &reply, nil
 			}
 			b := &refusingBackend{fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}, c.refuses}
-			got := serveKind(b, &outcomeRecorder{}, c.leaving, false, c.kind)
+			departure := relay.Departure{}
+			if c.leaving {
+				departure = noticeGiven(2 * time.Second)
+			}
+			got := serveKind(b, &outcomeRecorder{}, departure, false, c.kind)
 			require.Equal(t, c.complete, got.ended)
 			if !c.complete && c.kind == rules.CallUnsafe {
 				require.Equal(t, fennelerr.Unknown, got.refused.Run)
@@ -173,7 +186,7 @@
 		return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, Unframed: true, Body: &fakeBody{ctx: ctx, next: 1, last: 3, err: io.EOF}}, nil
 	}
 	b.handlers = map[cluster.ReplicaID]handler{"a": handle}
-	r := newCrashRelay(b, &outcomeRecorder{}, false, false)
+	r := newCrashRelay(b, &outcomeRecorder{}, relay.Departure{}, false)
 	require.True(t, serveOn(r, rules.CallStream).ended)
 	b.refuses = true
 	require.False(t, serveOn(r, rules.CallStream).ended)
@@ -191,7 +204,7 @@
 		return nil
 	}}
 	b := &refusingBackend{}
-	got := serveOnce(b, suspects, false, false)
+	got := serveOnce(b, suspects, relay.Departure{}, false)
 	require.Empty(t, b.sent())
 	requireNotRun(t, got.refused)
 	require.Equal(t, fennelerr.Quarantined, got.refused.Code)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -200,7 +200,7 @@
 		Budget: relay.NewBudget(relay.BudgetOptions{Slack: slack, Window: 10 * time.Second, Nodes: 1}),
 		Peer:   func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 
-		Suspects: suspect.New(suspect.Options{Log: slog.New(slog.DiscardHandler)}), Leaving: func(conns.Peer) bool { return false },
+		Suspects: suspect.New(suspect.Options{Log: slog.New(slog.DiscardHandler)}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
 	})
 	return f
 }
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -53,7 +53,7 @@
 		Router: &listRouter{ids: []cluster.ReplicaID{"a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 100, Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-		Suspects: suspect.New(suspect.Options{}), Leaving: func(conns.Peer) bool { return false },
+		Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
 		Reach: reach, NodeClient: others, Nodes: func() (out []relay.Node) {
 			for i := range 8 {
 				out = append(out, relay.Node{ID: cluster.NodeID(fmt.Sprint("node-", i)), Addr: fmt.Sprint("addr-", i)})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,9 +46,8 @@
 	// Peer returns the process that serves a replica, or false if it is not listed.
 	Peer     func(choice routing.Choice) (conns.Peer, bool)
 	Suspects Suspects
-	// Leaving reports whether the process has announced that it leaves, or is not listed any
-	// more. Its end is then no crash.
-	Leaving func(p conns.Peer) bool
+	// Departure returns what is known of the end of a process. A planned end is no crash.
+	Departure func(p conns.Peer) Departure
 	// OnStall is called with the replicas that this node's requests show to be stalled,
 	// and with whether other replicas work; may be nil.
 	OnStall func(ids []cluster.ReplicaID, othersWork bool)
