--- a/internal/entry/departure_test.go
+++ b/internal/entry/departure_test.go
@@ -26,7 +26,7 @@
 	change(0, listed)
 	require.Zero(t, d.noticeOf(peerOf(&listed)))
 	change(time.Second, draining)
-	change(2*time.Second)
+	change(2 * time.Second)
 	require.Equal(t, start.Add(time.Second), d.noticeOf(peerOf(&listed)), "the removal follows the notice")
 	change(3*time.Second, listed)
 	require.Zero(t, d.noticeOf(peerOf(&listed)), "an expired entry is back")
