internal/relay: an unframed answer of a server that has been replaced is incomplete

Callers could get a cut answer as complete: the check at the end of an answer without length or chunks asks the server's address, where its next start may listen by then. TestUnframedAnswerOfAReplacedServerIsIncomplete failed before.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -108,6 +108,9 @@
 // endedWith reports whether the process had ended when it ended an answer. It holds for a planned
 // end too.
 func (d *crashDetector) endedWith(ctx context.Context, p conns.Peer) bool {
+	if d.opts.Departure(p).Replaced {
+		return true // its successor may listen at the same address
+	}
 	c := d.check(ctx, p, true)
 	return c != nil && c.refused
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// Guards against an answer cut short by the end of a server whose successor already accepts connections.
+func TestUnframedAnswerOfAReplacedServerIsIncomplete(t *testing.T) {
+	handle := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+		return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, Unframed: true, Body: &fakeBody{ctx: ctx, next: 1, last: 3, err: io.EOF}}, nil
+	}
+	b := &refusingBackend{fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}, false}
+	require.False(t, serveKind(b, &outcomeRecorder{}, relay.Departure{Replaced: true}, false, rules.CallStream).ended)
+	require.True(t, serveKind(b, &outcomeRecorder{}, relay.Departure{}, false, rules.CallStream).ended)
+}
+
 // Guards against a check from before the server's end that makes an incomplete answer look complete.
 func TestUnframedAnswerIsCheckedAnew(t *testing.T) {
 	b := &refusingBackend{}
