--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -47,7 +47,7 @@
 	b.w.mu.Lock()
 	limit := b.w.nameLimit(v, b.node)
 	b.w.mu.Unlock()
-	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Load: &load, RateLimit: limit, Body: body}, nil
+	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{Load: &load, RateLimit: limit}, Body: body}, nil
 }
 
 // Refuses implements relay.Backend.
@@ -125,10 +125,10 @@
 		load.Running, load.Waiting = h.replica.Running(), h.replica.Waiting()
 	}
 	if !open || v.model != a.Call.Model {
-		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica that serves the model", Received: true, Load: &load, RateLimit: w.nameLimit(v, b.node), Err: errors.New(string(v.entry.ID))}
+		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica that serves the model", Received: true, State: relay.ServerState{Load: &load, RateLimit: w.nameLimit(v, b.node)}, Err: errors.New(string(v.entry.ID))}
 	}
 	if load.Waiting >= w.scenario.Engine.Queue {
-		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, Load: &load, RateLimit: w.nameLimit(v, b.node), Err: errors.New(string(v.entry.ID))}
+		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, State: relay.ServerState{Load: &load, RateLimit: w.nameLimit(v, b.node)}, Err: errors.New(string(v.entry.ID))}
 	}
 	tokens := max(b.answerTokens(a.Call.ID)-resumeOffset(a.ResumeAfter)*w.scenario.Engine.StepsPerPass, 1)
 	job := &enginemodel.Job{PromptTokens: max(a.Call.PromptTokens, 1), OutputTokens: tokens, Priority: a.Call.Priority}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,10 +29,8 @@
 	// replica stalls or the connection is silent for too long.
 	idempotent, canRetry bool
 	idleTimer            *time.Timer
-	// load is the load reported by the server; nil if it reported none.
-	load *Load
-	// rateLimit is the limit that the server named; 0 if it named none.
-	rateLimit float64
+	// state is what the server said of itself.
+	state ServerState
 	// node is the node that the call is handed over to; nil for an attempt on a replica.
 	node *Node
 	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
@@ -68,18 +66,11 @@
 
 	reply, err := a.send()
 	if err != nil {
-		if notRun, ok := errors.Into[*NotRunError](err); ok {
-			if notRun.Received {
-				a.reportRateLimit(notRun.RateLimit)
-			}
-			a.reportLoad(notRun.Load)
-			a.judgeQueue(notRun.Load, true)
-		}
+		a.reportFailure(err)
 		return a.result(false, 0, 0), a.withCancelCause(err)
 	}
 	defer reply.Body.Close()
-	a.reportRateLimit(reply.RateLimit)
-	a.reportLoad(reply.Load)
+	a.reportState(reply.State)
 	switch {
 	case a.s.streams() && reply.Head.Status < http.StatusBadRequest:
 		return a.forwardStream(reply)
@@ -129,12 +120,35 @@
 	return maxIdleNonIdempotent
 }
 
+// reportFailure passes on what the server said of itself as it failed or refused the call.
+func (a *attempt) reportFailure(err error) {
+	if broken, ok := errors.Into[*BrokenError](err); ok {
+		a.state = broken.State
+	}
+	notRun, ok := errors.Into[*NotRunError](err)
+	if !ok {
+		return
+	}
+	if notRun.Received {
+		a.reportState(notRun.State)
+	} else {
+		a.reportLoad(notRun.State.Load)
+	}
+	a.judgeQueue(notRun.State.Load, true)
+}
+
+// reportState passes what the server said of itself on to the router.
+func (a *attempt) reportState(state ServerState) {
+	a.state = state
+	a.reportRateLimit(state.RateLimit)
+	a.reportLoad(state.Load)
+}
+
 // reportLoad passes the load reported by the server on to the router.
 func (a *attempt) reportLoad(load *Load) {
 	if load == nil {
 		return
 	}
-	a.load = load
 	now := time.Now()
 	a.s.r.opts.Router.ReportLoad(a.choice.Replica.ID, engine.Load{AsOf: now, Running: load.Running, Waiting: load.Waiting, MaxRunning: load.Slots}, now)
 }
@@ -144,7 +158,6 @@
 	if a.node != nil {
 		return
 	}
-	a.rateLimit = perSecond
 	if a.s.r.opts.Router.ReportRateLimit(a.choice.Replica.ID, perSecond, a.started, time.Now()) {
 		a.s.r.opts.Log.Info("rate limit", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "per_second", perSecond, "request", a.s.call.ID)
 	}
@@ -204,7 +217,7 @@
 		}
 		if pieces == 0 {
 			first = time.Since(a.started)
-			a.judgeQueue(reply.Load, first > a.s.call.Route.Policy.Target)
+			a.judgeQueue(reply.State.Load, first > a.s.call.Route.Policy.Target)
 		}
 		pieces++
 		if a.suspectRun != nil {
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -31,14 +31,23 @@
 // Load is the load that a backend server reports in an answer.
 type Load struct{ Running, Waiting, Slots int }
 
-// Reply is a backend server's answer, of which the head has been received.
-type Reply struct {
-	Head call.Head
+// ServerState is what a backend server says of itself in the head of an answer to this node.
+type ServerState struct {
 	// Load is nil if the server did not report it.
 	Load *Load
 	// RateLimit is the number of requests per second that the server takes from all nodes
 	// together; 0 if it named no limit.
 	RateLimit float64
+	// Pushback is how long the server wants no requests from this node; 0 if it did not say.
+	Pushback time.Duration
+	// Leaving is true if the server is about to shut down.
+	Leaving bool
+}
+
+// Reply is a backend server's answer, of which the head has been received.
+type Reply struct {
+	Head  call.Head
+	State ServerState
 	// Unframed is true if the answer has neither a length nor chunks: it ends with its connection,
 	// as it does if the server's process ends.
 	Unframed bool
@@ -79,11 +88,9 @@
 	FaultyMember string
 	// AddressReassigned is true if another process now has the server's address.
 	AddressReassigned bool
-	// Load is the load reported by the server that refused; may be nil. RateLimit is as in
-	// Reply.
-	Load      *Load
-	RateLimit float64
-	Err       error
+	// State is what the server that refused said of itself.
+	State ServerState
+	Err   error
 }
 
 // Error implements error.
@@ -100,7 +107,9 @@
 	Reason string
 	// ConnectionLost is true if the connection ended before the answer was complete.
 	ConnectionLost bool
-	Err            error
+	// State is what the server said of itself if the head of its answer was received.
+	State ServerState
+	Err   error
 }
 
 // Error implements error.
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -17,10 +17,10 @@
 // answer ends.
 func TestLimitsNamedInAnswersAndRefusalsAreReported(t *testing.T) {
 	answer := func(context.Context, relay.Attempt) (*relay.Reply, error) {
-		return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, RateLimit: 2, Body: &fakeBody{err: io.EOF}}, nil
+		return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{RateLimit: 2}, Body: &fakeBody{err: io.EOF}}, nil
 	}
 	f := newFixture(t, 10, []cluster.ReplicaID{"a", "b", "c"}, map[cluster.ReplicaID]handler{
-		"a": failWith(&relay.NotRunError{Reason: "full", Received: true, RateLimit: 1}), "b": failWith(errRefused), "c": answer,
+		"a": failWith(&relay.NotRunError{Reason: "full", Received: true, State: relay.ServerState{RateLimit: 1}}), "b": failWith(errRefused), "c": answer,
 	})
 	terms := safeTerms
 	terms.MaxAttempts = 3
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -227,7 +227,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		overloaded := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
 			reply, err := streamPieces(1, nil)(ctx, a)
-			reply.Load = &relay.Load{Running: 26, Waiting: 2, Slots: 26}
+			reply.State.Load = &relay.Load{Running: 26, Waiting: 2, Slots: 26}
 			return reply, err
 		}
 		f := newFixture(t, 10, ab[:1], handlers{"a": overloaded})
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -409,11 +409,14 @@
 	if len(s.suspect.Parts) > 0 {
 		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
 	}
-	if a.load != nil {
-		fields = append(fields, "running", a.load.Running, "waiting", a.load.Waiting, "slots", a.load.Slots)
+	if load := a.state.Load; load != nil {
+		fields = append(fields, "running", load.Running, "waiting", load.Waiting, "slots", load.Slots)
 	}
-	if a.rateLimit > 0 {
-		fields = append(fields, "rate_limit", a.rateLimit)
+	if a.state.RateLimit > 0 {
+		fields = append(fields, "rate_limit", a.state.RateLimit)
+	}
+	if a.state.Pushback > 0 || a.state.Leaving {
+		fields = append(fields, "pushback", a.state.Pushback, "leaving", a.state.Leaving)
 	}
 	if a.lossCause != lossNone {
 		fields = append(fields, "connection_lost", a.lossCause)
