--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -46,8 +46,9 @@
 	}
 	b.w.mu.Lock()
 	limit := b.w.nameLimit(v, b.node)
+	_, leaving := b.w.wordTo(v, b.node)
 	b.w.mu.Unlock()
-	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{Load: &load, RateLimit: limit}, Body: body}, nil
+	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{Load: &load, RateLimit: limit, Leaving: leaving}, Body: body}, nil
 }
 
 // Refuses implements relay.Backend.
@@ -127,6 +128,9 @@
 	if !open || v.model != a.Call.Model {
 		return nil, nil, load, &relay.NotRunError{Reason: "not the head of a replica that serves the model", Received: true, State: relay.ServerState{Load: &load, RateLimit: w.nameLimit(v, b.node)}, Err: errors.New(string(v.entry.ID))}
 	}
+	if err := w.refuseForPushback(v, b.node, load); err != nil {
+		return nil, nil, load, err
+	}
 	if load.Waiting >= w.scenario.Engine.Queue {
 		return nil, nil, load, &relay.NotRunError{Reason: "full", Received: true, State: relay.ServerState{Load: &load, RateLimit: w.nameLimit(v, b.node)}, Err: errors.New(string(v.entry.ID))}
 	}
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -51,6 +51,8 @@
 		w.limitHeads(f)
 	case ColdServers:
 		w.coolHeads(f)
+	case PushbackServers, LeavingServers:
+		sys.startWords(f)
 	case IsolateNodes:
 		sys.isolateNodes(f)
 	case OneNode:
@@ -78,6 +80,8 @@
 		w.setPartitioned(f.Zone, false)
 	case LimitServers:
 		w.forEach(w.all(), func(v *vm) { v.rateLimit = 0 })
+	case PushbackServers, LeavingServers:
+		w.endWords()
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{})
 	case IsolateNodes:
--- a/internal/player/limit.go
+++ b/internal/player/limit.go
@@ -55,13 +55,17 @@
 	return v.rateLimit
 }
 
-// recordArrival records a request of a node that knows the VM's limit, or of any node to a cold
-// VM. The caller holds w.mu.
+// recordArrival records a request of a node that knows the VM's limit, or of any node to a VM that is
+// cold or speaks of itself. The caller holds w.mu.
 func (w *world) recordArrival(v *vm, from cluster.NodeID) {
 	now := time.Now()
 	if now.Before(v.entry.ColdUntil) {
 		w.coldArrivals[v.entry.ID] = append(w.coldArrivals[v.entry.ID], now)
 	}
+	if _, speaks := w.words[v.entry.ID]; speaks {
+		rec := w.wordRecord(v, from)
+		rec.arrivals = append(rec.arrivals, now)
+	}
 	rec := w.limits[v.entry.ID]
 	if rec == nil || v.rateLimit <= 0 {
 		return
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -33,6 +33,11 @@
 	// ColdServers counts the VMs that got requests while they were cold, MostOnColdServer is
 	// the largest number that one of them got within a second.
 	ColdServers, MostOnColdServer int
+	// MostInPushback is the largest number of requests that a node sent to a server which had asked
+	// it for none. LatestToLeaving is how long after a server said that it shuts down a node last
+	// sent it a request.
+	MostInPushback  int
+	LatestToLeaving time.Duration
 }
 
 // VMSample counts the VMs by state at one moment.
@@ -90,6 +95,7 @@
 	r.ModelLoads = sys.world.loads
 	r.ColdServers, r.MostOnColdServer = sys.world.mostOnColdVM()
 	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
+	r.MostInPushback, r.LatestToLeaving = sys.world.requestsAgainstWords()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
 
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -126,6 +126,8 @@
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
 // nothing else, for a time. OneNode has all callers' first attempts arrive at the first node for a time.
+// PushbackServers has heads of replicas refuse all requests of the first Nodes nodes for a time and ask each time to get none for Factor
+// seconds. LeavingServers has heads of replicas say that they shut down, which the store does not, for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
@@ -141,6 +143,9 @@
 	ColdServers   FaultKind = "cold"
 	IsolateNodes  FaultKind = "isolate-nodes"
 	OneNode       FaultKind = "one-node"
+
+	PushbackServers FaultKind = "pushback"
+	LeavingServers  FaultKind = "leaving"
 )
 
 // Fault is a fault injected at a time after the first call.
@@ -157,6 +162,8 @@
 	Factor float64 `yaml:"factor"`
 	// Refuse has connections of isolated nodes be refused instead of hang.
 	Refuse bool `yaml:"refuse"`
+	// Nodes limits the nodes that PushbackServers and LeavingServers affect; 0 means all.
+	Nodes int `yaml:"nodes"`
 	// Middle has CrashPart use the second part of the prompt.
 	Middle bool `yaml:"middle"`
 }
