A server that asks a node for no requests gets none from it until then

Callers were sent to servers that had just refused them: a server that answers 503 with Retry-After: 3 got 3 and 4 requests of one node in that time (2 allowed), and calls ended with 429 "attempts used" after two such servers while others had room. Cause: Retry-After of a server was read nowhere. Two refusals in a row started the avoidance of a failing replica, one second long, after which one call a second tested it (reason=trial in the record).

Now the pushback is kept by process, so that it holds when the process becomes the head of another replica and not for another start of the server; it is no failure of the replica; it ends up to an eighth (at most 0.5 s) later than named, at another moment on each node, and then one request at a time tests the replica. It concerns this node, so nothing of it is reported to others. Calls that no replica takes for that reason are refused at once, with the first end as Retry-After. Numbers that are none, dates and values below zero are ignored, more than a minute counts as one.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -46,7 +46,7 @@
 	}
 	b.w.mu.Lock()
 	limit := b.w.nameLimit(v, b.node)
-	_, leaving := b.w.wordTo(v, b.node)
+	leaving := b.w.sayLeaving(v, b.node)
 	b.w.mu.Unlock()
 	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{Load: &load, RateLimit: limit, Leaving: leaving}, Body: body}, nil
 }
--- a/internal/player/faults.go
+++ b/internal/player/faults.go
@@ -52,7 +52,7 @@
 	case ColdServers:
 		w.coolHeads(f)
 	case PushbackServers, LeavingServers:
-		sys.startWords(f)
+		sys.startSignals(f)
 	case IsolateNodes:
 		sys.isolateNodes(f)
 	case OneNode:
@@ -81,7 +81,7 @@
 	case LimitServers:
 		w.forEach(w.all(), func(v *vm) { v.rateLimit = 0 })
 	case PushbackServers, LeavingServers:
-		w.endWords()
+		w.endSignals()
 	case StoreDown:
 		w.store.SetFaults(memstore.Faults{})
 	case IsolateNodes:
--- a/internal/player/limit.go
+++ b/internal/player/limit.go
@@ -56,14 +56,14 @@
 }
 
 // recordArrival records a request of a node that knows the VM's limit, or of any node to a VM that is
-// cold or speaks of itself. The caller holds w.mu.
+// cold or gives signals. The caller holds w.mu.
 func (w *world) recordArrival(v *vm, from cluster.NodeID) {
 	now := time.Now()
 	if now.Before(v.entry.ColdUntil) {
 		w.coldArrivals[v.entry.ID] = append(w.coldArrivals[v.entry.ID], now)
 	}
-	if _, speaks := w.words[v.entry.ID]; speaks {
-		rec := w.wordRecord(v, from)
+	if _, given := w.signals[v.entry.ID]; given {
+		rec := w.signalRecord(v, from)
 		rec.arrivals = append(rec.arrivals, now)
 	}
 	rec := w.limits[v.entry.ID]
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -95,7 +95,7 @@
 	r.ModelLoads = sys.world.loads
 	r.ColdServers, r.MostOnColdServer = sys.world.mostOnColdVM()
 	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
-	r.MostInPushback, r.LatestToLeaving = sys.world.requestsAgainstWords()
+	r.MostInPushback, r.LatestToLeaving = sys.world.requestsAgainstSignals()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
 
--- a/internal/player/pushback_test.go
+++ b/internal/player/signals_test.go
@@ -13,7 +13,7 @@
 const (
 	// pushbackRequests is how many requests of a node may reach a server that has asked it for none.
 	pushbackRequests = 2
-	// leavingTime is how long after its word a server that shuts down may get requests.
+	// leavingTime is how long after its signal a server that shuts down may get requests.
 	leavingTime = 2 * time.Second
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -120,10 +120,15 @@
 	return maxIdleNonIdempotent
 }
 
-// reportFailure passes on what the server said of itself as it failed or refused the call.
+// reportFailure passes on what the server said of itself as it failed or refused the call. Another
+// node's failure says nothing of a server to this one.
 func (a *attempt) reportFailure(err error) {
+	if a.node != nil {
+		return
+	}
 	if broken, ok := errors.Into[*BrokenError](err); ok {
 		a.state = broken.State
+		a.reportPushback(broken.State.Pushback)
 	}
 	notRun, ok := errors.Into[*NotRunError](err)
 	if !ok {
@@ -140,10 +145,24 @@
 // reportState passes what the server said of itself on to the router.
 func (a *attempt) reportState(state ServerState) {
 	a.state = state
+	if a.node != nil {
+		return
+	}
 	a.reportRateLimit(state.RateLimit)
+	a.reportPushback(state.Pushback)
 	a.reportLoad(state.Load)
 }
 
+// reportPushback passes on for how long the server wants no requests from this node, if it said so.
+func (a *attempt) reportPushback(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if a.s.r.opts.Router.ReportPushback(a.choice, d, time.Now()) {
+		a.s.r.opts.Log.Info("server wants no requests", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "for", d, "request", a.s.call.ID)
+	}
+}
+
 // reportLoad passes the load reported by the server on to the router.
 func (a *attempt) reportLoad(load *Load) {
 	if load == nil {
@@ -155,9 +174,6 @@
 
 // reportRateLimit passes the limit that the server named, or 0 for none, on to the router.
 func (a *attempt) reportRateLimit(perSecond float64) {
-	if a.node != nil {
-		return
-	}
 	if a.s.r.opts.Router.ReportRateLimit(a.choice.Replica.ID, perSecond, a.started, time.Now()) {
 		a.s.r.opts.Log.Info("rate limit", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "per_second", perSecond, "request", a.s.call.ID)
 	}
@@ -273,7 +289,8 @@
 }
 
 func (a *attempt) result(ok bool, first time.Duration, pieces int) routing.Result {
-	canceled := !ok && (a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errIdleTimeout) && !errors.Is(context.Cause(a.ctx), errStalled))
+	pushedBack := a.state.Pushback > 0 // no failure: the replica is left alone for as long as it asked
+	canceled := !ok && (pushedBack || a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errIdleTimeout) && !errors.Is(context.Cause(a.ctx), errStalled))
 	return routing.Result{OK: ok, Canceled: canceled, FirstToken: first, Tokens: pieces, Duration: time.Since(a.started)}
 }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -37,6 +37,10 @@
 	loads map[cluster.ReplicaID]engine.Load
 	// limits holds the limits that the replicas named last; 0 for none.
 	limits map[cluster.ReplicaID]float64
+	// pushbacks holds for how long the replicas wanted no requests.
+	pushbacks map[cluster.ReplicaID]time.Duration
+	// canceled holds for each request whether its result says nothing of its replica.
+	canceled []bool
 }
 
 func (l *listRouter) hasRoom(id cluster.ReplicaID, limit routing.Limit) bool {
@@ -64,7 +68,11 @@
 	return routing.Choice{}, fennelerr.New(fennelerr.NoReplica, "none left").WithRun(fennelerr.NotRun)
 }
 
-func (*listRouter) End(routing.Choice, routing.Result) {}
+func (l *listRouter) End(_ routing.Choice, res routing.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.canceled = append(l.canceled, res.Canceled)
+}
 
 func (l *listRouter) ReportRateLimit(id cluster.ReplicaID, perSecond float64, _, _ time.Time) bool {
 	l.mu.Lock()
@@ -76,6 +84,16 @@
 	return false
 }
 
+func (l *listRouter) ReportPushback(choice routing.Choice, d time.Duration, _ time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pushbacks == nil {
+		l.pushbacks = make(map[cluster.ReplicaID]time.Duration)
+	}
+	l.pushbacks[choice.Replica.ID] = d
+	return true
+}
+
 func (l *listRouter) ReportLoad(id cluster.ReplicaID, load engine.Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,9 +212,18 @@
 
 func newFixture(t *testing.T, slack float64, order []cluster.ReplicaID, handlers map[cluster.ReplicaID]handler) *fixture {
 	t.Helper()
-	f := &fixture{backend: &fakeBackend{handlers: handlers}, router: &listRouter{ids: order, loads: make(map[cluster.ReplicaID]engine.Load)}}
+	router := &listRouter{ids: order, loads: make(map[cluster.ReplicaID]engine.Load)}
+	f := newFixtureWith(t, slack, router, &fakeBackend{handlers: handlers})
+	f.router = router
+	return f
+}
+
+// newFixtureWith is newFixture with another router; the fixture's own is nil.
+func newFixtureWith(t *testing.T, slack float64, router relay.Router, backend *fakeBackend) *fixture {
+	t.Helper()
+	f := &fixture{backend: backend}
 	f.relay = relay.New(relay.Options{
-		Router: f.router, Backend: f.backend,
+		Router: router, Backend: f.backend,
 		Budget: relay.NewBudget(relay.BudgetOptions{Slack: slack, Window: 10 * time.Second, Nodes: 1}),
 		Peer:   func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -35,6 +35,10 @@
 type otherNodes struct {
 	err  error
 	sent []relay.Attempt
+	// state is what the server says of itself in the answer.
+	state relay.ServerState
+	// router is that of the node which hands calls over.
+	router *listRouter
 }
 
 func (o *otherNodes) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
@@ -42,15 +46,18 @@
 	if o.err != nil {
 		return nil, o.err
 	}
-	return respondWith(200)(ctx, a)
+	reply, err := respondWith(200)(ctx, a)
+	reply.State = o.state
+	return reply, err
 }
 
 // serveWithNodes serves a call on a node that knows eight others. handle answers the servers'
 // attempts.
 func serveWithNodes(reach *severedReach, others *otherNodes, kind rules.CallKind, handle handler) *recorder {
 	b := &fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle, "b": handle}}
+	others.router = &listRouter{ids: []cluster.ReplicaID{"a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}
 	r := relay.New(relay.Options{
-		Router: &listRouter{ids: []cluster.ReplicaID{"a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
+		Router: others.router, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 100, Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 		Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
@@ -97,6 +104,21 @@
 	require.Equal(t, fennelerr.Unknown, got.refused.Run)
 }
 
+// Guards against a pushback that concerned the node which took a call over.
+func TestPushbackToAnotherNodeIsNotKept(t *testing.T) {
+	state := relay.ServerState{Pushback: time.Second, RateLimit: 1}
+	for _, others := range []*otherNodes{
+		{state: state}, {err: &relay.BrokenError{Reason: "status 503", State: state}}, {err: &relay.NotRunError{Reason: "status 503", Received: true, State: state}},
+	} {
+		reach := &severedReach{}
+		reach.severed.Store(true)
+		serveWithNodes(reach, others, rules.CallSafe, respondWith(200))
+		require.NotEmpty(t, others.sent)
+		require.Empty(t, others.router.pushbacks)
+		require.Empty(t, others.router.limits)
+	}
+}
+
 // Guards against a call that is lost on a node that reaches no server either, and one that is
 // passed around for ever.
 func TestCallIsOfferedToFewNodes(t *testing.T) {
--- /dev/null
+++ b/internal/relay/pushback_test.go
@@ -0,0 +1,57 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+)
+
+// Guards against a pushback that is missed because the refusal does not say that nothing ran, and against one that another answer ends.
+func TestPushbacksInRefusalsAreReported(t *testing.T) {
+	state := func(seconds int) relay.ServerState {
+		return relay.ServerState{Pushback: time.Duration(seconds) * time.Second}
+	}
+	f := newFixture(t, 10, []cluster.ReplicaID{"a", "b", "c"}, map[cluster.ReplicaID]handler{
+		"a": failWith(&relay.NotRunError{Reason: "status 503", Received: true, State: state(3)}), "b": failWith(&relay.BrokenError{Reason: "status 503", State: state(2)}), "c": respondWith(200),
+	})
+	terms := safeTerms
+	terms.MaxAttempts = 3
+	require.True(t, f.serve(t.Context(), terms).ended)
+	require.Equal(t, map[cluster.ReplicaID]time.Duration{"a": 3 * time.Second, "b": 2 * time.Second}, f.router.pushbacks)
+	require.Equal(t, []bool{true, true, false}, f.router.canceled, "a pushback is no failure of its server")
+}
+
+// fullRouter has no replica that takes requests.
+type fullRouter struct {
+	listRouter
+	err *routing.FullError
+}
+
+func (r *fullRouter) Choose(routing.Request) (routing.Choice, error) { return routing.Choice{}, r.err }
+
+// Guards against a refusal whose time to return is not that at which a replica takes requests again.
+func TestRefusalInPushbacksNamesTheirEnd(t *testing.T) {
+	const left = 3700 * time.Millisecond
+	for name, c := range map[string]struct {
+		err      *routing.FullError
+		from, to time.Duration
+	}{
+		"all replicas":  {&routing.FullError{Pushback: routing.Pushback{Replicas: 2, Left: left}, OnlyPushback: true}, left, left + time.Second},
+		"some are full": {&routing.FullError{Pushback: routing.Pushback{Replicas: 1, Left: left}}, time.Second, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixtureWith(t, 10, &fullRouter{err: c.err}, &fakeBackend{})
+			got := f.serve(t.Context(), safeTerms)
+			requireNotRun(t, got.refused)
+			require.Equal(t, fennelerr.Overloaded, got.refused.Code)
+			require.GreaterOrEqual(t, got.refused.RetryAfter, c.from)
+			require.LessOrEqual(t, got.refused.RetryAfter, c.to)
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,9 @@
 	// ReportRateLimit records the limit that a replica named, or 0 for none, in its answer to
 	// a request sent at sentAt. It reports whether a limit began or ended.
 	ReportRateLimit(id cluster.ReplicaID, perSecond float64, sentAt, now time.Time) (changed bool)
+	// ReportPushback records that the chosen replica wants no requests from this node for d. It
+	// reports whether the replica took requests before.
+	ReportPushback(choice routing.Choice, d time.Duration, now time.Time) (began bool)
 }
 
 // Suspects tracks the requests that crash backend servers. *suspect.Tracker implements it.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -363,13 +364,26 @@
 	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Policy.Name, "group", s.group, "excluded", len(s.exclude),
 		"held", time.Since(s.call.ReceivedAt), "err", err.Error())
 	s.finish(err, func() *fennelerr.Error {
-		if _, full := errors.Into[*routing.FullError](err); full {
-			return fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").WithRetryAfter(s.r.advisor.refuse(s.group, time.Now()))
+		if full, ok := errors.Into[*routing.FullError](err); ok {
+			return fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").WithRetryAfter(s.retryAfterFull(full))
 		}
 		return fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.group).WithRetryAfter(retryAfterNoReplica)
 	})
 }
 
+// retryAfterFull returns when a caller refused for want of room should retry. While all replicas
+// want no requests, that is when the first one takes them again.
+func (s *session) retryAfterFull(full *routing.FullError) time.Duration {
+	if full.OnlyPushback {
+		return full.Pushback.Left + time.Duration(rand.Float64()*float64(pushbackRetrySpread))
+	}
+	return s.r.advisor.refuse(s.group, time.Now())
+}
+
+// pushbackRetrySpread is the time over which the callers return that were refused because of
+// pushbacks.
+const pushbackRetrySpread = 500 * time.Millisecond
+
 // retryAfterNoReplica is the retry time when a group has no replica. Forming a new one
 // takes 0.2 to 1.6 s for joining and 0.3 s for opening.
 const retryAfterNoReplica = time.Second
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -18,9 +18,9 @@
 	rnd := NewRandom(t.opts.Seed, t.picks.Add(1))
 	for range maxPicks {
 		pick := t.pick(now, req, rnd)
-		if pick.Full {
+		if pick.Full || pick.Pushback.Replicas > 0 {
 			fullTotal.Inc()
-			return Choice{}, &FullError{Group: req.Group, Considered: pick.Considered}
+			return Choice{}, &FullError{Group: req.Group, Considered: pick.Considered, Pushback: pick.Pushback, OnlyPushback: !pick.Full}
 		}
 		if !pick.Found {
 			break
@@ -78,7 +78,7 @@
 func (e *entry) begin(now time.Time, req Request, pick Pick, shares Shares) (Choice, uint32, bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if !e.eligible() || e.limited(now, shares) || (req.Alone && e.suspects > 0) {
+	if !e.eligible() || e.limited(now, shares) || e.signals.pushback.left(now) > 0 || (req.Alone && e.suspects > 0) {
 		return Choice{}, 0, false
 	}
 	e.history.record(now, e.outstanding)
@@ -93,7 +93,7 @@
 	}
 	return Choice{
 		Replica: e.replica, Addr: e.addr, Reason: pick.Reason, Considered: pick.Considered,
-		Alone: req.Alone, entry: e, trial: trial,
+		Alone: req.Alone, entry: e, process: e.process, trial: trial,
 	}, e.cacheEpoch, true
 }
 
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -20,7 +20,10 @@
 	coldUntil time.Time
 	coldRate  float64
 	limit     rateLimit
-	removed   bool
+	// process serves the replica, signals is what it has said of itself.
+	process process
+	signals signals
+	removed bool
 	// healthyGeneration is the generation confirmed by the health check; 0 for none.
 	healthyGeneration int64
 
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -195,7 +195,8 @@
 		InFlight: e.inFlight(v.now, o, capacity, v.snap.meanRemote), Capacity: capacity,
 		Load:    float64(e.outstanding) + e.remoteLoad(v.now, o),
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
-		Trial:   e.speed.onTrial, Suspects: e.suspects, Limited: e.limited(v.now, v.table.opts.Shares), entry: e,
+		Trial:   e.speed.onTrial, Suspects: e.suspects, Limited: e.limited(v.now, v.table.opts.Shares),
+		PushbackLeft: e.signals.pushback.left(v.now), PushbackAge: v.now.Sub(e.signals.pushback.askedAt), entry: e,
 	}
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
@@ -32,6 +33,9 @@
 	// Limited is true while this node has used its share of a rate that the replica takes from
 	// all nodes together.
 	Limited bool
+	// PushbackLeft is how much longer the replica wants no requests from this node; 0 if it takes
+	// them. PushbackAge is how long ago it asked for that.
+	PushbackLeft, PushbackAge time.Duration
 
 	entry *entry
 }
@@ -59,7 +63,9 @@
 	Found     bool
 	// Full is true if no replica was found and at least one was ruled out only by Limit or by a
 	// rate that it takes.
-	Full       bool
+	Full bool
+	// Pushback describes the replicas that want no requests from this node, if none was found.
+	Pushback   Pushback
 	Reason     string
 	Considered int
 }
@@ -94,7 +100,7 @@
 	start := rnd.IntN(n)
 	for i := range n {
 		c := v.At((start + i) % n)
-		if c.Healthy && !c.Limited && !slices.Contains(req.Exclude, c.ID) {
+		if c.Healthy && !c.Limited && c.PushbackLeft == 0 && !slices.Contains(req.Exclude, c.ID) {
 			return Pick{Candidate: c, Found: true, Reason: ReasonRandom, Considered: 1}
 		}
 	}
@@ -141,6 +147,7 @@
 		sample(v, 0, v.Len(), p.SampleLocal+p.SampleOther, rnd, &sel)
 	}
 	if !sel.found {
+		sel.pushback = Pushback{} // each replica counts once
 		sample(v, 0, v.Len(), v.Len(), rnd, &sel)
 	}
 	return sel.pick()
@@ -201,6 +208,7 @@
 	fallbackScore float64
 	hasFallback   bool
 	full          bool
+	pushback      Pushback
 }
 
 func (sel *selection) offer(c Candidate, match float64) {
@@ -208,6 +216,10 @@
 	if !c.Healthy || slices.Contains(sel.req.Exclude, c.ID) {
 		return
 	}
+	if c.PushbackLeft > 0 {
+		sel.pushback.add(c.ID, c.PushbackAge, c.PushbackLeft)
+		return
+	}
 	if c.Limited || sel.req.Limit.exceeded(c) {
 		sel.full = true
 		return
@@ -244,7 +256,7 @@
 	case sel.hasFallback:
 		return Pick{Candidate: sel.fallback, Found: true, Reason: ReasonNoOther, Considered: sel.considered}
 	}
-	return Pick{Considered: sel.considered, Full: sel.full}
+	return Pick{Considered: sel.considered, Full: sel.full, Pushback: sel.pushback}
 }
 
 func (sel *selection) reason() string {
@@ -266,7 +278,7 @@
 	out := Pick{Reason: ReasonAlone, Considered: v.Len()}
 	for i := range v.Len() {
 		c := v.At(i)
-		if !c.Healthy || c.Limited || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
+		if !c.Healthy || c.Limited || c.PushbackLeft > 0 || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
 			continue
 		}
 		if req.MayRetryOn != nil && !req.MayRetryOn(c.ID) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -86,6 +86,8 @@
 	Addr string
 	// Slots is the batch size of the replica as listed; 0 if it is not listed.
 	Slots int
+	// StartedAt is when the process of the serving VM started; may be zero.
+	StartedAt time.Time
 	// ColdUntil is until when the replica's server is cold; may be zero. Until then it takes
 	// ColdRate requests per second from all nodes together.
 	ColdUntil time.Time
@@ -98,7 +100,9 @@
 	opts   Options
 	shards [tableShards]tableShard
 	prefix *prefixIndex
-	picks  atomic.Uint64 // number of picks so far, for the seed of the next one
+	// signals outlast the entries of the replicas.
+	signals signalTable
+	picks   atomic.Uint64 // number of picks so far, for the seed of the next one
 
 	// updateMu serializes SetReplicas. The map in groups is replaced, never modified.
 	updateMu sync.Mutex
@@ -214,6 +218,10 @@
 		e.report = loadReport{}
 		e.limit = rateLimit{}
 	}
+	if p := in.process(); e.process != p {
+		e.process = p
+		e.setSignals(t.signals.get(p), t.opts.Now())
+	}
 	e.replica, e.addr, e.slots, e.coldUntil, e.coldRate = in.Replica, in.Addr, in.Slots, in.ColdUntil, in.ColdRate
 	return regroup
 }
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -41,16 +41,23 @@
 	return l.PerSlot > 0 && c.Load+1 > l.PerSlot*c.Capacity+l.Extra
 }
 
-// FullError reports that the group has healthy replicas but none has room for the request.
+// FullError reports that the group has healthy replicas but none takes the request now.
 type FullError struct {
 	Group cluster.GroupName
 	// Considered is the number of replicas considered.
 	Considered int
+	// Pushback describes those that want no requests from this node. OnlyPushback is true if that
+	// is the only reason.
+	Pushback     Pushback
+	OnlyPushback bool
 }
 
 // Error implements error.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("every replica of group %s is full, %d considered", e.Group, e.Considered)
+	if e.Pushback.Replicas == 0 {
+		return fmt.Sprintf("every replica of group %s is full, %d considered", e.Group, e.Considered)
+	}
+	return fmt.Sprintf("no replica of group %s takes requests, %d considered: %s", e.Group, e.Considered, e.Pushback)
 }
 
 // Choice is a chosen replica and the reason for the choice.
@@ -66,7 +73,8 @@
 	Alone bool
 
 	// entry is the table entry on which the request is counted until End.
-	entry *entry
+	entry   *entry
+	process process
 	// trial marks a request that tests whether an avoided replica has recovered.
 	trial bool
 }
