Calls that all servers want from other nodes only are handed over

Callers of a node from which all servers of a service want no requests were refused, at once, although the same servers take the requests of other nodes: a pushback concerns one node.

Kept: one hop, never for a call that was handed over, none to a node that has just refused one; a refusal names that node's time. Tests: TestCallGoesToAnotherNodeInAPushback and TestCallersOfANodeInPushbacksAreServedByOthers, red without the hop; eight mutations of the guards, all red (two of them by cases added for it).

--- a/internal/player/signals_test.go
+++ b/internal/player/signals_test.go
@@ -56,3 +56,20 @@
 		})
 	}
 }
+
+// Guards against callers refused by a node from which all servers want no requests, while they take those of other nodes.
+func TestCallersOfANodeInPushbacksAreServedByOthers(t *testing.T) {
+	for name, nodes := range map[string]int{"overload": 2, "few-large-many-small": 4} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := load(t, name)
+			fault := player.Fault{Kind: player.PushbackServers, Model: "small", At: 4 * time.Second, Duration: 6 * time.Second, Count: 1000, Factor: 4, Nodes: nodes}
+			s.Bursts, s.Length, s.Faults = nil, 10*time.Second, []player.Fault{fault}
+			res := simulate(t, s, player.Options{Seed: 1})
+			before, during := firstServed(res, time.Second, fault.At), firstServed(res, fault.At+time.Second, s.Length)
+			t.Logf("served at the first attempt: %.3f before, %.3f during; %d in a pushback", before, during, res.MostInPushback)
+			require.LessOrEqual(t, res.MostInPushback, pushbackRequests)
+			require.GreaterOrEqual(t, during, 0.9*before)
+		})
+	}
+}
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -90,34 +90,49 @@
 	unreachableRefused = metrics.NewCounter("fennel_relay_unreachable_refusals_total")
 )
 
+// handOverReason is why a call is handed over, as logged.
+type handOverReason string
+
+const (
+	handOverUnreachable handOverReason = "unreachable"
+	handOverPushback    handOverReason = "pushback"
+)
+
 // errUnreachable cancels attempts on servers that this node does not reach any more.
 var errUnreachable = errors.New("no backend server is reachable")
 
-// nodeBackoffs holds until when nodes that did not take a call are offered none.
+// nodeBackoffs holds until when nodes that did not take a call are offered none: none at all, or
+// none of a group.
 type nodeBackoffs struct {
 	mu    sync.Mutex
-	until map[cluster.NodeID]time.Time
+	until map[nodeGroup]time.Time
+}
+
+// nodeGroup is a node and a group of replicas; the group is empty for all groups.
+type nodeGroup struct {
+	node  cluster.NodeID
+	group cluster.GroupName
 }
 
-func (b *nodeBackoffs) add(id cluster.NodeID, now time.Time) {
+func (b *nodeBackoffs) add(key nodeGroup, d time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, until := range b.until {
+	for key, until := range b.until {
 		if now.After(until) {
-			delete(b.until, id)
+			delete(b.until, key)
 		}
 	}
 	if b.until == nil {
-		b.until = make(map[cluster.NodeID]time.Time)
+		b.until = make(map[nodeGroup]time.Time)
 	}
-	b.until[id] = now.Add(nodeBackoff)
+	b.until[key] = now.Add(d)
 }
 
-// contains reports whether the node is backed off.
-func (b *nodeBackoffs) contains(id cluster.NodeID, now time.Time) bool {
+// contains reports whether the node is backed off for the group.
+func (b *nodeBackoffs) contains(key nodeGroup, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.until[id])
+	return now.Before(b.until[nodeGroup{node: key.node}]) || now.Before(b.until[key])
 }
 
 // pickNode returns a random one of the nodes that were not offered the call. Nodes of zones that
@@ -136,7 +151,7 @@
 		if slices.ContainsFunc(s.nodesTried, func(other Node) bool { return other.Zone == node.Zone }) {
 			rank += 4
 		}
-		if s.r.nodeBackoffs.contains(node.ID, now) {
+		if s.r.nodeBackoffs.contains(nodeGroup{node.ID, s.group}, now) {
 			rank += 2
 		}
 		if node.Zone != s.r.opts.Zone {
@@ -183,6 +198,7 @@
 	}
 	if len(s.nodesTried) < maxNodes {
 		if s.node = s.pickNode(time.Now()); s.node != nil {
+			s.handOverReason = handOverUnreachable
 			return true, nil
 		}
 	}
@@ -192,6 +208,23 @@
 	return false, nil
 }
 
+// chooseNodeInPushback chooses the node that takes the call over if all replicas want no requests
+// from this one: they may take those of another node. A call is handed over once at most, and none
+// goes to a node that has just refused one.
+func (s *session) chooseNodeInPushback(err error) bool {
+	full, ok := errors.Into[*routing.FullError](err)
+	if !ok || !full.OnlyPushback || s.r.opts.NodeClient == nil || s.call.HandedOver() || len(s.nodesTried) > 0 {
+		return false
+	}
+	now := time.Now()
+	s.node = s.pickNode(now)
+	if s.node != nil && s.r.nodeBackoffs.contains(nodeGroup{s.node.ID, s.group}, now) {
+		s.node = nil
+	}
+	s.handOverReason = handOverPushback
+	return s.node != nil
+}
+
 // attemptsLeft returns how many more backend servers may receive the call.
 func (s *session) attemptsLeft() int { return max(s.call.MaxAttempts()-s.sent, 1) }
 
@@ -203,7 +236,7 @@
 	a.node, a.canRetry = &node, false // that node watches over the call
 	result, err := a.run()
 	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
-		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "refused_by", s.refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
+		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "reason", s.handOverReason, "refused_by", s.refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
 	switch {
@@ -211,10 +244,11 @@
 		handedOverTotal.Inc()
 		return nil
 	case refused && refusal.retriable():
-		s.r.nodeBackoffs.add(node.ID, time.Now())
+		s.r.nodeBackoffs.add(nodeGroup{node: node.ID}, nodeBackoff, time.Now())
 		return &NotRunError{Reason: "refused by another node", Err: err}
 	case refused:
 		handOverRefused.Inc()
+		s.r.nodeBackoffs.add(nodeGroup{node.ID, s.group}, max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now())
 		s.mayHaveRun = s.mayHaveRun || refusal.Refusal.Run != fennelerr.NotRun
 		s.remaining = time.Until(s.end)
 		s.finish(err, func() *fennelerr.Error { return refusal.Refusal })
@@ -222,7 +256,7 @@
 	}
 	handOverFailed.Inc()
 	if _, notRun := errors.Into[*NotRunError](err); notRun {
-		s.r.nodeBackoffs.add(node.ID, time.Now())
+		s.r.nodeBackoffs.add(nodeGroup{node: node.ID}, nodeBackoff, time.Now())
 		return err
 	}
 	s.sent = s.call.MaxAttempts() // the node may have used all that were left
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -56,8 +56,13 @@
 func serveWithNodes(reach *severedReach, others *otherNodes, kind rules.CallKind, handle handler) *recorder {
 	b := &fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle, "b": handle}}
 	others.router = &listRouter{ids: []cluster.ReplicaID{"a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}
-	r := relay.New(relay.Options{
-		Router: others.router, Backend: b,
+	return serveKindOn(newNodesRelay(reach, others, others.router, b), kind, 0)
+}
+
+// newNodesRelay returns the relay of a node that knows eight others.
+func newNodesRelay(reach *severedReach, others *otherNodes, router relay.Router, b relay.Backend) *relay.Relay {
+	return relay.New(relay.Options{
+		Router: router, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 100, Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 		Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
@@ -68,9 +73,13 @@
 			return out
 		},
 	})
+}
+
+// serveKindOn serves a call of a kind; attemptsLeft is above 0 for one that was handed over.
+func serveKindOn(r *relay.Relay, kind rules.CallKind, attemptsLeft int) *recorder {
 	terms := rules.RoutePolicy{Kind: kind, MaxAttempts: 2, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
 	got := &recorder{}
-	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
+	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now(), AttemptsLeft: attemptsLeft}, got)
 	return got
 }
 
--- a/internal/relay/pushback_test.go
+++ b/internal/relay/pushback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +11,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
 // Guards against a pushback that is missed because the refusal does not say that nothing ran, and against one that another answer ends.
@@ -55,3 +57,41 @@
 		})
 	}
 }
+
+// Guards against a call refused although another node's requests are taken, and one that is handed over twice or to a node that has just refused one.
+func TestCallGoesToAnotherNodeInAPushback(t *testing.T) {
+	refusal := &relay.NodeRefusalError{Refusal: fennelerr.New(fennelerr.Overloaded, "no room").WithRun(fennelerr.NotRun).WithRetryAfter(time.Minute)}
+	inPushback := &routing.FullError{Pushback: routing.Pushback{Replicas: 2, Left: time.Second}, OnlyPushback: true}
+	for name, c := range map[string]struct {
+		full             *routing.FullError
+		node             error
+		left, calls      int
+		handedOver, sent int
+		pause            time.Duration
+	}{
+		"another node serves it":      {full: inPushback, calls: 2, handedOver: 2, sent: 2},
+		"other nodes refuse":          {full: inPushback, node: refusal, calls: 20, handedOver: 8, pause: time.Second},
+		"nodes that can't be reached": {full: inPushback, node: &relay.NotRunError{Reason: "connection refused"}, calls: 20, handedOver: 8},
+		"it was handed over before":   {full: inPushback, left: 2, calls: 2},
+		"some replicas are only full": {full: &routing.FullError{Pushback: inPushback.Pushback}, calls: 2},
+		"all replicas are full":       {full: &routing.FullError{}, calls: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				others, served := &otherNodes{err: c.node}, 0
+				r := newNodesRelay(&severedReach{}, others, &fullRouter{err: c.full}, &fakeBackend{})
+				for range c.calls {
+					got := serveKindOn(r, rules.CallUnsafe, c.left)
+					if got.ended {
+						served++
+					} else {
+						requireNotRun(t, got.refused)
+					}
+					time.Sleep(c.pause)
+				}
+				require.Len(t, others.sent, c.handedOver)
+				require.Equal(t, c.sent, served)
+			})
+		})
+	}
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -53,9 +53,10 @@
 	admission suspect.Admission
 	// refusedBy counts the servers that refused a connection for the call. node is the node that
 	// the current attempt hands the call over to, if any, and nodesTried holds all of them.
-	refusedBy  int
-	node       *Node
-	nodesTried []Node
+	refusedBy      int
+	node           *Node
+	nodesTried     []Node
+	handOverReason handOverReason
 	// lastPieceAt is when the caller was last sent a piece, and maxGap the longest time
 	// between two pieces.
 	lastPieceAt time.Time
@@ -112,6 +113,9 @@
 	}
 	for {
 		choice, err := s.awaitReplica(ctx)
+		if err != nil && s.chooseNodeInPushback(err) {
+			return nil
+		}
 		if err != nil {
 			s.failNoReplica(err)
 			return err
