A server that says in its answers that it leaves gets no more requests from this node

Cause: Server-Leaving was read nowhere. Class: as Retry-After of servers. Looked for elsewhere: answers to orders and reports are not searched for it, the list says it there; the product's own engines announce nothing.

The signal is read from any answer of the server itself to this request, whole, broken or a refusal, at its head; not from a misdirected request (another process at the address) nor from an answer to another request. It belongs to one start of a server, whichever replica that serves. It is the notice of a planned end for the crash detector. Calls that no replica takes for it are refused at once, not run. A server that is listed as ready for 30 s of a confirmed list after it last said so gets requests again: a mistake must not empty a service for good.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -76,7 +76,9 @@
 	rules      atomic.Pointer[rules.Set]
 	serverList atomic.Pointer[fleet.List]
 	departures departures
-	leaseHeld  atomic.Bool
+	// confirmed is used only by sweepLoop.
+	confirmed confirmation
+	leaseHeld atomic.Bool
 	// handover ends when other nodes are to take over this node's tasks for the region.
 	handover    context.Context
 	endHandover context.CancelFunc
@@ -173,7 +175,7 @@
 		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime, MaxTurnWait: maxTurnWait}, Log: log})
 	relayOptions := relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
-		Suspects: n.suspects, Departure: n.departure,
+		Suspects: n.suspects, Departure: n.departure, OnLeaving: n.onLeaving,
 		OnStall: n.onStall,
 		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window, Nodes: cfg.Retries.Nodes}),
 	}
@@ -389,11 +391,12 @@
 // sweepInterval is how often stale connections are closed and pending changes logged.
 const sweepInterval = time.Second
 
-// sweepLoop closes connections to processes that are no longer listed, and logs pending
-// changes of the serving replicas.
+// sweepLoop closes connections to processes that are no longer listed, logs pending changes of the
+// serving replicas, and corrects servers that mistakenly said that they leave.
 func (n *Core) sweepLoop(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func(now time.Time) {
 		n.flushServingChanges()
+		n.withdrawLeaving(now)
 		list, _ := n.currentList()
 		n.pool.Sweep(func(p conns.Peer) bool {
 			s := list.Find(p.Server)
--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -62,12 +62,52 @@
 	}
 }
 
+// note records that a process has said itself that it leaves.
+func (d *departures) note(p conns.Peer, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.add(p, now)
+}
+
 func (d *departures) noticeOf(p conns.Peer) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.notices[p]
 }
 
+// leavingDoubtTime is how long a server may be listed as ready after it has last said that it leaves
+// until that counts as a mistake. One that leaves is listed so at once, or no more after its
+// heartbeats have ceased.
+const leavingDoubtTime = 30 * time.Second
+
+// confirmation tracks since when the store has confirmed this node's list without a gap.
+type confirmation struct{ since time.Time }
+
+// update records the age of the list's last confirmation.
+func (c *confirmation) update(age time.Duration, now time.Time) {
+	if c.since.IsZero() || age >= maxConfigAge {
+		c.since = now
+	}
+}
+
+// holdsFor returns how long the list has been confirmed.
+func (c *confirmation) holdsFor(now time.Time) time.Duration { return now.Sub(c.since) }
+
+// withdrawLeaving has servers get requests again that are listed as ready long after they have said
+// that they leave. While the store does not confirm the list, it shows nothing of the kind.
+func (n *Core) withdrawLeaving(now time.Time) {
+	n.confirmed.update(now.Sub(n.mirror.LastContact()), now)
+	if n.confirmed.holdsFor(now) < leavingDoubtTime {
+		return
+	}
+	if servers := n.table.WithdrawLeaving(now.Add(-leavingDoubtTime), now); len(servers) > 0 {
+		n.log.Warn("servers do not leave", "servers", servers, "listed_for", leavingDoubtTime)
+	}
+}
+
+// onLeaving records the notice that a process gave itself.
+func (n *Core) onLeaving(p conns.Peer) { n.departures.note(p, time.Now()) }
+
 // departure implements relay.Options.Departure.
 func (n *Core) departure(p conns.Peer) relay.Departure {
 	list, _ := n.currentList()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -129,6 +129,7 @@
 	if broken, ok := errors.Into[*BrokenError](err); ok {
 		a.state = broken.State
 		a.reportPushback(broken.State.Pushback)
+		a.reportLeaving(broken.State.Leaving)
 	}
 	notRun, ok := errors.Into[*NotRunError](err)
 	if !ok {
@@ -150,9 +151,21 @@
 	}
 	a.reportRateLimit(state.RateLimit)
 	a.reportPushback(state.Pushback)
+	a.reportLeaving(state.Leaving)
 	a.reportLoad(state.Load)
 }
 
+// reportLeaving passes on that the server is about to shut down, if it said so.
+func (a *attempt) reportLeaving(leaving bool) {
+	if !leaving || !a.s.r.opts.Router.ReportLeaving(a.choice, time.Now()) {
+		return
+	}
+	a.s.r.opts.Log.Info("server leaves", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "request", a.s.call.ID)
+	if a.s.r.opts.OnLeaving != nil {
+		a.s.r.opts.OnLeaving(a.peer)
+	}
+}
+
 // reportPushback passes on for how long the server wants no requests from this node, if it said so.
 func (a *attempt) reportPushback(d time.Duration) {
 	if d <= 0 {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -39,6 +40,8 @@
 	limits map[cluster.ReplicaID]float64
 	// pushbacks holds for how long the replicas wanted no requests.
 	pushbacks map[cluster.ReplicaID]time.Duration
+	// leaving holds the replicas whose servers said that they are about to shut down.
+	leaving []cluster.ReplicaID
 	// canceled holds for each request whether its result says nothing of its replica.
 	canceled []bool
 }
@@ -94,6 +97,16 @@
 	return true
 }
 
+func (l *listRouter) ReportLeaving(choice routing.Choice, _ time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.Contains(l.leaving, choice.Replica.ID) {
+		return false
+	}
+	l.leaving = append(l.leaving, choice.Replica.ID)
+	return true
+}
+
 func (l *listRouter) ReportLoad(id cluster.ReplicaID, load engine.Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -113,9 +113,9 @@
 	require.Equal(t, fennelerr.Unknown, got.refused.Run)
 }
 
-// Guards against a pushback that concerned the node which took a call over.
-func TestPushbackToAnotherNodeIsNotKept(t *testing.T) {
-	state := relay.ServerState{Pushback: time.Second, RateLimit: 1}
+// Guards against signals that concerned the node which took a call over.
+func TestSignalsToAnotherNodeAreNotKept(t *testing.T) {
+	state := relay.ServerState{Pushback: time.Second, RateLimit: 1, Leaving: true}
 	for _, others := range []*otherNodes{
 		{state: state}, {err: &relay.BrokenError{Reason: "status 503", State: state}}, {err: &relay.NotRunError{Reason: "status 503", Received: true, State: state}},
 	} {
@@ -125,6 +125,7 @@
 		require.NotEmpty(t, others.sent)
 		require.Empty(t, others.router.pushbacks)
 		require.Empty(t, others.router.limits)
+		require.Empty(t, others.router.leaving)
 	}
 }
 
--- a/internal/relay/pushback_test.go
+++ b/internal/relay/pushback_test.go
@@ -1,13 +1,19 @@
 package relay_test
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
@@ -29,6 +35,38 @@
 	require.Equal(t, []bool{true, true, false}, f.router.canceled, "a pushback is no failure of its server")
 }
 
+// Guards against a server that goes on getting requests because only some of its answers are searched for the word that it leaves.
+func TestLeavingIsReportedFromAnyAnswer(t *testing.T) {
+	state := relay.ServerState{Leaving: true}
+	for name, handle := range map[string]handler{
+		"answer": func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, State: state, Body: &fakeBody{ctx: ctx, next: 1, last: 2, err: io.EOF}}, nil
+		},
+		"head of a broken stream": func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, State: state, Body: &fakeBody{ctx: ctx, next: 1, last: 2, err: errReset}}, nil
+		},
+		"refusal":       failWith(&relay.NotRunError{Reason: "full", Received: true, State: state}),
+		"broken answer": failWith(&relay.BrokenError{Reason: "no signature", State: state}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var told []conns.Peer
+			router := &listRouter{ids: []cluster.ReplicaID{"a"}, loads: make(map[cluster.ReplicaID]engine.Load)}
+			r := relay.New(relay.Options{
+				Router: router, Backend: &fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}},
+				Budget:   relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
+				Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
+				Suspects: &outcomeRecorder{}, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+				OnLeaving: func(p conns.Peer) { told = append(told, p) },
+			})
+			for range 2 {
+				serveKindOn(r, rules.CallStream, 0)
+			}
+			require.Equal(t, []cluster.ReplicaID{"a"}, router.leaving)
+			require.Equal(t, []conns.Peer{{Server: "a"}}, told, "once")
+		})
+	}
+}
+
 // fullRouter has no replica that takes requests.
 type fullRouter struct {
 	listRouter
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 	// ReportPushback records that the chosen replica wants no requests from this node for d. It
 	// reports whether the replica took requests before.
 	ReportPushback(choice routing.Choice, d time.Duration, now time.Time) (began bool)
+	// ReportLeaving records that the server of the chosen replica is about to shut down. It reports
+	// whether the server had not said so before.
+	ReportLeaving(choice routing.Choice, now time.Time) (first bool)
 }
 
 // Suspects tracks the requests that crash backend servers. *suspect.Tracker implements it.
@@ -41,7 +44,7 @@
 	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
 
-// Options are the dependencies of a Relay. All are required except OnStall, Reach and Log.
+// Options are the dependencies of a Relay. All are required except OnLeaving, OnStall, Reach and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
@@ -51,6 +54,8 @@
 	Suspects Suspects
 	// Departure returns what is known of the end of a process. A planned end is no crash.
 	Departure func(p conns.Peer) Departure
+	// OnLeaving is called when a process first says that it is about to shut down; may be nil.
+	OnLeaving func(p conns.Peer)
 	// OnStall is called with the replicas that this node's requests show to be stalled,
 	// and with whether other replicas work; may be nil.
 	OnStall func(ids []cluster.ReplicaID, othersWork bool)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 )
 
@@ -31,8 +32,16 @@
 		}
 	}
 	refusedTotal.Inc()
-	return Choice{}, fennelerr.New(fennelerr.NoReplica, "no healthy replica of group %s may take the request", req.Group).
-		WithOp("routing.choose").WithRun(fennelerr.NotRun).WithRetryAfter(noReplicaRetryAfter)
+	return Choice{}, t.noReplica(req.Group, now)
+}
+
+// noReplica is the error of a request that no replica may take.
+func (t *Table) noReplica(group cluster.GroupName, now time.Time) error {
+	err := fennelerr.New(fennelerr.NoReplica, "no healthy replica of group %s may take the request", group)
+	if leaving, age := t.leavingIn(group, now); leaving > 0 {
+		err = fennelerr.New(fennelerr.NoReplica, "no healthy replica of group %s may take the request: %d leave, the last said so %v ago", group, leaving, age.Round(time.Millisecond))
+	}
+	return err.WithOp("routing.choose").WithRun(fennelerr.NotRun).WithRetryAfter(noReplicaRetryAfter)
 }
 
 // noReplicaRetryAfter is the retry time when a group has no eligible replica. A replaced
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -57,7 +57,7 @@
 
 // eligible reports whether the replica may receive new requests.
 func (e *entry) eligible() bool {
-	return !e.removed && !e.replica.Leaving && e.addr != "" &&
+	return !e.removed && !e.replica.Leaving && e.signals.leavingAt.IsZero() && e.addr != "" &&
 		e.healthyGeneration != 0 && e.healthyGeneration == e.replica.Generation
 }
 
--- a/internal/routing/pushback_test.go
+++ b/internal/routing/pushback_test.go
@@ -148,7 +148,8 @@
 		setSignalReplicas(table, signalEntry("m/1.1", "a", int64(i)))
 		choice, _ := chooseServer(table, now)
 		table.ReportPushback(choice, time.Second, now)
-		now = now.Add(2 * time.Second)
+		table.ReportLeaving(choice, now)
+		now = now.Add(leavingTTL / 10)
 	}
-	require.Len(t, table.signals.byProcess, 1)
+	require.Len(t, table.signals.byProcess, 11)
 }
--- a/internal/routing/signals.go
+++ b/internal/routing/signals.go
@@ -19,10 +19,18 @@
 // signals are what a server has said of itself in its answers to this node.
 type signals struct {
 	pushback pushback
+	// leavingAt is when it last said that it is about to shut down; zero if it has not.
+	leavingAt time.Time
 }
 
+// leavingTTL is how long it is remembered that a process is about to shut down. By then it has
+// ended, or the list says that it leaves.
+const leavingTTL = 10 * time.Minute
+
 // expired reports whether nothing said is in force any more.
-func (s signals) expired(now time.Time) bool { return s.pushback.left(now) == 0 }
+func (s signals) expired(now time.Time) bool {
+	return s.pushback.left(now) == 0 && now.Sub(s.leavingAt) > leavingTTL
+}
 
 // signalTable holds the signals of processes, whichever replica they serve: one that wants no
 // requests still wants none as the head of another replica.
@@ -74,3 +82,53 @@
 		e.speed.avoid(now, left)
 	}
 }
+
+// ReportLeaving records that the server of the chosen replica is about to shut down, so that the
+// replica gets no more requests. It reports whether the server had not said so before.
+func (t *Table) ReportLeaving(choice Choice, now time.Time) (first bool) {
+	t.reportSignal(choice, now, func(s *signals) {
+		first = s.leavingAt.IsZero()
+		s.leavingAt = now
+	})
+	return first
+}
+
+// WithdrawLeaving has the replicas get requests again whose servers have not said since before that
+// they are about to shut down. It returns these servers.
+func (t *Table) WithdrawLeaving(before, now time.Time) (withdrawn []cluster.VMID) {
+	for i := range t.shards {
+		shard := &t.shards[i]
+		shard.mu.Lock()
+		for _, e := range shard.entries {
+			if e.signals.leavingAt.IsZero() || !e.signals.leavingAt.Before(before) {
+				continue
+			}
+			e.setSignals(t.signals.update(e.process, now, func(s *signals) { s.leavingAt = time.Time{} }), now)
+			withdrawn = append(withdrawn, e.process.server)
+			if g := (*t.groups.Load())[e.replica.Group]; g != nil {
+				g.dirty.Store(true)
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return withdrawn
+}
+
+// leavingIn returns the number of a group's replicas that get no requests because their servers
+// are about to shut down, and how long ago the last of them said so.
+func (t *Table) leavingIn(name cluster.GroupName, now time.Time) (replicas int, age time.Duration) {
+	g := (*t.groups.Load())[name]
+	if g == nil {
+		return 0, 0
+	}
+	for _, e := range *g.members.Load() {
+		e.lock.Lock()
+		if at := e.signals.leavingAt; !e.removed && !at.IsZero() {
+			if replicas++; replicas == 1 || now.Sub(at) < age {
+				age = now.Sub(at)
+			}
+		}
+		e.lock.Unlock()
+	}
+	return replicas, age
+}
