--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -27,6 +27,7 @@
 	callers := flags.IntLong("callers", 12, "number of concurrent callers")
 	faults := flags.DurationLong("faults", 10*time.Second, "time in which faults are injected, for each seed")
 	serverFaults := flags.BoolLongDefault("ailing", true, "also make backend servers return errors, truncate responses, omit events and swap responses")
+	serverSignals := flags.BoolLongDefault("signals", true, "also make backend servers ask for no requests and say that they leave")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
 		ShortHelp: "inject faults into a system of real daemons and check the responses",
@@ -42,7 +43,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults, ServerSignals: *serverSignals, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -166,7 +166,9 @@
 	}
 	rnd := rand.New(rand.NewPCG(opts.Seed, 0))
 	callers := startCallers(env, opts.Callers, opts.Seed)
+	stopSignals := env.startSignals()
 	result.Faults = env.injectFaults(rnd)
+	result.Findings = append(result.Findings, stopSignals()...)
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
 	}
@@ -179,6 +181,20 @@
 	return result, nil
 }
 
+// startSignals has servers give signals if the options say so. The function that it returns ends that
+// and returns the findings.
+func (env *Environment) startSignals() (stop func() []string) {
+	if !env.opts.ServerSignals {
+		return func() []string { return nil }
+	}
+	ended, findings := make(chan struct{}), make(chan []string, 1)
+	go func() { findings <- env.giveSignals(ended) }()
+	return func() []string {
+		close(ended)
+		return <-findings
+	}
+}
+
 // injectFaults injects overlapping faults for opts.FaultDuration, reverts them all and
 // returns their names.
 func (env *Environment) injectFaults(rnd *rand.Rand) (names []string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,3 +56,13 @@
 	require.NoError(t, err)
 	require.Empty(t, result.Findings)
 }
+
+// Guards against nodes that go on sending requests to servers which ask for none or say that they leave, beside other faults.
+func TestShortSoakWithServerSignals(t *testing.T) {
+	path := buildDaemon(t)
+	for _, seed := range []uint64{4, 5} {
+		result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 12, FaultDuration: 6 * time.Second, ServerSignals: true, Log: t.Logf})
+		require.NoError(t, err)
+		require.Empty(t, result.Findings, "seed %d", seed)
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,9 @@
 	FaultDuration time.Duration
 	// ServerFaults makes backend servers fail on their own in addition.
 	ServerFaults bool
-	Log          func(format string, args ...any)
+	// ServerSignals makes backend servers ask for no requests and say that they leave in addition.
+	ServerSignals bool
+	Log           func(format string, args ...any)
 }
 
 // Environment is the system under test: a stand-in platform and its nodes.
@@ -42,6 +45,7 @@
 
 	mu      sync.Mutex
 	proxies []*Proxy // in front of the backend servers
+	plain   []string // the ids of the servers of the plain service
 	servers int
 	version int
 }
@@ -77,7 +81,7 @@
 		}
 	}
 	for i := range plainServers {
-		if _, err := env.fleet.Add(fmt.Sprintf("desk-%d", i), "desk", zoneName(i), ""); err != nil {
+		if err := env.addPlainServer(fmt.Sprintf("desk-%d", i), i); err != nil {
 			return nil, err
 		}
 	}
@@ -117,6 +121,40 @@
 	return err
 }
 
+func (env *Environment) addPlainServer(id string, zone int) error {
+	if _, err := env.fleet.Add(id, "desk", zoneName(zone), ""); err != nil {
+		return err
+	}
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.plain = append(env.plain, id)
+	return nil
+}
+
+func (env *Environment) plainServerIDs() []string {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Clone(env.plain)
+}
+
+// replacePlainServer starts a server in place of one of the plain service. It returns false if
+// the old one is none.
+func (env *Environment) replacePlainServer(old, id string) bool {
+	env.mu.Lock()
+	at := slices.Index(env.plain, old)
+	if at >= 0 {
+		env.plain = slices.Delete(env.plain, at, at+1)
+	}
+	env.mu.Unlock()
+	if at < 0 {
+		return false
+	}
+	if err := env.addPlainServer(id, at); err != nil {
+		env.opts.Log("adding %s failed: %v", id, err)
+	}
+	return true
+}
+
 // writeConfig writes the next version of the configuration with additional routes, given
 // as JSON.
 func (env *Environment) writeConfig(routes string) error {
