internal/gateway: an engine that asks for no requests gets none until then

Callers of the product's own form were sent to an engine that had just refused with Retry-After: the header was read (engine.NotStartedError) and used for nothing. The same class as on the managed platform, the same table keeps it. While all replicas want no requests, callers are refused with the first end as their time to return.

--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -42,6 +42,9 @@
 	// called. It returns a fennelerr.NoReplica error if no replica is available.
 	Choose(req routing.Request) (routing.Choice, error)
 	End(choice routing.Choice, res routing.Result)
+	// ReportPushback records that the chosen replica wants no requests from this node for d. It
+	// reports whether the replica took requests before.
+	ReportPushback(choice routing.Choice, d time.Duration, now time.Time) (began bool)
 }
 
 // Services returns the addresses of a plain service's backend servers that are live and not
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -80,6 +80,8 @@
 	l.ended = append(l.ended, res)
 }
 
+func (*fakeRouter) ReportPushback(routing.Choice, time.Duration, time.Time) bool { return false }
+
 type fakeServices []string
 
 func (f fakeServices) ServiceAddrs(cluster.Service) []string { return f }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -138,6 +138,9 @@
 	waitEnd := time.Now().Add(maxRetryWait)
 	for {
 		choice, err := s.g.opts.Router.Choose(req)
+		if full, ok := errors.Into[*routing.FullError](err); ok {
+			err = fennelerr.Wrap(err, fennelerr.Overloaded, "the model's replicas want no requests").WithRetryAfter(full.Pushback.Left)
+		}
 		if err == nil || !alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
 			return choice, err
 		}
@@ -165,6 +168,7 @@
 	if s.run == fennelerr.NotRun && !provesNotStarted(err) {
 		s.run = fennelerr.Unknown
 	}
+	s.reportPushback(err)
 	if s.exchange.LastEventID() > lastEventID {
 		s.attemptsWithoutProgress = 0
 	} else {
@@ -173,6 +177,17 @@
 	return err
 }
 
+// reportPushback passes on for how long an engine that refused the request wants none, if it said so.
+func (s *session) reportPushback(err error) {
+	refused, ok := errors.Into[*engine.NotStartedError](err)
+	if !ok || refused.RetryAfter <= 0 {
+		return
+	}
+	if s.g.opts.Router.ReportPushback(s.target.choice, refused.RetryAfter, time.Now()) {
+		s.g.opts.Log.Info("server wants no requests", "replica", s.target.choice.Replica.ID, "addr", refused.Addr, "for", refused.RetryAfter, "request", s.c.requestID)
+	}
+}
+
 // provesNotStarted reports whether err proves that this attempt did not start the request.
 // Earlier attempts may have started it.
 func provesNotStarted(err error) bool {
--- a/internal/routing/pushback.go
+++ b/internal/routing/pushback.go
@@ -20,6 +20,10 @@
 	maxPushbackJitter = 500 * time.Millisecond
 )
 
+// maxPushback is the longest time for which a server is left alone on its word. It is tried again
+// then, in case that the number is a mistake.
+const maxPushback = time.Minute
+
 func (p pushback) left(now time.Time) time.Duration { return max(p.until.Sub(now), 0) }
 
 // Pushback describes the replicas that want no requests from this node.
@@ -48,6 +52,7 @@
 // ReportPushback records that the server of the chosen replica wants no requests from this node
 // for d. Then one request at a time tests it. It reports whether the server took requests before.
 func (t *Table) ReportPushback(choice Choice, d time.Duration, now time.Time) (began bool) {
+	d = min(d, maxPushback)
 	jitter := time.Duration(NewRandom(t.opts.Seed, t.picks.Add(1)).Float64() * pushbackJitter * float64(d))
 	asked := pushback{askedAt: now, until: now.Add(d + min(jitter, maxPushbackJitter))}
 	t.reportSignal(choice, now, func(s *signals) {
--- a/internal/routing/pushback_test.go
+++ b/internal/routing/pushback_test.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// Guards against a server that gets no requests for days because of a mistaken number.
+func TestPushbackIsBounded(t *testing.T) {
+	table, now := NewTable(Options{}), time.Unix(1000, 0)
+	setSignalReplicas(table, signalEntry("m/1.1", "a", 1))
+	choice, _ := chooseServer(table, now)
+	table.ReportPushback(choice, 24*time.Hour, now)
+	require.Zero(t, countChosen(table, now.Add(maxPushback-time.Second), 1))
+	require.NotZero(t, countChosen(table, now.Add(maxPushback+maxPushbackJitter), 1))
+}
+
 // Guards against a suspect that is retried on a replica which wants no requests, or on none while another takes them.
 func TestSuspectIsNotRetriedInAPushback(t *testing.T) {
 	table, now := NewTable(Options{}), time.Unix(1000, 0)
