Calls that no node can serve are refused at once, calls that one can are not passed around

Cause: a refusing node was only asked last, and the probes' results were kept as one bit. Now a node that refused is left out, 0.5 s at first and twice as long each time up to 4 s; nodes of zones without such nodes are asked first; once 32 are left out and none takes calls no further one is asked; and while the path is lost only servers that have lately accepted a connection are tried.

--- a/internal/player/callers.go
+++ b/internal/player/callers.go
@@ -53,6 +53,8 @@
 	// answered in full.
 	Node        cluster.NodeID
 	FirstServed bool
+	// RefusedAfter is the longest time that an attempt took to be refused; 0 if none was.
+	RefusedAfter time.Duration
 	// Quarantined is set if the call was refused as one that crashes servers.
 	Quarantined bool
 	// FirstPart is the first part of the call's prompt.
@@ -137,7 +139,11 @@
 	for try := range 2 {
 		result.Attempts = try + 1
 		r.id = fmt.Sprintf("%s-%d", id, try)
+		began := time.Now()
 		s := c.attempt(n, k, r)
+		if s.refused != nil {
+			result.RefusedAfter = max(result.RefusedAfter, time.Since(began))
+		}
 		result.recordAttempt(s, k)
 		result.FirstServed = result.FirstServed || s.ended && try == 0
 		if s.ended {
--- a/internal/player/handover.go
+++ b/internal/player/handover.go
@@ -31,6 +31,7 @@
 // Send implements relay.NodeClient.
 func (c nodeClient) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
 	time.Sleep(roundTrip / 2)
+	c.from.sys.handOvers.Add(1)
 	to := c.from.sys.node(cluster.NodeID(a.Peer.Addr))
 	core := to.currentCore()
 	if core == nil {
--- a/internal/player/isolation_test.go
+++ b/internal/player/isolation_test.go
@@ -67,3 +67,33 @@
 		}
 	}
 }
+
+// Guards against callers who wait for a refusal that all nodes know of, and calls passed from node to node, while no node reaches a server.
+func TestCallersAreRefusedAtOnceWhenNoNodeReachesServers(t *testing.T) {
+	const begin, length, settled, known = 4 * time.Second, 8 * time.Second, 3 * time.Second, 100 * time.Millisecond
+	for name, nodes := range map[string]int{"overload": 4, "few-large-many-small": 28} {
+		for _, refuse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/refuse=%t", name, refuse), func(t *testing.T) {
+				t.Parallel()
+				s := load(t, name)
+				s.Bursts, s.Length = nil, 18*time.Second
+				s.Faults = []player.Fault{{Kind: player.IsolateNodes, At: begin, Duration: length, Count: nodes, Refuse: refuse}}
+				res := simulate(t, s, player.Options{Seed: 1})
+				calls, slowest := 0, time.Duration(0)
+				for _, c := range res.Calls {
+					if c.SentAt < begin+settled || c.SentAt >= begin+length-settled {
+						continue
+					}
+					calls++
+					slowest = max(slowest, c.RefusedAfter)
+					require.NotEqual(t, player.Failed, c.Outcome, "%+v", c)
+				}
+				_, served := servedFirst(res, begin+length+2*time.Second, s.Length, nil)
+				t.Logf("%d calls, slowest refusal %v, %d hand-overs, %.3f served afterwards", calls, slowest, res.HandOvers, served)
+				require.LessOrEqual(t, slowest, known)
+				require.LessOrEqual(t, float64(res.HandOvers), 1.2*float64(len(res.Calls)))
+				require.GreaterOrEqual(t, served, 0.9)
+			})
+		}
+	}
+}
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -36,7 +36,9 @@
 	// MostInPushback is the largest number of requests that a node sent to a server which had asked
 	// it for none. LatestToLeaving is how long after a server said that it shuts down a node last
 	// sent it a request.
-	MostInPushback  int
+	MostInPushback int
+	// HandOvers is how often a node offered a call to another.
+	HandOvers       int
 	LatestToLeaving time.Duration
 }
 
@@ -95,6 +97,7 @@
 	r.ModelLoads = sys.world.loads
 	r.ColdServers, r.MostOnColdServer = sys.world.mostOnColdVM()
 	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
+	r.HandOvers = int(sys.handOvers.Load())
 	r.MostInPushback, r.LatestToLeaving = sys.world.requestsAgainstSignals()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -39,8 +39,8 @@
 	// recoveredProbes is the number of probes in a row that must reach most servers for the path
 	// to count as restored.
 	recoveredProbes = 2
-	// acceptedLifetime is how long a probe's accepted connection shows that some servers are
-	// reachable.
+	// acceptedLifetime is how long an accepted connection shows that a server is reachable, beside
+	// the time in which the probes come round to all servers.
 	acceptedLifetime = 2 * time.Second
 )
 
@@ -65,9 +65,7 @@
 type Detector struct {
 	opts        Options
 	unreachable atomic.Bool
-	// acceptedAt is when a server last accepted a connection of a probe, in Unix nanoseconds.
-	acceptedAt atomic.Int64
-	shared     singleflight.Group
+	shared      singleflight.Group
 	// suspected receives a value when the path is to be probed.
 	suspected chan struct{}
 
@@ -78,21 +76,26 @@
 	// probes counts the probes, and lastProbe holds the last one of each listed server.
 	probes    uint64
 	lastProbe map[conns.Peer]uint64
+	// accepted holds by address when a server last accepted a connection of a probe, unless it has
+	// failed since.
+	accepted map[string]time.Time
 }
 
 // NewDetector returns a Detector; Run makes it work.
 func NewDetector(opts Options) *Detector {
-	return &Detector{opts: opts, suspected: make(chan struct{}, 1), failed: make(map[string]struct{})}
+	return &Detector{opts: opts, suspected: make(chan struct{}, 1), failed: make(map[string]struct{}), accepted: make(map[string]time.Time)}
 }
 
 // Unreachable reports whether this node reaches no backend server, or so few that other nodes
 // should serve its callers.
 func (d *Detector) Unreachable() bool { return d.unreachable.Load() }
 
-// Failed records that a server, named by any unique text, could not be reached or did not answer.
+// Failed records that a server, named by its address or any unique text, could not be reached or did
+// not answer.
 func (d *Detector) Failed(server string) {
 	d.mu.Lock()
 	d.failed[server] = struct{}{}
+	delete(d.accepted, server)
 	enough := len(d.failed) >= minFailures
 	d.hasFailed.Store(true)
 	d.mu.Unlock()
@@ -192,9 +195,38 @@
 	}
 }
 
-// SomeReachable reports whether any server has accepted a connection of a recent probe.
+// Reachable reports whether the server at the address has lately accepted a connection of a probe and
+// not failed since. It is of use while Unreachable.
+func (d *Detector) Reachable(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isFresh(d.accepted[addr])
+}
+
+// isFresh reports whether a connection accepted at that time still counts. The caller holds d.mu.
+func (d *Detector) isFresh(acceptedAt time.Time) bool {
+	round := time.Duration(len(d.lastProbe)/probedServers+1) * probeInterval
+	return time.Since(acceptedAt) < acceptedLifetime+round
+}
+
+// SomeReachable reports whether any server is Reachable.
 func (d *Detector) SomeReachable() bool {
-	return time.Since(time.Unix(0, d.acceptedAt.Load())) < acceptedLifetime
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, at := range d.accepted {
+		if d.isFresh(at) {
+			return true
+		}
+		delete(d.accepted, addr)
+	}
+	return false
+}
+
+// recordAccepted records that a server accepted a connection of a probe.
+func (d *Detector) recordAccepted(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.accepted[addr] = time.Now()
 }
 
 // sample returns the servers to probe: those that were probed least recently, in random order if
@@ -229,14 +261,19 @@
 	defer cancel()
 	accepted := make(chan bool, len(servers))
 	for _, server := range servers {
-		go func() { accepted <- d.opts.Accepts(ctx, server) }()
+		go func() {
+			ok := d.opts.Accepts(ctx, server)
+			if ok {
+				d.recordAccepted(server.Addr)
+			}
+			accepted <- ok
+		}()
 	}
 	result := probeResult{probed: len(servers)}
 	for range servers {
 		if !<-accepted {
 			continue
 		}
-		d.acceptedAt.Store(time.Now().UnixNano())
 		if result.accepted++; result.restored() {
 			break
 		}
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -31,6 +31,8 @@
 	return false
 }
 
+func serverAddr(i int) string { return "addr-" + strconv.Itoa(i) }
+
 // The first localServers of the servers are in the detector's zone.
 const servers, localServers = 20, 6
 
@@ -42,7 +44,7 @@
 		d := reach.NewDetector(reach.Options{
 			Servers: func() (local, others []conns.Peer) {
 				for i := range servers {
-					peer := conns.Peer{Server: cluster.VMID(strconv.Itoa(i))}
+					peer := conns.Peer{Server: cluster.VMID(strconv.Itoa(i)), Addr: serverAddr(i)}
 					if i < localServers {
 						local = append(local, peer)
 						continue
@@ -136,6 +138,29 @@
 	})
 }
 
+// Guards against calls sent to servers out of reach, or to none although some are reachable.
+func TestReachableServersAreKnownWhileThePathIsLost(t *testing.T) {
+	withDetector(t, func(t *testing.T, d *reach.Detector, n *network, _ *atomic.Int32) {
+		n.up.Store(1)
+		d.Failed("a")
+		d.Failed("b")
+		time.Sleep(3 * time.Second)
+		for range 100 { // the server is probed every third time only
+			require.True(t, d.Reachable(serverAddr(0)))
+			require.False(t, d.Reachable(serverAddr(1)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		d.Failed(serverAddr(0))
+		require.False(t, d.Reachable(serverAddr(0)))
+		require.False(t, d.SomeReachable())
+		time.Sleep(3 * time.Second)
+		require.True(t, d.Reachable(serverAddr(0)), "probed again")
+		n.up.Store(0)
+		time.Sleep(5 * time.Second)
+		require.False(t, d.Reachable(serverAddr(0)))
+	})
+}
+
 // Guards against a node that hands calls over across the cut of its own zone, whose servers it
 // still reaches.
 func TestCutZoneIsNoLostPath(t *testing.T) {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -67,6 +67,7 @@
 func (r fixedReach) Unreachable() bool          { return r.lost }
 func (r fixedReach) Probe(context.Context) bool { return !r.lost }
 func (r fixedReach) SomeReachable() bool        { return !r.lost }
+func (r fixedReach) Reachable(string) bool      { return !r.lost }
 
 // serveOnce serves an unsafe call with one attempt.
 func serveOnce(b relay.Backend, suspects relay.Suspects, departure relay.Departure, pathLost bool) *recorder {
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -28,7 +28,9 @@
 	Unreachable() bool
 	// Probe opens connections to a few servers and reports whether this node reaches them.
 	Probe(ctx context.Context) bool
-	// SomeReachable reports whether any server has lately accepted a connection.
+	// Reachable reports whether the server at an address has lately accepted a connection, and
+	// SomeReachable whether any has.
+	Reachable(addr string) bool
 	SomeReachable() bool
 }
 
@@ -74,9 +76,13 @@
 	maxRefused = 2
 	// maxNodes is the number of nodes that a call is offered to.
 	maxNodes = 5
-	// nodeBackoff is how long a node that did not take a call is offered none, unless all are
-	// backed off.
-	nodeBackoff = 500 * time.Millisecond
+	// nodeBackoff is how long a node that did not take a call is offered none at first, and
+	// maxNodeBackoff how long at most if it goes on like that.
+	nodeBackoff    = 500 * time.Millisecond
+	maxNodeBackoff = 4 * time.Second
+	// maxBackedOffNodes is the number of nodes that may be backed off, while none takes a call,
+	// before no further ones are asked.
+	maxBackedOffNodes = 32
 	// retryAfterUnreachable is the retry time of a call that no node takes over. Callers retry
 	// at another node.
 	retryAfterUnreachable = time.Second
@@ -101,57 +107,94 @@
 // errUnreachable cancels attempts on servers that this node does not reach any more.
 var errUnreachable = errors.New("no backend server is reachable")
 
-// nodeBackoffs holds until when nodes that did not take a call are offered none: none at all, or
-// none of a group.
+// nodeBackoffs holds until when no calls are offered to nodes that did not take one.
 type nodeBackoffs struct {
 	mu    sync.Mutex
-	until map[nodeGroup]time.Time
+	byKey map[backoffKey]backoff
+	// takenAt is when a node last took a call.
+	takenAt time.Time
 }
 
-// nodeGroup is a node and a group of replicas; the group is empty for all groups.
-type nodeGroup struct {
+// backoffKey is a node, for calls to one group or, if that is empty, to all, or a zone.
+type backoffKey struct {
 	node  cluster.NodeID
 	group cluster.GroupName
+	zone  cluster.ZoneID
 }
 
-func (b *nodeBackoffs) add(key nodeGroup, d time.Duration, now time.Time) {
+// backoff is the time until which a node is offered no calls.
+type backoff struct {
+	until  time.Time
+	length time.Duration
+}
+
+// add backs the keys off for d, or for twice the time of their last backoff if that is longer and
+// ended less than its length ago.
+func (b *nodeBackoffs) add(d time.Duration, now time.Time, keys ...backoffKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for key, until := range b.until {
-		if now.After(until) {
-			delete(b.until, key)
+	for key, old := range b.byKey {
+		if now.Sub(old.until) > old.length {
+			delete(b.byKey, key)
 		}
 	}
-	if b.until == nil {
-		b.until = make(map[nodeGroup]time.Time)
+	if b.byKey == nil {
+		b.byKey = make(map[backoffKey]backoff)
+	}
+	for _, key := range keys {
+		length := max(d, min(2*b.byKey[key].length, maxNodeBackoff))
+		b.byKey[key] = backoff{now.Add(length), length}
 	}
-	b.until[key] = now.Add(d)
 }
 
-// contains reports whether the node is backed off for the group.
-func (b *nodeBackoffs) contains(key nodeGroup, now time.Time) bool {
+// contains reports whether any of the keys is backed off.
+func (b *nodeBackoffs) contains(now time.Time, keys ...backoffKey) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(keys, func(key backoffKey) bool { return now.Before(b.byKey[key].until) })
+}
+
+// taken records that a node took a call.
+func (b *nodeBackoffs) taken(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.takenAt = now
+}
+
+// exhausted reports whether so many nodes are backed off, and none has lately taken a call, that
+// asking yet another one is of no use.
+func (b *nodeBackoffs) exhausted(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.until[nodeGroup{node: key.node}]) || now.Before(b.until[key])
+	if now.Sub(b.takenAt) < nodeBackoff {
+		return false
+	}
+	nodes := 0
+	for key, backoff := range b.byKey {
+		if key.node != "" && key.group == "" && now.Before(backoff.until) {
+			nodes++
+		}
+	}
+	return nodes >= maxBackedOffNodes
 }
 
-// pickNode returns a random one of the nodes that were not offered the call. Nodes of zones that
-// were not tried come first, as a cut often affects a whole zone, then those that are not backed
-// off, then those of this node's zone.
+// pickNode returns a random one of the nodes that were not offered the call and are not backed off.
+// Nodes of zones that were not tried come first, as a cut often affects a whole zone, then those of
+// zones without a node that was backed off, then those of this node's zone.
 func (s *session) pickNode(now time.Time) (best *Node) {
 	bestRank := 0
 	nodes := s.r.opts.Nodes()
 	for _, i := range rand.Perm(len(nodes)) {
 		node := &nodes[i]
 		tried := func(other Node) bool { return other.ID == node.ID }
-		if slices.ContainsFunc(s.nodesTried, tried) {
+		if slices.ContainsFunc(s.nodesTried, tried) || s.r.nodeBackoffs.contains(now, backoffKey{node: node.ID}) {
 			continue
 		}
 		rank := 0
 		if slices.ContainsFunc(s.nodesTried, func(other Node) bool { return other.Zone == node.Zone }) {
 			rank += 4
 		}
-		if s.r.nodeBackoffs.contains(nodeGroup{node.ID, s.group}, now) {
+		if s.r.nodeBackoffs.contains(now, backoffKey{zone: node.Zone}, backoffKey{node: node.ID, group: s.group}) {
 			rank += 2
 		}
 		if node.Zone != s.r.opts.Zone {
@@ -181,6 +224,10 @@
 	return canceled
 }
 
+// unreachable reports whether this node reaches so few servers that other nodes should serve its
+// callers.
+func (s *session) unreachable() bool { return s.r.opts.Reach != nil && s.r.opts.Reach.Unreachable() }
+
 // chooseNode chooses the node that takes the call over, if another node should. Otherwise it
 // returns false, and an error if the call ends here. A call is handed over once at most.
 func (s *session) chooseNode() (chosen bool, err error) {
@@ -196,8 +243,9 @@
 	case s.call.HandedOver(), !unreachable && s.refusedBy < maxRefused:
 		return false, nil
 	}
-	if len(s.nodesTried) < maxNodes {
-		if s.node = s.pickNode(time.Now()); s.node != nil {
+	now := time.Now()
+	if len(s.nodesTried) < maxNodes && !s.r.nodeBackoffs.exhausted(now) {
+		if s.node = s.pickNode(now); s.node != nil {
 			s.handOverReason = handOverUnreachable
 			return true, nil
 		}
@@ -218,7 +266,7 @@
 	}
 	now := time.Now()
 	s.node = s.pickNode(now)
-	if s.node != nil && s.r.nodeBackoffs.contains(nodeGroup{s.node.ID, s.group}, now) {
+	if s.node != nil && s.r.nodeBackoffs.contains(now, backoffKey{node: s.node.ID, group: s.group}) {
 		s.node = nil
 	}
 	s.handOverReason = handOverPushback
@@ -242,13 +290,17 @@
 	switch {
 	case err == nil:
 		handedOverTotal.Inc()
+		s.r.nodeBackoffs.taken(time.Now())
 		return nil
 	case refused && refusal.retriable():
-		s.r.nodeBackoffs.add(nodeGroup{node: node.ID}, nodeBackoff, time.Now())
+		s.r.nodeBackoffs.add(nodeBackoff, time.Now(), backoffKey{node: node.ID}, backoffKey{zone: node.Zone})
 		return &NotRunError{Reason: "refused by another node", Err: err}
 	case refused:
 		handOverRefused.Inc()
-		s.r.nodeBackoffs.add(nodeGroup{node.ID, s.group}, max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now())
+		s.r.nodeBackoffs.taken(time.Now())
+		if s.handOverReason == handOverPushback {
+			s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: node.ID, group: s.group})
+		}
 		s.mayHaveRun = s.mayHaveRun || refusal.Refusal.Run != fennelerr.NotRun
 		s.remaining = time.Until(s.end)
 		s.finish(err, func() *fennelerr.Error { return refusal.Refusal })
@@ -256,7 +308,7 @@
 	}
 	handOverFailed.Inc()
 	if _, notRun := errors.Into[*NotRunError](err); notRun {
-		s.r.nodeBackoffs.add(nodeGroup{node: node.ID}, nodeBackoff, time.Now())
+		s.r.nodeBackoffs.add(nodeBackoff, time.Now(), backoffKey{node: node.ID})
 		return err
 	}
 	s.sent = s.call.MaxAttempts() // the node may have used all that were left
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -116,6 +116,9 @@
 		if err != nil && s.chooseNodeInPushback(err) {
 			return nil
 		}
+		if err != nil && fennelerr.Is(err, fennelerr.NoReplica) && s.unreachable() {
+			return s.failUnreachable()
+		}
 		if err != nil {
 			s.failNoReplica(err)
 			return err
@@ -256,6 +259,9 @@
 
 func (s *session) chooseAnyReplica() (routing.Choice, error) {
 	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	if s.unreachable() {
+		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
+	}
 	if stalled := s.r.stalls.stalled(time.Now()); len(stalled) > 0 {
 		req.Exclude = append(stalled, s.exclude...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -191,7 +191,7 @@
 	o := v.table.opts
 	capacity := boundedCapacity(e.capacity(), v.snap.capacity)
 	return Candidate{
-		ID: e.replica.ID, Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
+		ID: e.replica.ID, Addr: e.addr, Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
 		InFlight: e.inFlight(v.now, o, capacity, v.snap.meanRemote), Capacity: capacity,
 		Load:    float64(e.outstanding) + e.remoteLoad(v.now, o),
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -12,6 +12,8 @@
 // Candidate is the state of one replica as seen by a policy.
 type Candidate struct {
 	ID cluster.ReplicaID
+	// Addr is the ip:port of the serving VM.
+	Addr string
 	// Local is true for a replica in this node's availability zone.
 	Local bool
 	// Healthy is false for a replica that became ineligible since the view was made.
@@ -100,7 +102,7 @@
 	start := rnd.IntN(n)
 	for i := range n {
 		c := v.At((start + i) % n)
-		if c.Healthy && !c.Limited && c.PushbackLeft == 0 && !slices.Contains(req.Exclude, c.ID) {
+		if c.Healthy && !c.Limited && c.PushbackLeft == 0 && !req.excludes(c) {
 			return Pick{Candidate: c, Found: true, Reason: ReasonRandom, Considered: 1}
 		}
 	}
@@ -213,7 +215,7 @@
 
 func (sel *selection) offer(c Candidate, match float64) {
 	sel.considered++
-	if !c.Healthy || slices.Contains(sel.req.Exclude, c.ID) {
+	if !c.Healthy || sel.req.excludes(c) {
 		return
 	}
 	if c.PushbackLeft > 0 {
@@ -278,7 +280,7 @@
 	out := Pick{Reason: ReasonAlone, Considered: v.Len()}
 	for i := range v.Len() {
 		c := v.At(i)
-		if !c.Healthy || c.Limited || c.PushbackLeft > 0 || c.Suspects > 0 || slices.Contains(req.Exclude, c.ID) {
+		if !c.Healthy || c.Limited || c.PushbackLeft > 0 || c.Suspects > 0 || req.excludes(c) {
 			continue
 		}
 		if req.MayRetryOn != nil && !req.MayRetryOn(c.ID) {
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -27,11 +28,18 @@
 	Alone bool
 	// MayRetryOn restricts the replicas of a request that must run alone; nil allows all.
 	MayRetryOn func(cluster.ReplicaID) bool
+	// MayUse restricts the replicas by the address of their serving VM; nil allows all.
+	MayUse func(addr string) bool
 	// Limit limits the requests on the chosen replica, this one included. The zero value
 	// means no limit.
 	Limit Limit
 }
 
+// excludes reports whether the request may not be sent to the candidate.
+func (r Request) excludes(c Candidate) bool {
+	return slices.Contains(r.Exclude, c.ID) || r.MayUse != nil && !r.MayUse(c.Addr)
+}
+
 // Limit is the largest number of requests running and waiting on a replica: PerSlot for
 // each of its slots, plus Extra.
 type Limit struct{ PerSlot, Extra float64 }
