internal/entry: a list counts as confirmed from its first confirmation on, not from the last look before it

TestServerListedLongAfterItSaidItLeavesGetsRequests failed in 29 of 300 runs: the time for which the store had confirmed the list began at the last second in which it had not, so that a server could get requests after 29 s in place of 30.

--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -85,13 +85,21 @@
 
 // update records the age of the list's last confirmation.
 func (c *confirmation) update(age time.Duration, now time.Time) {
-	if c.since.IsZero() || age >= maxConfigAge {
-		c.since = now
+	switch {
+	case age >= maxConfigAge:
+		c.since = time.Time{}
+	case c.since.IsZero():
+		c.since = now.Add(-age)
 	}
 }
 
 // holdsFor returns how long the list has been confirmed.
-func (c *confirmation) holdsFor(now time.Time) time.Duration { return now.Sub(c.since) }
+func (c *confirmation) holdsFor(now time.Time) time.Duration {
+	if c.since.IsZero() {
+		return 0
+	}
+	return now.Sub(c.since)
+}
 
 // withdrawLeaving has servers get requests again that are listed as ready long after they have said
 // that they leave. While the store does not confirm the list, it shows nothing of the kind.
