internal/fleet: a node that has never had a copy logs no age of it

msg="watching the store" had age=2562047h47m16.85s, the largest duration there is, on a node whose sources had never answered.

--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -398,3 +398,12 @@
 	defer m.mu.Unlock()
 	return m.lastContact
 }
+
+// copyAge returns the age of the copy for logs; "none" while there is none.
+func (m *Mirror) copyAge() string {
+	last := m.LastContact()
+	if last.IsZero() {
+		return "none"
+	}
+	return time.Since(last).String()
+}
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -72,7 +72,7 @@
 			return
 		}
 		if m.feed != nil {
-			m.log.Info("watching the store", "reason", "the feed does not confirm the copy", "age", time.Since(m.LastContact()))
+			m.log.Info("watching the store", "reason", "the feed does not confirm the copy", "age", m.copyAge())
 		}
 		err := w.run(ctx)
 		if ctx.Err() != nil {
--- a/internal/fleet/sources_test.go
+++ b/internal/fleet/sources_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -197,3 +198,20 @@
 		mem.Close()
 	})
 }
+
+// Guards against a log line with an age of centuries on a node that has never had a copy.
+func TestNodeWithoutACopyLogsNoAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New(memstore.Options{})
+		defer mem.Close()
+		var log bytes.Buffer
+		mirror := fleet.NewMirror(mem, noFeed{}, slog.New(slog.NewTextHandler(&log, nil)), fleet.View{Prefix: "config", OnChange: func(fleet.Change) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); mirror.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		require.Contains(t, log.String(), "msg=\"watching the store\" reason=\"the feed does not confirm the copy\" age=none")
+	})
+}
