A call counts as handed over only if a node of the region proves it

Any caller could set X-Fennel-Attempts-Left: its calls were left out of the measured work that moves VMs between models and of the base of the retry budget, on which their retries drew all the same, and a node without servers refused them instead of handing them over. Now a node signs what it hands over (call, attempts, the node it goes to, time) with the region's datagram key, X-Fennel-Hand-Over; the mark alone only limits the attempts and is counted (fennel_entry_unproved_hand_overs_total). A proof is none for another call, number, node or minute. Nodes without the key know no others, and hand nothing over. A node of an older build hands calls over without a proof: its calls are counted as a caller's.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,21 +50,19 @@
 	// Credential is what the caller proved its team with. It is passed to another node with
 	// the call, and never to a backend server.
 	Credential string
-	// AttemptsLeft is set on a call that another node has handed over: the number of backend
-	// servers that may receive it.
+	// AttemptsLeft is the number of backend servers that may receive the call, if the sender named
+	// one; 0 otherwise. HandedOver is true if another node has handed the call over to this one.
 	AttemptsLeft int
+	HandedOver   bool
 
 	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting; zero if it gave no deadline.
 	Deadline time.Time
 }
 
-// HandedOver reports whether another node has handed the call over to this one.
-func (c *Call) HandedOver() bool { return c.AttemptsLeft > 0 }
-
 // MaxAttempts returns the number of backend servers that may receive the call.
 func (c *Call) MaxAttempts() int {
-	if c.HandedOver() {
+	if c.AttemptsLeft > 0 {
 		return min(c.AttemptsLeft, c.Route.Policy.MaxAttempts)
 	}
 	return c.Route.Policy.MaxAttempts
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -36,8 +36,9 @@
 	PaceWatch func(pace func() (wait, pause time.Duration))
 	Orders    formation.OrderClient
 	Backend   func(pool *conns.Pool) relay.Backend
-	// NodeClient hands calls over to other nodes; nil if the nodes do not do that.
-	NodeClient func(pool *conns.Pool) relay.NodeClient
+	// NodeClient hands calls over to other nodes; nil if the nodes do not do that. sign returns the
+	// proof that this node hands a call over to the one at an address.
+	NodeClient func(pool *conns.Pool, sign SignHandOver) relay.NodeClient
 	// NewHandler returns the HTTP handler for callers.
 	NewHandler func(f HandlerOptions) http.Handler
 	// ServersPrefix is the key prefix of the backend servers' entries; DecodeServer
@@ -54,12 +55,18 @@
 	ReadyPath string
 }
 
+// SignHandOver returns the proof that a node hands a call over, with the number of backend servers
+// that may receive it, to the node at an address; empty if it has none.
+type SignHandOver func(callID string, attempts int, to string) string
+
 // HandlerOptions are the parts of a node that the handler for callers uses.
 type HandlerOptions struct {
 	// Rules returns the rules in force.
 	Rules func() rules.InForce
 	Serve func(ctx context.Context, c *call.Call, sink call.Sink)
-	Log   *slog.Logger
+	// IsHandOver reports whether a proof shows that another node has handed a call over.
+	IsHandOver func(callID string, attempts int, proof string) bool
+	Log        *slog.Logger
 }
 
 // Core is a node without its listeners: its state, its decisions and the serving of
@@ -148,6 +155,8 @@
 	// Nodes returns the other live nodes, to which calls are handed over while this node reaches
 	// no backend server; nil if nothing is known of other nodes.
 	Nodes func() []relay.Node
+	// SignHandOver signs the calls that are handed over; may be nil.
+	SignHandOver SignHandOver
 	// SinceBoot is the clock that measures the placement lease while the VM is suspended;
 	// nil means clock.SinceBoot.
 	SinceBoot func() time.Duration
@@ -289,7 +298,7 @@
 func (n *Core) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	n.requestSeen.Store(true)
 	c.EstimatedWork = n.estimateWork(c)
-	if c.EstimatedWork > 0 && !c.LikelyRetry() && c.ResumeAfter == "" && !c.HandedOver() {
+	if c.EstimatedWork > 0 && !c.LikelyRetry() && c.ResumeAfter == "" && !c.HandedOver {
 		n.work.Record(cluster.GroupName(c.Model), c.EstimatedWork, time.Now())
 	}
 	n.relay.Serve(ctx, c, sink)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,7 @@
 		opts.OnDatagramKey = func(c fleet.Change) { n.peers.keyChanged(c) }
 		opts.Broadcast = func(section membership.Section) { n.peers.broadcast(section) }
 		opts.Responsible = func(task string, nodes int) bool { return n.peers.responsible(task, nodes) }
+		opts.SignHandOver = func(callID string, attempts int, to string) string { return n.peers.signHandOver(callID, attempts, to) }
 		opts.Nodes = func() []relay.Node { return n.peers.nodes() }
 		opts.Rank = func(key string) int { return n.peers.rank(key) }
 		opts.TriggerHeartbeat = func() { n.peers.triggerHeartbeat() }
@@ -58,7 +59,7 @@
 }
 
 func (n *Node) listen() error {
-	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, Log: n.log})
+	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, IsHandOver: n.peers.isHandOver, Log: n.log})
 	for _, l := range []struct {
 		name    string
 		dest    **httpserver.Server
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -23,7 +23,7 @@
 		return
 	}
 	o.Zone = n.cfg.Zone
-	o.Reach, o.Nodes, o.NodeClient = n.reach, opts.Nodes, n.platform.NodeClient(n.nodePool)
+	o.Reach, o.Nodes, o.NodeClient = n.reach, opts.Nodes, n.platform.NodeClient(n.nodePool, opts.SignHandOver)
 }
 
 // onServersLost moves the calls that can be repeated to other nodes.
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -44,6 +44,8 @@
 	currentKey  string
 	broadcasts  *rate.Limiter
 
+	// ring holds the current key; nil while there is none.
+	ring atomic.Pointer[wire.Keyring]
 	// members is nil while no membership service runs.
 	members atomic.Pointer[membership.Service]
 }
@@ -131,6 +133,7 @@
 	if err != nil {
 		return err
 	}
+	r.ring.Store(ring)
 	members := membership.New(membership.Options{
 		Node: r.cfg.Node, Zone: cluster.ZoneID(r.cfg.Region), Seeds: r.seeds(), PeerAddr: r.cfg.Feeds.Listen, Transport: transport, Log: r.log,
 		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Sources: []membership.Source{r.core.UrgentSuspectReport, r.core.LoadReport}, Budget: gossipBudget, TTL: loadReportTTL},
--- a/internal/player/handover.go
+++ b/internal/player/handover.go
@@ -38,7 +38,7 @@
 		return nil, &relay.NotRunError{Reason: "connection refused", Err: errors.New("the node is down")}
 	}
 	handedOver := *a.Call
-	handedOver.AttemptsLeft, handedOver.ResumeAfter, handedOver.ReceivedAt = a.MaxAttempts, a.ResumeAfter, time.Now()
+	handedOver.HandedOver, handedOver.AttemptsLeft, handedOver.ResumeAfter, handedOver.ReceivedAt = true, a.MaxAttempts, a.ResumeAfter, time.Now()
 	handedOver.Deadline = time.Now().Add(a.Timeout)
 	ctx, cancel := context.WithCancel(ctx)
 	answer := &handedOverAnswer{ctx: ctx, cancel: cancel, events: make(chan handOverEvent), last: resumeOffset(a.ResumeAfter)}
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -139,7 +139,7 @@
 	n.core = entry.NewCore(set, entry.Platform{
 		Store: &partitionedStore{Store: sys.world.store, partitioned: func() bool { return sys.world.isPartitioned(n.zone) }}, Orders: orders{sys.world, n.zone},
 		Backend:       func(*conns.Pool) relay.Backend { return &backend{sys.world, n.id, n.zone, sys.callers.answerTokens} },
-		NodeClient:    func(*conns.Pool) relay.NodeClient { return nodeClient{n} },
+		NodeClient:    func(*conns.Pool, entry.SignHandOver) relay.NodeClient { return nodeClient{n} },
 		ServersPrefix: serversPrefix, DecodeServer: decodeServer,
 		ConfigKey: configKey, DecodeConfig: func(store.KV) (*rules.Set, error) { return sys.set, nil },
 	}, entry.CoreOptions{Policies: sys.opts.Policies, Rank: n.rank, Nodes: n.others, Responsible: func(task string, nodes int) bool { return n.rank(task) < nodes }, Log: log, SinceBoot: sys.world.uptime, Broadcast: func(section membership.Section) { sys.broadcast(n, section) }})
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -238,9 +238,9 @@
 	}
 	unreachable := reach.Unreachable()
 	switch {
-	case s.call.HandedOver() && unreachable:
+	case s.call.HandedOver && unreachable:
 		return false, s.failUnreachable()
-	case s.call.HandedOver(), !unreachable && s.refusedBy < maxRefused:
+	case s.call.HandedOver, !unreachable && s.refusedBy < maxRefused:
 		return false, nil
 	}
 	now := time.Now()
@@ -261,7 +261,7 @@
 // goes to a node that has just refused one.
 func (s *session) chooseNodeInPushback(err error) bool {
 	full, ok := errors.Into[*routing.FullError](err)
-	if !ok || !full.OnlyPushback || s.r.opts.NodeClient == nil || s.call.HandedOver() || len(s.nodesTried) > 0 {
+	if !ok || !full.OnlyPushback || s.r.opts.NodeClient == nil || s.call.HandedOver || len(s.nodesTried) > 0 {
 		return false
 	}
 	now := time.Now()
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -102,7 +102,7 @@
 func serveKindOn(r *relay.Relay, kind rules.CallKind, attemptsLeft int) *recorder {
 	terms := rules.RoutePolicy{Kind: kind, MaxAttempts: 2, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
 	got := &recorder{}
-	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now(), AttemptsLeft: attemptsLeft}, got)
+	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now(), AttemptsLeft: attemptsLeft, HandedOver: attemptsLeft > 0}, got)
 	return got
 }
 
@@ -310,3 +310,40 @@
 	require.Equal(t, 2, others.sent[0].MaxAttempts, "no server has received it")
 	require.Equal(t, 200, got.head.Status)
 }
+
+// Guards against streams that wait on servers out of reach although another node could go on with them.
+func TestRunningStreamsMoveOnceThePathIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reach, others := &severedReach{}, &otherNodes{}
+		silent := streamPieces(2, nil)
+		backend := &fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": silent, "b": silent}}
+		r := newNodesRelay(reach, others, &listRouter{ids: []cluster.ReplicaID{"a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, backend)
+		terms := resumableTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 2, time.Minute, []rules.WeightedService{{Service: "s", Weight: 1}}
+		got := &recorder{}
+		go r.Serve(t.Context(), &call.Call{ID: "id-1", Model: "m", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
+		time.Sleep(time.Second)
+		require.Empty(t, others.sent)
+		reach.severed.Store(true)
+		require.Equal(t, 1, r.LostServers())
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, others.sent, 1)
+		require.Equal(t, "2", others.sent[0].ResumeAfter)
+	})
+}
+
+// Guards against retries for a call that two nodes count.
+func TestCallThatWasHandedOverAddsNothingToTheRetryBudget(t *testing.T) {
+	for handedOver, retries := range map[bool]bool{false: true, true: false} {
+		budget := relay.NewBudget(relay.BudgetOptions{Ratio: 2, Window: 10 * time.Second, Nodes: 1})
+		f := newFixture(t, 0, []cluster.ReplicaID{"a"}, map[cluster.ReplicaID]handler{"a": respondWith(200)})
+		r := relay.New(relay.Options{
+			Router: f.router, Backend: f.backend, Budget: budget,
+			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
+			Suspects: &outcomeRecorder{}, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+		})
+		terms := rules.RoutePolicy{Kind: rules.CallSafe, MaxAttempts: 2, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
+		r.Serve(t.Context(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now(), AttemptsLeft: 1, HandedOver: handedOver}, &recorder{})
+		require.Equal(t, retries, budget.TryRetry("s", time.Now()))
+	}
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -76,7 +76,7 @@
 		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body), Model: c.Model, Parts: suspect.PartsOf(c.Model, c.PromptParts)}}
 	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
 	s.group = GroupOf(s.service, c.Model)
-	if c.HandedOver() {
+	if c.HandedOver {
 		takenOverTotal.Inc() // the node that handed it over has recorded it
 	} else {
 		r.opts.Budget.RecordCall(s.service, c.ReceivedAt)
