internal/routing: a call that the last replica has just refused learns when it takes requests again

Its caller was told one second (no replica) whatever the server had named, and the call was not offered to another node: a replica that had refused the call was left out before its pushback was looked at. TestReplicaThatRefusedTheRequestTellsWhenItTakesItAgain failed before.

--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -215,13 +215,16 @@
 
 func (sel *selection) offer(c Candidate, match float64) {
 	sel.considered++
-	if !c.Healthy || sel.req.excludes(c) {
+	if !c.Healthy || sel.req.rulesOut(c) {
 		return
 	}
-	if c.PushbackLeft > 0 {
+	if c.PushbackLeft > 0 { // counts also if it has just refused this request
 		sel.pushback.add(c.ID, c.PushbackAge, c.PushbackLeft)
 		return
 	}
+	if sel.req.excludes(c) {
+		return
+	}
 	if c.Limited || sel.req.Limit.exceeded(c) {
 		sel.full = true
 		return
--- a/internal/routing/pushback_test.go
+++ b/internal/routing/pushback_test.go
@@ -126,6 +126,19 @@
 	require.InDelta(t, 3, full.Pushback.Left.Seconds(), maxPushbackJitter.Seconds())
 }
 
+// Guards against a wrong time to return for a request that the only replica has just refused.
+func TestReplicaThatRefusedTheRequestTellsWhenItTakesItAgain(t *testing.T) {
+	table, now := NewTable(Options{}), time.Unix(1000, 0)
+	setSignalReplicas(table, signalEntry("m/1.1", "a", 1))
+	choice, _ := chooseServer(table, now)
+	table.ReportPushback(choice, 4*time.Second, now)
+	_, err := table.ChooseAt(now, Request{Group: "m", Exclude: []cluster.ReplicaID{choice.Replica.ID}})
+	full, ok := errors.Into[*FullError](err)
+	require.True(t, ok, "%v", err)
+	require.True(t, full.OnlyPushback)
+	require.InDelta(t, 4, full.Pushback.Left.Seconds(), maxPushbackJitter.Seconds())
+}
+
 // Guards against nodes that all return to a server at the moment at which its pushback ends.
 func TestNodesReturnAtDifferentTimesAfterAPushback(t *testing.T) {
 	const nodes, named = 984, 4 * time.Second
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -37,9 +37,13 @@
 
 // excludes reports whether the request may not be sent to the candidate.
 func (r Request) excludes(c Candidate) bool {
-	return slices.Contains(r.Exclude, c.ID) || r.MayUse != nil && !r.MayUse(c.Addr)
+	return slices.Contains(r.Exclude, c.ID) || r.rulesOut(c)
 }
 
+// rulesOut reports whether the request may not be sent to the candidate whatever came of earlier
+// attempts.
+func (r Request) rulesOut(c Candidate) bool { return r.MayUse != nil && !r.MayUse(c.Addr) }
+
 // Limit is the largest number of requests running and waiting on a replica: PerSlot for
 // each of its slots, plus Extra.
 type Limit struct{ PerSlot, Extra float64 }
