--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -1,12 +1,15 @@
 package logqueue_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
@@ -108,3 +111,38 @@
 	written := strings.Count(out.String(), "\n")
 	require.EqualValues(t, 10-written, droppedLines.Get()-before)
 }
+
+// Guards against lines that are cut or run into each other because the log's reader is slower than its writer.
+func TestLinesAreWholeThroughAFullPipe(t *testing.T) {
+	for name, flags := range map[string]int{"blocking": 0, "not blocking": syscall.O_NONBLOCK} {
+		t.Run(name, func(t *testing.T) {
+			const lines, length = 3000, 400 // many times what a pipe holds
+			var fds [2]int
+			require.NoError(t, syscall.Pipe2(fds[:], flags))
+			reader, out := os.NewFile(uintptr(fds[0]), "reader"), os.NewFile(uintptr(fds[1]), "writer")
+			w := logqueue.New(out)
+			received := make(chan []string)
+			go func() {
+				var got []string
+				scanner := bufio.NewScanner(reader)
+				for scanner.Scan() {
+					got = append(got, scanner.Text())
+					if len(got)%100 == 0 {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				received <- got
+			}()
+			for i := range lines {
+				_, err := fmt.Fprintf(w, "%0*d\n", length, i)
+				require.NoError(t, err)
+			}
+			w.Close()
+			require.NoError(t, out.Close())
+			for i, line := range <-received {
+				require.Equal(t, fmt.Sprintf("%0*d", length, i), line)
+			}
+			require.NoError(t, reader.Close())
+		})
+	}
+}
--- a/internal/routing/pushback.go
+++ b/internal/routing/pushback.go
@@ -61,5 +61,8 @@
 			s.pushback = asked
 		}
 	})
+	if began {
+		pushbacksTotal.Inc()
+	}
 	return began
 }
--- a/internal/routing/signals.go
+++ b/internal/routing/signals.go
@@ -4,9 +4,16 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 )
 
+var (
+	pushbacksTotal = metrics.NewCounter("fennel_routing_pushbacks_total")
+	leavingTotal   = metrics.NewCounter("fennel_routing_leaving_servers_total")
+)
+
 // process is one start of a server.
 type process struct {
 	server    cluster.VMID
@@ -90,6 +97,9 @@
 		first = s.leavingAt.IsZero()
 		s.leavingAt = now
 	})
+	if first {
+		leavingTotal.Inc()
+	}
 	return first
 }
 
