--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -323,10 +323,12 @@
 		got := &recorder{}
 		go r.Serve(t.Context(), &call.Call{ID: "id-1", Model: "m", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Empty(t, others.sent)
 		reach.severed.Store(true)
 		require.Equal(t, 1, r.LostServers())
 		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		require.Len(t, others.sent, 1)
 		require.Equal(t, "2", others.sent[0].ResumeAfter)
 	})
--- a/internal/routing/pushback_test.go
+++ b/internal/routing/pushback_test.go
@@ -145,7 +145,7 @@
 	now := time.Unix(1000, 0)
 	var ends []time.Duration
 	for i := range uint64(nodes) {
-		table := NewTable(Options{Seed: i})
+		table := NewTable(Options{Seed: i, PrefixEntries: 16})
 		setSignalReplicas(table, signalEntry("m/1.1", "a", 1))
 		choice, _ := chooseServer(table, now)
 		table.ReportPushback(choice, named, now)
