--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -346,7 +346,7 @@
 	if s == nil {
 		return conns.Peer{}, false
 	}
-	return conns.Peer{Server: s.ID, Addr: s.Addr, StartedUnixMs: s.StartedAt.UnixMilli()}, true
+	return peerOf(s), true
 }
 
 // configChanged adopts a newer configuration. It ignores an older one, which a read that
@@ -409,7 +409,7 @@
 		list, _ := n.currentList()
 		n.pool.Sweep(func(p conns.Peer) bool {
 			s := list.Find(p.Server)
-			return s != nil && s.Addr == p.Addr && s.StartedAt.UnixMilli() == p.StartedUnixMs
+			return s != nil && peerOf(s) == p
 		}, now)
 		n.nodePool.Sweep(func(conns.Peer) bool { return true }, now)
 	})
--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -19,6 +19,7 @@
 	notices map[conns.Peer]time.Time
 }
 
+// peerOf returns the process that a server's entry describes.
 func peerOf(s *fleet.Server) conns.Peer {
 	return conns.Peer{Server: s.ID, Addr: s.Addr, StartedUnixMs: s.StartedAt.UnixMilli()}
 }
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -35,11 +35,12 @@
 // others.
 func (n *Core) listedServers() (local, others []conns.Peer) {
 	list, _ := n.currentList()
-	for _, s := range list.Servers {
+	for i := range list.Servers {
+		s := &list.Servers[i]
 		if s.Draining || list.IsEvacuated(s.Zone) {
 			continue
 		}
-		peer := conns.Peer{Server: s.ID, Addr: s.Addr, StartedUnixMs: s.StartedAt.UnixMilli()}
+		peer := peerOf(s)
 		if s.Zone == n.cfg.Zone {
 			local = append(local, peer)
 		} else {
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -35,7 +35,7 @@
 		if server == nil {
 			continue
 		}
-		signals := standin.Signals{Pause: length}
+		signals := standin.Signals{Pushback: length}
 		if rnd.IntN(2) == 0 {
 			signals = standin.Signals{Leaving: true}
 		}
