--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -126,8 +126,9 @@
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
 // nothing else, for a time. OneNode has all callers' first attempts arrive at the first node for a time.
-// PushbackServers has heads of replicas refuse all requests of the first Nodes nodes for a time and ask each time to get none for Factor
-// seconds. LeavingServers has heads of replicas say that they shut down, which the store does not, for a time.
+// PushbackServers has heads of replicas refuse all requests of the first Nodes nodes for a time and
+// ask each time to get none for Factor seconds. LeavingServers has heads of replicas say that they
+// shut down, which the store does not, for a time.
 const (
 	LoseMembers   FaultKind = "lose"
 	AddVMs        FaultKind = "add"
--- a/internal/relay/pushback_test.go
+++ b/internal/relay/pushback_test.go
@@ -35,7 +35,7 @@
 	require.Equal(t, []bool{true, true, false}, f.router.canceled, "a pushback is no failure of its server")
 }
 
-// Guards against a server that goes on getting requests because only some of its answers are searched for the word that it leaves.
+// Guards against a server that goes on getting requests because only some of its answers are searched for the signal that it leaves.
 func TestLeavingIsReportedFromAnyAnswer(t *testing.T) {
 	state := relay.ServerState{Leaving: true}
 	for name, handle := range map[string]handler{
--- a/internal/routing/pushback.go
+++ b/internal/routing/pushback.go
@@ -20,8 +20,8 @@
 	maxPushbackJitter = 500 * time.Millisecond
 )
 
-// maxPushback is the longest time for which a server is left alone on its word. It is tried again
-// then, in case that the number is a mistake.
+// maxPushback is the longest time for which a pushback is kept. The server is tried again then, as
+// a larger number is more likely a mistake.
 const maxPushback = time.Minute
 
 func (p pushback) left(now time.Time) time.Duration { return max(p.until.Sub(now), 0) }
