--- a/internal/fleet/sources_test.go
+++ b/internal/fleet/sources_test.go
@@ -199,6 +199,36 @@
 	})
 }
 
+// Guards against a copy that counts as fresh because a source that is behind it goes on sending.
+func TestSourceThatIsBehindDoesNotConfirmTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New(memstore.Options{})
+		defer mem.Close()
+		for _, value := range []string{"1", "2"} {
+			_, err := mem.Txn(t.Context(), store.Txn{Then: []store.Op{store.Put("config", []byte(value), 0)}})
+			require.NoError(t, err)
+		}
+		current := snapshotOf(t.Context(), mem)
+		mem.SetFaults(memstore.Faults{Down: true})
+		behind := scriptedFeed(func(ctx context.Context, handle feed.Handler) bool {
+			handle(current, 0, true)
+			for clock.Pause(ctx, 200*time.Millisecond) {
+				handle(store.WatchBatch{Revision: current.Revision - 1}, 0, false)
+			}
+			return true
+		})
+		mirror := fleet.NewMirror(mem, behind, slog.New(slog.DiscardHandler), fleet.View{Prefix: "config", OnChange: func(fleet.Change) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); mirror.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		require.True(t, mirror.Loaded())
+		require.GreaterOrEqual(t, time.Since(mirror.LastContact()), 5*time.Second)
+		cancel()
+		<-done
+	})
+}
+
 // Guards against a log line with an age of centuries on a node that has never had a copy.
 func TestNodeWithoutACopyLogsNoAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/formation/holder_test.go
+++ b/internal/formation/holder_test.go
@@ -147,6 +147,30 @@
 	})
 }
 
+// Guards against a node that takes the lease though its orders reach no server.
+func TestNodeWithoutServersDoesNotTryForTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New(memstore.Options{})
+		defer mem.Close()
+		c, lease := newHolder(t, 8, &cpuBoundClient{cpu: make(singleCPU, 1)}, mem, longLeaseTTL)
+		lease.Revoke(t.Context())
+		granted := mem.Calls()[memstore.KindGrant]
+		var unreachable atomic.Bool
+		unreachable.Store(true)
+		c.opts.ServersUnreachable = unreachable.Load
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); c.Run(ctx) }()
+		time.Sleep(30 * time.Second)
+		require.Equal(t, granted, mem.Calls()[memstore.KindGrant])
+		unreachable.Store(false)
+		time.Sleep(10 * time.Second)
+		require.True(t, c.HoldsLease())
+		cancel()
+		<-done
+	})
+}
+
 // Guards against long steps taking the processor time that the lease and callers need.
 func TestStepGapGrowsWithStepDuration(t *testing.T) {
 	const limit = 100 * time.Millisecond
