internal/relay: log how long a replica was silent, when the node stood still, and how an unanswered call ended

- 'replica stalled' says how long nothing came and how late the check was
- 'node stood still' when the check for stalls came late by more than its interval
- 'call not answered' for each call that ends without a server's whole answer: its id, whether it had begun, what was sent, how long it was held, the time left, and the last silence with its replica

--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -25,6 +25,7 @@
 // finish reports the final result to the caller, depending on how far the call got. Only
 // a call that certainly did not run is refused with NotRun and a time after which to retry.
 func (s *session) finish(cause error, refusal func() *fennelerr.Error) {
+	s.logUnanswered()
 	switch {
 	case s.started:
 		s.sink.Abort(s.failure(cause))
@@ -37,6 +38,15 @@
 	}
 }
 
+// logUnanswered logs how a call ended that gets no whole answer of a server.
+func (s *session) logUnanswered() {
+	fields := []any{"request", s.call.ID, "begun", s.started, "may_have_run", s.mayHaveRun, "sent", s.sent, "held", time.Since(s.call.ReceivedAt), "left", time.Until(s.end)}
+	if s.silence.took > 0 {
+		fields = append(fields, "silent", s.silence.took, "silent_replica", s.silence.replica)
+	}
+	s.r.opts.Log.Info("call not answered", fields...)
+}
+
 // failure returns the error reported for a call that may have run.
 func (s *session) failure(cause error) *fennelerr.Error {
 	if s.remaining <= 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,11 +125,19 @@
 
 // Run checks for stalled replicas until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	clock.Every(ctx, stallCheckInterval, func(now time.Time) {
+	lastCheck := time.Now()
+	clock.Every(ctx, stallCheckInterval, func(time.Time) {
+		now := time.Now()
+		late := now.Sub(lastCheck) - stallCheckInterval
+		lastCheck = now
+		if late > stallCheckInterval {
+			r.opts.Log.Warn("node stood still", "for", late)
+		}
 		found, othersWork := r.stalls.check(now)
 		for _, id := range found {
 			r.recordFailure(string(id))
-			r.opts.Log.Warn("replica stalled", "replica", id, "moved", r.cancelAttempts(id, errStalled), "others_responding", othersWork)
+			silent := r.stalls.silentFor(id, now)
+			r.opts.Log.Warn("replica stalled", "replica", id, "silent", silent, "late", late, "moved", r.cancelAttempts(id, errStalled), "others_responding", othersWork)
 		}
 		if len(found) > 0 && r.opts.OnStall != nil {
 			r.opts.OnStall(found, othersWork)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -60,6 +60,14 @@
 	// between two pieces.
 	lastPieceAt time.Time
 	maxGap      time.Duration
+	// silence is the last silence of a server that an attempt ended in.
+	silence silence
+}
+
+// silence is the time for which a server sent nothing before its attempt ended.
+type silence struct {
+	replica cluster.ReplicaID
+	took    time.Duration
 }
 
 // storedAnswer is a complete answer held back while other attempts are made.
@@ -185,6 +193,9 @@
 		s.r.advisor.recordCompleted(s.group, time.Now())
 	}
 	s.endChoice(s.choice, result)
+	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToCancel {
+		s.silence = silence{a.choice.Replica.ID, silent}
+	}
 	s.logAttempt(a, result, err)
 	return err
 }
@@ -380,6 +391,9 @@
 	if a.lossCause != lossNone {
 		fields = append(fields, "connection_lost", a.lossCause)
 	}
+	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToCancel {
+		fields = append(fields, "silent", silent)
+	}
 	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.lossCause == lossCrash, "outcome", outcomeOf(err))...)
 }
 
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// silentFor returns how long nothing has come from the replica.
+func (d *stallDetector) silentFor(id cluster.ReplicaID, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a := d.replicas[id]; a != nil && a.running > 0 {
+		return now.Sub(a.lastActivity)
+	}
+	return 0
+}
+
 // stalled returns the replicas that are stalled.
 func (d *stallDetector) stalled(now time.Time) (ids []cluster.ReplicaID) {
 	d.mu.Lock()
