--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -16,52 +16,84 @@
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
-// attempt sends a session's call to one replica and forwards the answer.
+// destination is where an attempt is sent: a replica, or another node that takes the call over.
+type destination struct {
+	choice routing.Choice
+	peer   conns.Peer
+	// node is nil for a replica. reason is why the call is handed over to the node.
+	node   *Node
+	reason handOverReason
+}
+
+// name returns the destination as logged.
+func (d destination) name() string {
+	if d.node != nil {
+		return string(d.node.ID)
+	}
+	return string(d.choice.Replica.ID)
+}
+
+// attempt sends a session's call to one destination and forwards the answer.
 type attempt struct {
-	s       *session
-	choice  routing.Choice
-	peer    conns.Peer
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	started time.Time
-	// idempotent attempts are canceled when their replica loses a member. Those with
-	// canRetry set, which are not the last one allowed, are also canceled when the
-	// replica stalls or the connection is silent for too long.
-	idempotent, canRetry bool
-	idleTimer            *time.Timer
+	s  *session
+	to destination
+	// parent is the call's context, ctx the attempt's own.
+	parent, ctx context.Context
+	cancel      context.CancelCauseFunc
+	started     time.Time
+	// number counts the attempts of the call from 1 on. A hedge runs beside another attempt.
+	number  int
+	isHedge bool
+	// idempotent attempts are hedged if their replica loses a member, stalls, or the connection is
+	// idle for too long. Another node watches over the attempts that it takes over.
+	idempotent  bool
+	idleTimer   *time.Timer
+	idleTimeout time.Duration
+	// resumeAfter and maxAttempts are those of the request.
+	resumeAfter string
+	maxAttempts int
 	// state is what the server said of itself.
 	state ServerState
-	// node is the node that the call is handed over to; nil for an attempt on a replica.
-	node *Node
 	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
 	suspectRun suspect.Run
 	// lossCause is why the attempt lost its connection, if it did.
 	lossCause lossCause
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
 	lastActivity atomic.Int64
+
+	// The fields below are guarded by s.mu. hedgeReason is why the attempt is to be hedged, and
+	// noHedgeReason why it last could not be.
+	ended         bool
+	hedgeReason   hedgeReason
+	noHedgeReason string
 }
 
-func newAttempt(ctx context.Context, s *session, choice routing.Choice, peer conns.Peer) *attempt {
-	a := &attempt{s: s, choice: choice, peer: peer, started: time.Now(), idempotent: s.call.Route.Policy.Idempotent()}
-	a.canRetry = a.idempotent && s.sent+1 < s.call.MaxAttempts()
+// newAttempt returns an attempt to be run at once. The caller holds s.mu.
+func newAttempt(ctx context.Context, s *session, to destination) *attempt {
+	s.attempts++
+	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(),
+		idempotent: to.node == nil && s.call.Route.Policy.Idempotent() && !s.end.IsZero()}
+	a.lastActivity.Store(a.started.UnixNano())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	if a.idempotent {
+		a.idleTimeout = time.Duration(firstPieceShare * float64(s.end.Sub(a.started)))
+		a.idleTimer = time.AfterFunc(a.idleTimeout, a.checkIdle)
+	}
 	return a
 }
 
 // run sends the call and forwards the answer. A nil error means that a complete answer
 // was received.
 func (a *attempt) run() (routing.Result, error) {
-	a.lastActivity.Store(a.started.UnixNano())
-	if a.node == nil {
-		a.s.r.register(a.choice.Replica.ID, a)
-		defer a.s.r.unregister(a.choice.Replica.ID, a)
+	if a.to.node == nil {
+		a.s.r.register(a.to.choice.Replica.ID, a)
+		defer a.s.r.unregister(a.to.choice.Replica.ID, a)
 	}
-	if a.node == nil && a.s.streams() {
-		a.s.r.stalls.begin(a.choice.Replica.ID, a.started)
-		defer a.s.r.stalls.end(a.choice.Replica.ID)
+	if a.to.node == nil && a.s.streams() {
+		a.s.r.stalls.begin(a.to.choice.Replica.ID, a.started)
+		defer a.s.r.stalls.end(a.to.choice.Replica.ID)
 	}
 	defer a.cancel(nil)
-	a.resetIdleTimer(a.firstPieceTimeout())
 	defer a.stopIdleTimer()
 
 	reply, err := a.send()
@@ -74,10 +106,10 @@
 	switch {
 	case a.s.streams() && reply.Head.Status < http.StatusBadRequest:
 		return a.forwardStream(reply)
-	case a.s.started:
+	case a.s.streams() && (a.isHedge || a.s.hasStarted()):
 		// This server was to continue a stream and failed. The caller already has the
-		// head and pieces from the first server: appending the text of the failure would
-		// end the answer as if it were complete.
+		// head and pieces from the first server, or may yet get them: appending the text of
+		// the failure would end the answer as if it were complete.
 		return a.result(false, 0, 0), serverFailure(reply)
 	}
 	return a.forwardUnary(reply)
@@ -86,20 +118,20 @@
 // send sends the call to the replica's server, or to the node that is to take it over.
 func (a *attempt) send() (*Reply, error) {
 	attempt := Attempt{
-		Call: a.s.call, Peer: a.peer, Replica: a.choice.Replica.ID, Timeout: time.Until(a.s.end),
-		ResumeAfter: a.s.lastID, MaxIdle: a.maxIdle(), MaxAttempts: a.s.attemptsLeft(),
+		Call: a.s.call, Peer: a.to.peer, Replica: a.to.choice.Replica.ID, Timeout: time.Until(a.s.end),
+		ResumeAfter: a.resumeAfter, MaxIdle: a.maxIdle(), MaxAttempts: a.maxAttempts,
 	}
-	if a.node != nil {
+	if a.to.node != nil {
 		return a.s.r.opts.NodeClient.Send(a.ctx, attempt)
 	}
-	unanswered := time.AfterFunc(unansweredTimeout, func() { a.s.r.recordFailure(a.peer.Addr) })
+	unanswered := time.AfterFunc(unansweredTimeout, func() { a.s.r.recordFailure(a.to.peer.Addr) })
 	defer unanswered.Stop()
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, attempt)
 	switch notRun, isNotRun := errors.Into[*NotRunError](err); {
 	case err == nil || isNotRun && notRun.Received:
 		a.s.r.recordAnswer()
 	case isNotRun && a.ctx.Err() == nil:
-		a.s.r.recordFailure(a.peer.Addr)
+		a.s.r.recordFailure(a.to.peer.Addr)
 	}
 	return reply, err
 }
@@ -123,7 +155,7 @@
 // reportFailure passes on what the server said of itself as it failed or refused the call. Another
 // node's failure says nothing of a server to this one.
 func (a *attempt) reportFailure(err error) {
-	if a.node != nil {
+	if a.to.node != nil {
 		return
 	}
 	if broken, ok := errors.Into[*BrokenError](err); ok {
@@ -146,7 +178,7 @@
 // reportState passes what the server said of itself on to the router.
 func (a *attempt) reportState(state ServerState) {
 	a.state = state
-	if a.node != nil {
+	if a.to.node != nil {
 		return
 	}
 	a.reportRateLimit(state.RateLimit)
@@ -157,12 +189,12 @@
 
 // reportLeaving passes on that the server is about to shut down, if it said so.
 func (a *attempt) reportLeaving(leaving bool) {
-	if !leaving || !a.s.r.opts.Router.ReportLeaving(a.choice, time.Now()) {
+	if !leaving || !a.s.r.opts.Router.ReportLeaving(a.to.choice, time.Now()) {
 		return
 	}
-	a.s.r.opts.Log.Info("server leaves", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "request", a.s.call.ID)
+	a.s.r.opts.Log.Info("server leaves", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "request", a.s.call.ID)
 	if a.s.r.opts.OnLeaving != nil {
-		a.s.r.opts.OnLeaving(a.peer)
+		a.s.r.opts.OnLeaving(a.to.peer)
 	}
 }
 
@@ -171,8 +203,8 @@
 	if d <= 0 {
 		return
 	}
-	if a.s.r.opts.Router.ReportPushback(a.choice, d, time.Now()) {
-		a.s.r.opts.Log.Info("server wants no requests", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "for", d, "request", a.s.call.ID)
+	if a.s.r.opts.Router.ReportPushback(a.to.choice, d, time.Now()) {
+		a.s.r.opts.Log.Info("server wants no requests", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "for", d, "request", a.s.call.ID)
 	}
 }
 
@@ -182,13 +214,13 @@
 		return
 	}
 	now := time.Now()
-	a.s.r.opts.Router.ReportLoad(a.choice.Replica.ID, engine.Load{AsOf: now, Running: load.Running, Waiting: load.Waiting, MaxRunning: load.Slots}, now)
+	a.s.r.opts.Router.ReportLoad(a.to.choice.Replica.ID, engine.Load{AsOf: now, Running: load.Running, Waiting: load.Waiting, MaxRunning: load.Slots}, now)
 }
 
 // reportRateLimit passes the limit that the server named, or 0 for none, on to the router.
 func (a *attempt) reportRateLimit(perSecond float64) {
-	if a.s.r.opts.Router.ReportRateLimit(a.choice.Replica.ID, perSecond, a.started, time.Now()) {
-		a.s.r.opts.Log.Info("rate limit", "replica", a.choice.Replica.ID, "server", a.choice.Replica.Serving, "per_second", perSecond, "request", a.s.call.ID)
+	if a.s.r.opts.Router.ReportRateLimit(a.to.choice.Replica.ID, perSecond, a.started, time.Now()) {
+		a.s.r.opts.Log.Info("rate limit", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "per_second", perSecond, "request", a.s.call.ID)
 	}
 }
 
@@ -211,10 +243,15 @@
 		return a.result(false, 0, 0), err
 	}
 	first := time.Since(a.started)
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
 	if reply.Head.Status >= http.StatusInternalServerError && a.s.call.Route.Policy.Kind == rules.CallSafe {
 		a.s.failedAnswer = &storedAnswer{reply.Head, body}
 		return a.result(false, first, 0), serverFailure(reply)
 	}
+	if !a.s.claim(a) {
+		return a.result(false, first, 0), a.superseded()
+	}
 	if err := a.s.sink.Respond(reply.Head, body); err != nil {
 		a.s.r.opts.Log.Info("caller gone", "request", a.s.call.ID, "err", err.Error())
 	}
@@ -224,7 +261,7 @@
 // checkUnframedEnd returns an error if an unframed answer ended because the server's process did:
 // it may be incomplete.
 func (a *attempt) checkUnframedEnd(reply *Reply) error {
-	if !reply.Unframed || a.node != nil || !a.s.r.crashes.endedWith(a.ctx, a.peer) {
+	if !reply.Unframed || a.to.node != nil || !a.s.r.crashes.endedWith(a.ctx, a.to.peer) {
 		return nil
 	}
 	return &BrokenError{Reason: "the server ended as its answer did", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
@@ -253,34 +290,53 @@
 			a.suspectRun.Piece()
 		}
 		a.recordActivity(time.Now())
-		a.resetIdleTimer(a.pieceTimeout())
-		if err := a.forwardPiece(reply, data); err != nil {
-			a.cancel(err)
-			return a.result(false, first, pieces), &BrokenError{Reason: "the caller takes nothing", Err: err}
+		if err := a.forwardPiece(reply, data, id); err != nil {
+			return a.result(false, first, pieces), err
 		}
-		a.s.lastID = id
 	}
 }
 
 // forwardPiece sends one piece to the caller, preceded by the head if this is the first
 // piece of the answer.
-func (a *attempt) forwardPiece(reply *Reply, data []byte) error {
-	if !a.s.started {
-		a.s.started = true
-		if err := a.s.sink.Start(reply.Head); err != nil {
-			return err
-		}
+func (a *attempt) forwardPiece(reply *Reply, data []byte, id string) error {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	if !a.s.claim(a) {
+		return a.superseded()
+	}
+	a.hedgeReason, a.noHedgeReason = hedgeNone, ""
+	err := a.startAnswer(reply)
+	if err == nil {
+		a.s.recordPiece(time.Now())
+		err = a.s.sink.WritePiece(data)
 	}
-	a.s.recordPiece(time.Now())
-	return a.s.sink.WritePiece(data)
+	if err != nil {
+		a.cancel(err)
+		return &BrokenError{Reason: "the caller takes nothing", Err: err}
+	}
+	a.s.lastID = id
+	a.lastActivity.Store(time.Now().UnixNano()) // the caller may have taken its time
+	a.resetIdleTimer(a.pieceTimeout())
+	return nil
+}
+
+// startAnswer sends the head of a stream to the caller unless that has been done. The caller holds s.mu.
+func (a *attempt) startAnswer(reply *Reply) error {
+	if a.s.started {
+		return nil
+	}
+	a.s.started = true
+	return a.s.sink.Start(reply.Head)
 }
 
 func (a *attempt) endStream(reply *Reply, first time.Duration, pieces int) (routing.Result, error) {
-	if !a.s.started {
-		a.s.started = true
-		if err := a.s.sink.Start(reply.Head); err != nil {
-			return a.result(true, first, pieces), nil // the caller has disconnected
-		}
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	if !a.s.claim(a) {
+		return a.result(false, first, pieces), a.superseded()
+	}
+	if err := a.startAnswer(reply); err != nil {
+		return a.result(true, first, pieces), nil // the caller has disconnected
 	}
 	if err := a.s.sink.End(); err != nil {
 		a.s.r.opts.Log.Info("caller gone", "request", a.s.call.ID, "err", err.Error())
@@ -288,6 +344,11 @@
 	return a.result(true, first, pieces), nil
 }
 
+// superseded returns the error of an attempt that was slower than another one.
+func (a *attempt) superseded() error {
+	return a.withCancelCause(&BrokenError{Reason: errSuperseded.Error(), Err: errSuperseded})
+}
+
 // withCancelCause returns the reason for which this node canceled the attempt, or err if
 // it did not.
 func (a *attempt) withCancelCause(err error) error {
@@ -303,21 +364,16 @@
 
 func (a *attempt) result(ok bool, first time.Duration, pieces int) routing.Result {
 	pushedBack := a.state.Pushback > 0 // no failure: the replica is left alone for as long as it asked
-	canceled := !ok && (pushedBack || a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errIdleTimeout) && !errors.Is(context.Cause(a.ctx), errStalled))
+	canceled := !ok && (pushedBack || a.ctx.Err() != nil && (a.isHedge || !errors.Is(context.Cause(a.ctx), errSuperseded)))
 	return routing.Result{OK: ok, Canceled: canceled, FirstToken: first, Tokens: pieces, Duration: time.Since(a.started)}
 }
 
-// resetIdleTimer cancels the attempt after the timeout unless the timer is reset before.
-// The last attempt allowed has no timer.
+// resetIdleTimer has the attempt hedged after the timeout unless the timer is reset before.
 func (a *attempt) resetIdleTimer(timeout time.Duration) {
-	if !a.canRetry {
-		return
-	}
-	if a.idleTimer == nil {
-		a.idleTimer = time.AfterFunc(timeout, func() { a.cancel(errIdleTimeout) })
-		return
+	if a.idleTimer != nil {
+		a.idleTimeout = timeout
+		a.idleTimer.Reset(timeout)
 	}
-	a.idleTimer.Reset(timeout)
 }
 
 func (a *attempt) stopIdleTimer() {
@@ -326,18 +382,14 @@
 	}
 }
 
-func (a *attempt) firstPieceTimeout() time.Duration {
-	return time.Duration(firstPieceShare * float64(time.Until(a.s.end)))
-}
-
 // recordActivity records the arrival of a piece.
 func (a *attempt) recordActivity(now time.Time) {
 	a.lastActivity.Store(now.UnixNano())
-	if a.node != nil {
+	if a.to.node != nil {
 		return
 	}
 	a.s.r.recordAnswer()
-	a.s.r.stalls.recordActivity(a.choice.Replica.ID, now)
+	a.s.r.stalls.recordActivity(a.to.choice.Replica.ID, now)
 }
 
 func (a *attempt) idleFor(now time.Time) time.Duration {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -38,6 +38,7 @@
 func (r *outcomeRecorder) AdmitRequest(context.Context, suspect.Request) (suspect.Admission, error) {
 	return suspect.Admission{}, r.err
 }
+func (*outcomeRecorder) IsSuspect(suspect.Request) bool    { return false }
 func (*outcomeRecorder) MayRetryOn(cluster.ReplicaID) bool { return true }
 func (r *outcomeRecorder) BeginRequest(suspect.Request, cluster.ReplicaID, int64, suspect.Admission) suspect.Run {
 	return r
--- /dev/null
+++ b/internal/relay/hedge.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+)
+
+// hedgeReason is why an attempt that is still in progress gets a second one beside it, as logged.
+type hedgeReason string
+
+const (
+	hedgeNone hedgeReason = ""
+	// hedgeStalled: nothing comes from the replica to any stream of this node.
+	hedgeStalled hedgeReason = "replica stalled"
+	// hedgeIdle: nothing comes over the attempt's connection.
+	hedgeIdle hedgeReason = "connection idle"
+	// hedgeReplicaLost: a member of the replica is not listed any more.
+	hedgeReplicaLost hedgeReason = "replica lost"
+	// hedgeUnreachable: this node reaches no backend server.
+	hedgeUnreachable hedgeReason = "servers unreachable"
+)
+
+const (
+	// hedgeRetryInterval is the time until a hedge is tried again that was not possible.
+	hedgeRetryInterval = 200 * time.Millisecond
+	// minIdleToHedge is how long an attempt must have received nothing to be hedged. A member that
+	// left the list may still work until it has drained: its streams receive a piece in every pass
+	// and complete there.
+	minIdleToHedge = 200 * time.Millisecond
+	// maxUncountedRefusals is the number of refusals by servers that do not count as attempts, for
+	// a call that may have run.
+	maxUncountedRefusals = 4
+)
+
+var (
+	hedgesTotal    = metrics.NewCounter("fennel_relay_hedges_total")
+	hedgesWonTotal = metrics.NewCounter("fennel_relay_hedges_won_total")
+)
+
+// errSuperseded cancels the attempts of a call that were slower than another one.
+var errSuperseded = errors.New("another attempt was faster")
+
+// Reasons for which a silent attempt gets no hedge.
+var (
+	errMustRunAlone = errors.New("the request must run alone")
+	errMostSilent   = errors.New("most replicas are silent")
+	// errNotListed: a replica was chosen whose server has just left the list.
+	errNotListed = errors.New("the server is not listed")
+)
+
+// hedgeAttempts hedges the idle attempts on a replica and returns the number of hedges.
+func (r *Relay) hedgeAttempts(id cluster.ReplicaID, reason hedgeReason) (hedged int) {
+	for _, a := range r.attemptsOn(id) {
+		if a.suspectSilence(reason) {
+			hedged++
+		}
+	}
+	return hedged
+}
+
+func (r *Relay) attemptsOn(id cluster.ReplicaID) (attempts []*attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a := range r.running[id] {
+		attempts = append(attempts, a)
+	}
+	return attempts
+}
+
+// suspectSilence hedges the attempt if it has been idle for a while and may be repeated.
+func (a *attempt) suspectSilence(reason hedgeReason) (hedged bool) {
+	if !a.idempotent || a.idleFor(time.Now()) <= minIdleToHedge || !a.s.mu.TryLock() {
+		return false // a piece is being written to the caller
+	}
+	defer a.s.mu.Unlock()
+	if a.hedgeReason != hedgeReplicaLost {
+		a.hedgeReason = reason
+	}
+	return a.hedge()
+}
+
+// checkIdle is called when the idle timeout may have passed, and again and again while a hedge that
+// is due has not begun.
+func (a *attempt) checkIdle() {
+	if !a.s.mu.TryLock() {
+		a.idleTimer.Reset(hedgeRetryInterval) // a piece is being written to the caller
+		return
+	}
+	defer a.s.mu.Unlock()
+	if a.ended {
+		return
+	}
+	now := time.Now()
+	if left := a.idleTimeout - a.idleFor(now); a.hedgeReason == hedgeNone && left > 0 {
+		a.idleTimer.Reset(left)
+		return
+	}
+	if a.hedgeReason == hedgeNone {
+		a.hedgeReason = hedgeIdle
+	}
+	a.hedge()
+}
+
+// hedge starts a second attempt of the call if one is to be had. The first attempt goes on: whichever
+// delivers first answers the call. The caller holds s.mu.
+func (a *attempt) hedge() (started bool) {
+	s := a.s
+	if a.ended || a.ctx.Err() != nil {
+		return false
+	}
+	a.idleTimer.Reset(hedgeRetryInterval)
+	if len(s.inFlight) > 1 {
+		return false
+	}
+	to, err := s.chooseHedge(a)
+	if err != nil {
+		s.logNoHedge(a, err.Error())
+		return false
+	}
+	if d := recovery.Decide(s.hedgeFailure(a)); d.Step == recovery.GiveUp {
+		s.release(to)
+		s.logNoHedge(a, string(d.Reason))
+		return false
+	}
+	h := newAttempt(a.parent, s, to)
+	h.isHedge = true
+	s.begin(h)
+	s.leader = nil
+	hedgesTotal.Inc()
+	s.r.opts.Log.Info("hedge", "request", s.call.ID, "reason", a.hedgeReason, "replica", a.to.choice.Replica.ID, "silent", a.idleFor(h.started), "by", to.name(), "left", s.end.Sub(h.started))
+	s.hedges.Go(func() { _ = s.run(h) }) // its error is recorded in the session
+	return true
+}
+
+// logNoHedge logs once for each silence why there is no hedge.
+func (s *session) logNoHedge(a *attempt, reason string) {
+	if a.noHedgeReason == reason {
+		return
+	}
+	a.noHedgeReason = reason
+	s.r.opts.Log.Info("no hedge", "request", s.call.ID, "reason", a.hedgeReason, "replica", a.to.choice.Replica.ID, "silent", a.idleFor(time.Now()), "err", reason, "left", time.Until(s.end))
+}
+
+// hedgeFailure describes the silence of an attempt, as if it had failed. The caller holds s.mu.
+func (s *session) hedgeFailure(a *attempt) recovery.Failure {
+	f := s.failureState(true)
+	f.MayHaveRun = true
+	if a.hedgeReason != hedgeReplicaLost {
+		f.Attempts++
+	}
+	return f
+}
+
+// chooseHedge chooses where the hedge of an attempt is sent. The caller holds s.mu.
+func (s *session) chooseHedge(a *attempt) (destination, error) {
+	if s.admission.Alone || s.r.opts.Suspects.IsSuspect(s.suspect) {
+		return destination{}, errMustRunAlone
+	}
+	if s.unreachable() && !s.call.HandedOver {
+		if node := s.nextNode(time.Now()); node != nil {
+			return destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable}, nil
+		}
+	}
+	now := time.Now()
+	if a.isSilent() && s.r.stalls.mostSilent(now) {
+		return destination{}, errMostSilent
+	}
+	if s.call.Model != "" && !s.r.limits.begin(s.group, unlimitedShare, now) {
+		return destination{}, &routing.FullError{Group: s.group}
+	}
+	choice, err := s.r.opts.Router.Choose(s.hedgeRequest(a, now))
+	if err != nil {
+		s.endLimit()
+		return destination{}, err
+	}
+	peer, listed := s.r.opts.Peer(choice)
+	if !listed {
+		s.endChoice(choice, routing.Result{Canceled: true})
+		return destination{}, errNotListed
+	}
+	return destination{choice: choice, peer: peer}, nil
+}
+
+// hedgeRequest asks for a replica that is not silent. Unless the first attempt is lost, it must have a
+// free slot: a hedge that waits in a queue delays other calls.
+func (s *session) hedgeRequest(a *attempt, now time.Time) routing.Request {
+	req := s.routingRequest()
+	req.Exclude = append(s.r.stalls.silent(now), s.exclude...)
+	for _, other := range s.inFlight {
+		req.Exclude = append(req.Exclude, other.to.choice.Replica.ID)
+	}
+	if s.call.Model != "" && a.isSilent() {
+		req.Limit = routing.Limit{PerSlot: 1}
+	}
+	return req
+}
+
+// isSilent reports whether the attempt is to be hedged for its silence alone. The caller holds s.mu.
+func (a *attempt) isSilent() bool {
+	return a.hedgeReason == hedgeStalled || a.hedgeReason == hedgeIdle
+}
+
+// begin records that an attempt is in progress. The caller holds s.mu.
+func (s *session) begin(a *attempt) { s.inFlight = append(s.inFlight, a) }
+
+// finishAttempt records that an attempt has ended, and what its failure means for further ones.
+func (s *session) finishAttempt(a *attempt, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.ended = true
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(other *attempt) bool { return other == a })
+	if s.leader == a {
+		s.leader = nil
+	}
+	if err == nil {
+		s.answered = true
+		return
+	}
+	if !errors.Is(err, errSuperseded) {
+		s.lastErr = err
+	}
+	s.recordFailure(a, err)
+}
+
+// recordFailure counts a failed attempt and excludes its replica. The caller holds s.mu.
+func (s *session) recordFailure(a *attempt, err error) {
+	notRun, isNotRun := errors.Into[*NotRunError](err)
+	refused := isNotRun && notRun.Received
+	// A refusal of a server that runs nothing uses up no attempt of a call that another one may run.
+	uncounted := refused && (s.mayHaveRun || len(s.inFlight) > 0) && s.uncountedRefusals < maxUncountedRefusals
+	switch {
+	case uncounted:
+		s.uncountedRefusals++
+	case isNotRun && !refused, a.hedgeReason == hedgeReplicaLost:
+	case a.to.node != nil:
+		s.sent = s.call.MaxAttempts() // the node may have used all that were left
+	default:
+		s.sent++
+	}
+	s.mayHaveRun = s.mayHaveRun || !isNotRun
+	if a.to.node != nil {
+		return
+	}
+	s.exclude = append(s.exclude, a.to.choice.Replica.ID)
+	if isNotRun && notRun.Refused {
+		s.refusedBy++
+	}
+	if silent := a.idleFor(time.Now()); silent > minIdleToHedge {
+		s.silence = silence{a.to.choice.Replica.ID, silent}
+	}
+}
+
+// claim reports whether the attempt answers the call, and cancels the others if it does. The caller
+// holds s.mu.
+func (s *session) claim(a *attempt) bool {
+	if s.leader == a {
+		return true
+	}
+	if s.leader != nil || a.ctx.Err() != nil {
+		return false
+	}
+	s.leader = a
+	for _, other := range s.inFlight {
+		if other != a {
+			other.cancel(errSuperseded)
+		}
+	}
+	if a.isHedge {
+		hedgesWonTotal.Inc()
+	}
+	return true
+}
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -135,21 +136,16 @@
 	return best
 }
 
-// LostServers cancels the attempts that can be made at another node, once this node reaches no
-// backend server.
-func (r *Relay) LostServers() (canceled int) {
+// LostServers hedges the idle attempts, once this node reaches no backend server, and returns the
+// number of hedges.
+func (r *Relay) LostServers() (hedged int) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for _, attempts := range r.running {
-		for a := range attempts {
-			if a.canRetry && a.idleFor(now) > minIdleToCancel {
-				a.cancel(errUnreachable)
-				canceled++
-			}
-		}
+	ids := slices.Collect(maps.Keys(r.running))
+	r.mu.Unlock()
+	for _, id := range ids {
+		hedged += r.hedgeAttempts(id, hedgeUnreachable)
 	}
-	return canceled
+	return hedged
 }
 
 // unreachable reports whether this node reaches so few servers that other nodes should serve its
@@ -159,7 +155,6 @@
 // chooseNode chooses the node that takes the call over, if another node should. Otherwise it
 // returns false, and an error if the call ends here. A call is handed over once at most.
 func (s *session) chooseNode() (chosen bool, err error) {
-	s.node = nil
 	reach := s.r.opts.Reach
 	if reach == nil {
 		return false, nil
@@ -171,12 +166,9 @@
 	case s.call.HandedOver, !unreachable && s.refusedBy < maxRefused:
 		return false, nil
 	}
-	now := time.Now()
-	if len(s.nodesTried) < maxNodes && !s.r.nodeBackoffs.exhausted(now) {
-		if s.node = s.pickNode(now); s.node != nil {
-			s.handOverReason = handOverUnreachable
-			return true, nil
-		}
+	if node := s.nextNode(time.Now()); node != nil {
+		s.next = destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable}
+		return true, nil
 	}
 	if unreachable && !reach.SomeReachable() {
 		return false, s.failUnreachable()
@@ -184,6 +176,16 @@
 	return false, nil
 }
 
+// nextNode returns the node to be offered the call next because this one reaches no server, or nil.
+func (s *session) nextNode(now time.Time) *Node {
+	if len(s.nodesTried) >= maxNodes || s.r.nodeBackoffs.exhausted(now) {
+		return nil
+	}
+	return s.pickNode(now)
+}
+
+func peerOfNode(node *Node) conns.Peer { return conns.Peer{Addr: node.Addr} }
+
 // chooseNodeInPushback chooses the node that takes the call over if all replicas want no requests
 // from this one: they may take those of another node. A call is handed over once at most, and none
 // goes to a node that has just refused one.
@@ -193,56 +195,72 @@
 		return false
 	}
 	now := time.Now()
-	s.node = s.pickNode(now)
-	if s.node != nil && s.r.nodeBackoffs.contains(now, backoffKey{node: s.node.ID, group: s.group}) {
-		s.node = nil
+	node := s.pickNode(now)
+	if node == nil || s.r.nodeBackoffs.contains(now, backoffKey{node: node.ID, group: s.group}) {
+		return false
 	}
-	s.handOverReason = handOverPushback
-	return s.node != nil
+	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback}
+	return true
 }
 
-// attemptsLeft returns how many more backend servers may receive the call.
-func (s *session) attemptsLeft() int { return max(s.call.MaxAttempts()-s.sent, 1) }
+// attemptsLeft returns how many more backend servers may receive the call. The caller holds s.mu.
+func (s *session) attemptsLeft() int {
+	return max(s.call.MaxAttempts()-s.sent-len(s.inFlight), 1)
+}
 
-// attemptNode hands the call over to s.node and forwards the answer.
-func (s *session) attemptNode(ctx context.Context) error {
-	node := *s.node
+// runOnNode hands the call over to a node and forwards the answer. The refusal of a node ends the
+// call, unless another attempt is in progress.
+func (s *session) runOnNode(a *attempt) error {
+	node := *a.to.node
+	s.mu.Lock()
 	s.nodesTried = append(s.nodesTried, node)
-	a := newAttempt(ctx, s, routing.Choice{}, conns.Peer{Addr: node.Addr})
-	a.node, a.canRetry = &node, false // that node watches over the call
+	refusedBy, sent := s.refusedBy, s.sent
+	s.mu.Unlock()
 	result, err := a.run()
 	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
-		"attempt", s.attempts, "node", node.ID, "addr", node.Addr, "reason", s.handOverReason, "refused_by", s.refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", s.sent,
+		"attempt", a.number, "hedge", a.isHedge, "node", node.ID, "addr", node.Addr, "reason", a.to.reason, "refused_by", refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
+	_, notRun := errors.Into[*NotRunError](err)
 	switch {
 	case err == nil:
 		handedOverTotal.Inc()
 		s.r.nodeBackoffs.taken(time.Now())
-		return nil
 	case refused && refusal.retriable():
 		s.r.nodeBackoffs.add(nodeBackoff, time.Now(), backoffKey{node: node.ID}, backoffKey{zone: node.Zone})
-		return &NotRunError{Reason: "refused by another node", Err: err}
+		err = &NotRunError{Reason: "refused by another node", Err: err}
 	case refused:
-		handOverRefused.Inc()
-		s.r.nodeBackoffs.taken(time.Now())
-		if s.handOverReason == handOverPushback {
-			s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: node.ID, group: s.group})
-		}
-		s.mayHaveRun = s.mayHaveRun || refusal.Refusal.Run != fennelerr.NotRun
-		s.remaining = time.Until(s.end)
-		s.finish(err, func() *fennelerr.Error { return refusal.Refusal })
-		return nil
-	}
-	handOverFailed.Inc()
-	if _, notRun := errors.Into[*NotRunError](err); notRun {
+		err = s.refusedByNode(a, refusal)
+	case notRun:
+		handOverFailed.Inc()
 		s.r.nodeBackoffs.add(nodeBackoff, time.Now(), backoffKey{node: node.ID})
-		return err
+	default:
+		handOverFailed.Inc()
 	}
-	s.sent = s.call.MaxAttempts() // the node may have used all that were left
+	s.finishAttempt(a, err)
 	return err
 }
 
+// refusedByNode passes a node's refusal on to the caller, unless another attempt is in progress.
+func (s *session) refusedByNode(a *attempt, refusal *NodeRefusalError) error {
+	handOverRefused.Inc()
+	s.r.nodeBackoffs.taken(time.Now())
+	if a.to.reason == handOverPushback {
+		s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: a.to.node.ID, group: s.group})
+	}
+	ran := refusal.Refusal.Run != fennelerr.NotRun
+	switch {
+	case a.isHedge && ran:
+		return &BrokenError{Reason: "refused by another node", Err: refusal}
+	case a.isHedge:
+		return &NotRunError{Reason: "refused by another node", Err: refusal}
+	}
+	s.mayHaveRun = s.mayHaveRun || ran
+	s.remaining = time.Until(s.end)
+	s.finish(refusal, func() *fennelerr.Error { return refusal.Refusal })
+	return nil
+}
+
 // failUnreachable ends a call that no server and no node takes.
 func (s *session) failUnreachable() error {
 	unreachableRefused.Inc()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,10 +4,9 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
@@ -38,6 +37,8 @@
 	Refuse(req suspect.Request) error
 	// AdmitRequest returns an error for a request that is quarantined or holds a quarantined part.
 	AdmitRequest(ctx context.Context, req suspect.Request) (suspect.Admission, error)
+	// IsSuspect reports whether the request, or a part of it, is suspected. It never waits.
+	IsSuspect(req suspect.Request) bool
 	// MayRetryOn reports whether this node may now run a suspect on the replica.
 	MayRetryOn(replica cluster.ReplicaID) bool
 	// BeginRequest records the start of a run.
@@ -81,14 +82,13 @@
 	// maxIdleIdempotent is the same for calls that can be repeated.
 	maxIdleIdempotent = 8 * time.Second
 	// A stream that receives no piece for pieceTimeoutFactor times its target gap, and at
-	// least minPieceTimeout, is moved to another replica even if its own replica serves
-	// other streams: the connection may be dead. Callers give up after eight target gaps or
-	// two seconds.
+	// least minPieceTimeout, is hedged even if its own replica serves other streams: the
+	// connection may be dead. Callers give up after eight target gaps or two seconds.
 	pieceTimeoutFactor = 5
 	minPieceTimeout    = 1400 * time.Millisecond
 	// firstPieceShare is the fraction of its remaining time that an idempotent call waits
-	// for the first piece from a replica that serves other calls. A long queue looks the
-	// same as a dead connection, and moving gives up the place in the queue.
+	// for the first piece from a replica that serves other calls before it is hedged. A long
+	// queue looks the same as a dead connection.
 	firstPieceShare = 0.6
 )
 
@@ -101,9 +101,11 @@
 	crashes *crashDetector
 	// nodeBackoffs holds the nodes that did not take calls over.
 	nodeBackoffs nodeBackoffs
-	// running holds the attempts by replica, to cancel them when the replica fails.
+	// running holds the attempts by replica, to hedge them when the replica fails.
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
+	// lastCheck is when Run last checked for stalled replicas, in Unix nanoseconds; 0 if never.
+	lastCheck atomic.Int64
 }
 
 // New returns a Relay.
@@ -114,37 +116,32 @@
 	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), crashes: newCrashDetector(opts), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
-// errReplicaLost cancels attempts on a replica that lost a member.
-var errReplicaLost = errors.New("the replica lost a member")
-
-// errStalled cancels attempts on a stalled replica, from which no stream receives anything.
-var errStalled = errors.New("the replica stands still")
-
-// errIdleTimeout cancels attempts whose connection was silent for too long.
-var errIdleTimeout = errors.New("nothing came for too long")
-
 // Run checks for stalled replicas until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	lastCheck := time.Now()
+	r.lastCheck.Store(time.Now().UnixNano())
 	clock.Every(ctx, stallCheckInterval, func(time.Time) {
 		now := time.Now()
-		late := now.Sub(lastCheck) - stallCheckInterval
-		lastCheck = now
-		if late > stallCheckInterval {
+		late := now.Sub(time.Unix(0, r.lastCheck.Swap(now.UnixNano()))) - stallCheckInterval
+		if late > maxCheckDelay {
 			r.opts.Log.Warn("node stood still", "for", late)
 		}
-		found, othersWork := r.stalls.check(now)
-		for _, id := range found {
-			r.recordFailure(string(id))
-			silent := r.stalls.silentFor(id, now)
-			r.opts.Log.Warn("replica stalled", "replica", id, "silent", silent, "late", late, "moved", r.cancelAttempts(id, errStalled), "others_responding", othersWork)
-		}
-		if len(found) > 0 && r.opts.OnStall != nil {
-			r.opts.OnStall(found, othersWork)
-		}
+		r.checkStalls(now)
 	})
 }
 
+// checkStalls hedges the attempts on replicas that have stalled.
+func (r *Relay) checkStalls(now time.Time) {
+	found, othersWork := r.stalls.check(now)
+	for _, id := range found {
+		r.recordFailure(string(id))
+		silent := r.stalls.silentFor(id, now)
+		r.opts.Log.Warn("replica stalled", "replica", id, "silent", silent, "hedged", r.hedgeAttempts(id, hedgeStalled), "others_responding", othersWork)
+	}
+	if len(found) > 0 && r.opts.OnStall != nil {
+		r.opts.OnStall(found, othersWork)
+	}
+}
+
 // ReportStall records another node's report that a replica is stalled.
 func (r *Relay) ReportStall(id cluster.ReplicaID, by cluster.NodeID, now time.Time) {
 	if r.stalls.report(id, by, now) {
@@ -155,32 +152,9 @@
 // MarkHealthy records that all members of a replica responded.
 func (r *Relay) MarkHealthy(id cluster.ReplicaID, now time.Time) { r.stalls.markHealthy(id, now) }
 
-// ReplicaLost cancels the attempts on a replica that lost a member, so that they are
-// retried elsewhere at once. The engines would hold them for seconds before failing them.
-func (r *Relay) ReplicaLost(id cluster.ReplicaID) { r.cancelAttempts(id, errReplicaLost) }
-
-// cancelAttempts cancels the idle attempts on the replica that can be retried elsewhere
-// and returns their number. If the replica is only suspected, the last attempt that a call
-// is allowed continues: canceling it would leave the caller without an answer, and the
-// replica may only be slow.
-func (r *Relay) cancelAttempts(id cluster.ReplicaID, cause error) (canceled int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	lost := errors.Is(cause, errReplicaLost)
-	for a := range r.running[id] {
-		if (a.canRetry || a.idempotent && lost) && a.idleFor(now) > minIdleToCancel {
-			a.cancel(cause)
-			canceled++
-		}
-	}
-	return canceled
-}
-
-// minIdleToCancel is how long an attempt on a failed replica must have been idle to be
-// canceled. A member that left the list may still work until it has drained: its streams
-// receive a piece in every pass and complete there.
-const minIdleToCancel = 200 * time.Millisecond
+// ReplicaLost hedges the attempts on a replica that lost a member. The engines would hold them for
+// seconds before failing them.
+func (r *Relay) ReplicaLost(id cluster.ReplicaID) { r.hedgeAttempts(id, hedgeReplicaLost) }
 
 // Running returns the number of attempts in progress.
 func (r *Relay) Running() (count int) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -264,12 +264,12 @@
 func TestNoAttemptWithoutTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
-			time.Sleep(980 * time.Millisecond)
+			time.Sleep(25 * time.Millisecond)
 			return nil, errReset
 		}
 		f := newFixture(t, 10, ab, handlers{"a": slow, "b": respondWith(200)})
 		terms := safeTerms
-		terms.Timeout = time.Second
+		terms.Timeout = 60 * time.Millisecond
 		got := f.serve(t.Context(), terms)
 		require.Len(t, f.backend.sent(), 1)
 		require.Equal(t, fennelerr.Unknown, got.refused.Run)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,7 +12,6 @@
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
-	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
@@ -31,31 +31,39 @@
 	// suspect identifies the request over all of its caller's attempts.
 	suspect suspect.Request
 
-	// sent counts the backend servers that received the call.
-	sent int
-	// mayHaveRun is true once an attempt failed without certainty that the call did not run.
-	mayHaveRun bool
-	// started is true once part of the answer was sent to the caller.
-	started bool
 	// remaining is the time to the call's deadline, as of the last check.
 	remaining time.Duration
-	// choice and peer are the destination of the current attempt.
-	choice  routing.Choice
-	peer    conns.Peer
+	// next is the destination of the next attempt, admission says how it may run.
+	next      destination
+	admission suspect.Admission
+
+	// mu guards the fields below while attempts run. It is held while a piece is written to the
+	// caller.
+	mu sync.Mutex
+	// attempts counts all attempts, sent those that count against the route's limit.
+	attempts, sent int
+	// uncountedRefusals counts the refusals that do not count as attempts.
+	uncountedRefusals int
+	// mayHaveRun is true once an attempt failed without certainty that the call did not run.
+	mayHaveRun bool
+	// started is true once part of the answer was sent to the caller, answered once all of it was.
+	started, answered bool
+	// inFlight holds the attempts in progress: one, or two while one is hedged. leader is the one that
+	// answers the caller; nil while that is open. hedges waits for those beside the first one.
+	inFlight []*attempt
+	leader   *attempt
+	hedges   sync.WaitGroup
+	// lastErr is the error of the last attempt that failed.
+	lastErr error
 	exclude []cluster.ReplicaID
 	lastID  string
 	// failedAnswer is a server's error response, returned to the caller if no attempt
 	// succeeds.
 	failedAnswer *storedAnswer
-	attempts     int
-	// admission says how the current attempt may run.
-	admission suspect.Admission
-	// refusedBy counts the servers that refused a connection for the call. node is the node that
-	// the current attempt hands the call over to, if any, and nodesTried holds all of them.
-	refusedBy      int
-	node           *Node
-	nodesTried     []Node
-	handOverReason handOverReason
+	// refusedBy counts the servers that refused a connection for the call. nodesTried holds the nodes
+	// that it was handed over to.
+	refusedBy  int
+	nodesTried []Node
 	// lastPieceAt is when the caller was last sent a piece, and maxGap the longest time
 	// between two pieces.
 	lastPieceAt time.Time
@@ -107,7 +115,6 @@
 
 // Choose implements recovery.Call.
 func (s *session) Choose(ctx context.Context) error {
-	s.attempts++
 	s.remaining = time.Until(s.end)
 	if err := s.r.opts.Suspects.Refuse(s.suspect); err != nil {
 		return s.failNotAdmitted(err)
@@ -133,7 +140,7 @@
 		peer, listed := s.r.opts.Peer(choice)
 		err = s.r.opts.Suspects.Refuse(s.suspect) // a quarantine may have begun while the call waited
 		if listed && err == nil {
-			s.choice, s.peer = choice, peer
+			s.next = destination{choice: choice, peer: peer}
 			return nil
 		}
 		s.endChoice(choice, routing.Result{Canceled: true})
@@ -145,32 +152,37 @@
 }
 
 const (
-	// alonePollInterval is how often a suspect tries to get a replica.
-	alonePollInterval = 50 * time.Millisecond
-	// maxAloneWait limits the wait for such a replica. Callers give up on a stream after two
+	// choosePollInterval is how often a call that waits for a replica tries to get one.
+	choosePollInterval = 50 * time.Millisecond
+	// maxChooseWait limits the wait for a replica. Callers give up on a stream after two
 	// seconds without a piece.
-	maxAloneWait = 2 * time.Second
+	maxChooseWait = 2 * time.Second
 )
 
 // awaitReplica chooses a replica. A suspect waits for one that runs no other suspect and that
 // it is this node's turn to use.
 func (s *session) awaitReplica(ctx context.Context) (routing.Choice, error) {
-	waitEnd := time.Now().Add(maxAloneWait)
+	waitEnd := time.Now().Add(maxChooseWait)
 	if latest := s.end.Add(-minAttemptTime); !s.end.IsZero() && latest.Before(waitEnd) {
 		waitEnd = latest
 	}
 	for {
 		choice, err := s.chooseReplica()
-		if err == nil || !s.admission.Alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
+		if err == nil || !s.mayWaitFor(err) || time.Now().After(waitEnd) {
 			return choice, err
 		}
-		clock.Pause(ctx, alonePollInterval)
+		clock.Pause(ctx, choosePollInterval)
 		if ctx.Err() != nil {
 			return choice, err
 		}
 	}
 }
 
+// mayWaitFor reports whether the call waits until a replica can be chosen.
+func (s *session) mayWaitFor(err error) bool {
+	return s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
+}
+
 // admit refuses a quarantined request. A suspect waits until no other run of it is under way.
 func (s *session) admit(ctx context.Context) (err error) {
 	if s.admission, err = s.r.opts.Suspects.AdmitRequest(ctx, s.suspect); err != nil {
@@ -179,27 +191,51 @@
 	return nil
 }
 
-// Attempt implements recovery.Call.
+// Attempt implements recovery.Call. It returns once the attempt and all hedges have ended.
 func (s *session) Attempt(ctx context.Context) error {
-	if s.node != nil {
-		return s.attemptNode(ctx)
+	s.mu.Lock()
+	a := newAttempt(ctx, s, s.next)
+	s.begin(a)
+	s.leader, s.lastErr = a, nil
+	s.mu.Unlock()
+	err := s.run(a)
+	s.hedges.Wait()
+	switch {
+	case s.answered:
+		return nil
+	case s.lastErr != nil:
+		return s.lastErr
+	}
+	return err
+}
+
+// run runs an attempt to its end and records the result.
+func (s *session) run(a *attempt) error {
+	if a.to.node != nil {
+		return s.runOnNode(a)
 	}
-	a := newAttempt(ctx, s, s.choice, s.peer)
-	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, s.choice.Replica.ID, s.choice.Replica.Generation, s.admission)
+	s.beginSuspectRun(a)
 	result, err := a.run()
-	a.lossCause = s.r.crashes.lossCause(ctx, s.peer, err)
+	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
 	a.suspectRun.End(suspectOutcome(result, a.lossCause == lossCrash))
 	if result.OK {
 		s.r.advisor.recordCompleted(s.group, time.Now())
 	}
-	s.endChoice(s.choice, result)
-	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToCancel {
-		s.silence = silence{a.choice.Replica.ID, silent}
-	}
+	s.endChoice(a.to.choice, result)
 	s.logAttempt(a, result, err)
+	s.finishAttempt(a, err)
 	return err
 }
 
+// beginSuspectRun records the run for the tracker of suspects. A hedge is not admitted alone.
+func (s *session) beginSuspectRun(a *attempt) {
+	var admission suspect.Admission
+	if !a.isHedge {
+		admission = s.admission
+	}
+	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, admission)
+}
+
 func suspectOutcome(result routing.Result, crashed bool) suspect.Outcome {
 	switch {
 	case crashed:
@@ -213,11 +249,30 @@
 // endChoice ends the count of a request on its replica.
 func (s *session) endChoice(choice routing.Choice, result routing.Result) {
 	s.r.opts.Router.End(choice, result)
+	s.endLimit()
+}
+
+// endLimit ends the count of a request against the limit of its group.
+func (s *session) endLimit() {
 	if s.call.Model != "" {
 		s.r.limits.end(s.group)
 	}
 }
 
+// release gives up a destination that gets no attempt.
+func (s *session) release(to destination) {
+	if to.node == nil {
+		s.endChoice(to.choice, routing.Result{Canceled: true})
+	}
+}
+
+// hasStarted reports whether part of the answer was sent to the caller.
+func (s *session) hasStarted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
 // recordPiece records that a piece is sent to the caller.
 func (s *session) recordPiece(now time.Time) {
 	if !s.lastPieceAt.IsZero() {
@@ -238,7 +293,7 @@
 	}
 	choice, err := s.chooseAnyReplica()
 	if err != nil {
-		s.r.limits.end(s.group)
+		s.endLimit()
 	}
 	return choice, err
 }
@@ -247,7 +302,7 @@
 // replica before goes on in any case.
 func (s *session) limitShare() float64 {
 	switch {
-	case s.attempts > 1:
+	case s.attempts > 0:
 		return unlimitedShare
 	case s.call.LikelyRetry():
 		return returningShare
@@ -256,10 +311,7 @@
 }
 
 func (s *session) chooseAnyReplica() (routing.Choice, error) {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
-	if s.unreachable() {
-		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
-	}
+	req := s.routingRequest()
 	if stalled := s.r.stalls.stalled(time.Now()); len(stalled) > 0 {
 		req.Exclude = append(stalled, s.exclude...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
@@ -270,6 +322,15 @@
 	return s.r.opts.Router.Choose(req)
 }
 
+// routingRequest describes the call to the router, without the replicas to exclude.
+func (s *session) routingRequest() routing.Request {
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	if s.unreachable() {
+		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
+	}
+	return req
+}
+
 // limit returns the largest number of requests that a replica may hold, this one included.
 func (s *session) limit() routing.Limit {
 	if s.call.Model == "" {
@@ -281,7 +342,7 @@
 // allowedExtra returns how many requests beyond its slots a replica may hold, this one
 // included.
 func (s *session) allowedExtra() float64 {
-	if s.attempts == 1 && s.call.LikelyRetry() {
+	if s.attempts == 0 && s.call.LikelyRetry() {
 		return extraForReturning
 	}
 	return extraRequests
@@ -300,29 +361,25 @@
 // Classify implements recovery.Call.
 func (s *session) Classify(ctx context.Context, err error) recovery.Failure {
 	notRun, isNotRun := errors.Into[*NotRunError](err)
-	delivered := !isNotRun || notRun.Received
-	if delivered && !errors.Is(err, errReplicaLost) {
-		s.sent++ // an attempt on a replica that lost a member does not count
-	}
-	s.mayHaveRun = s.mayHaveRun || !isNotRun
-	if s.node == nil {
-		s.exclude = append(s.exclude, s.choice.Replica.ID)
-		if isNotRun && notRun.Refused {
-			s.refusedBy++
-		}
-	}
 	s.remaining = time.Until(s.end)
-	f := recovery.Failure{
+	f := s.failureState(!isNotRun || notRun.Received)
+	f.OutOfTime = f.OutOfTime || stopping(ctx)
+	if isNotRun {
+		f.Outcome = recovery.NotRun
+	}
+	return f
+}
+
+// failureState describes the call after a failure. delivered is true if a server received the failed
+// attempt.
+func (s *session) failureState(delivered bool) recovery.Failure {
+	return recovery.Failure{
 		MayHaveRun: s.mayHaveRun, Repeatable: s.call.Route.Policy.Idempotent(),
 		// Any replica can continue a stream after the id of its last piece.
 		ResponseStarted: s.started, CanContinue: true,
-		Attempts: s.sent, MaxAttempts: s.call.MaxAttempts(), OutOfTime: s.remaining < minAttemptTime || stopping(ctx),
+		Attempts: s.sent, MaxAttempts: s.call.MaxAttempts(), OutOfTime: time.Until(s.end) < minAttemptTime,
 		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, time.Now()) },
 	}
-	if isNotRun {
-		f.Outcome = recovery.NotRun
-	}
-	return f
 }
 
 // minAttemptTime is the shortest time in which another attempt can succeed: a round trip
@@ -368,13 +425,13 @@
 	if result.FirstToken > 0 {
 		firstPieceSeconds.Update(result.FirstToken.Seconds())
 	}
-	terms, choice := s.call.Route.Policy, a.choice
+	terms, choice := s.call.Route.Policy, a.to.choice
 	fields := []any{"request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
-		"group", s.group, "attempt", s.attempts, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
+		"group", s.group, "attempt", a.number, "hedge", a.isHedge, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
 		"reason", choice.Reason, "considered", choice.Considered, "alone", s.admission.Alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
 	if s.streams() {
-		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.maxGap, "pause_target", terms.TargetGap)
+		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.longestGap(), "pause_target", terms.TargetGap)
 	}
 	if len(s.suspect.Parts) > 0 {
 		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
@@ -391,11 +448,18 @@
 	if a.lossCause != lossNone {
 		fields = append(fields, "connection_lost", a.lossCause)
 	}
-	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToCancel {
+	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToHedge {
 		fields = append(fields, "silent", silent)
 	}
 	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.lossCause == lossCrash, "outcome", outcomeOf(err))...)
 }
 
+// longestGap returns the longest time between two pieces that the caller was sent.
+func (s *session) longestGap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxGap
+}
+
 // streams reports whether the answer is a stream of pieces.
 func (s *session) streams() bool { return s.call.Route.Policy.Kind == rules.CallStream }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -33,8 +33,16 @@
 	maxStallTimeout = 2 * time.Second
 	// gapDecay is the time constant with which the longest gap decays.
 	gapDecay = 2 * time.Second
-	// stallCheckInterval is the time between two checks.
+	// stallCheckInterval is the time between two checks. A check that is late by more than
+	// maxCheckDelay shows that this node itself had no processor.
 	stallCheckInterval = 50 * time.Millisecond
+	maxCheckDelay      = 50 * time.Millisecond
+	// quietTimeout is how long a replica with streams may send nothing before it counts as silent for
+	// hedges.
+	quietTimeout = 200 * time.Millisecond
+	// maxSilentShare is the share of the replicas with streams that may be silent for hedges to be of
+	// use. If more are, their cause is common, and the others have no room for the streams of all.
+	maxSilentShare = 0.5
 	// reportLifetime is how long another node's report is valid.
 	reportLifetime = time.Second
 	// healthyLifetime is how long a replica whose members all respond is allowed the
@@ -92,6 +100,16 @@
 	a.lastActivity, a.waitingForFirst, a.stalledSince = now, false, time.Time{}
 }
 
+// quarantined reports whether the replica was found stalled and gets no new requests.
+func (a *activity) quarantined(now time.Time) bool {
+	return !a.stalledSince.IsZero() && now.Sub(a.stalledSince) < stallQuarantine
+}
+
+// quiet reports whether nothing has come from the replica for quietTimeout.
+func (a *activity) quiet(now time.Time) bool {
+	return a.running > 0 && now.Sub(a.lastActivity) > quietTimeout
+}
+
 func newStallDetector() *stallDetector {
 	return &stallDetector{replicas: make(map[cluster.ReplicaID]*activity)}
 }
@@ -138,13 +156,43 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, a := range d.replicas {
-		if !a.stalledSince.IsZero() && now.Sub(a.stalledSince) < stallQuarantine {
+		if a.quarantined(now) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// silent returns the replicas that are stalled, and those from which nothing has come for so long
+// that they may be.
+func (d *stallDetector) silent(now time.Time) (ids []cluster.ReplicaID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, a := range d.replicas {
+		if a.quarantined(now) || a.quiet(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// mostSilent reports whether more than one replica and most of those with streams are silent. One that
+// has yet to send its first piece counts only once it is silent.
+func (d *stallDetector) mostSilent(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	working, silent := 0, 0
+	for _, a := range d.replicas {
+		switch {
+		case a.quiet(now):
+			silent++
+		case a.running > 0 && !a.waitingForFirst:
+			working++
+		}
+	}
+	return silent > 1 && float64(silent) > maxSilentShare*float64(silent+working)
+}
+
 // check returns the replicas that stalled since the last check, and whether at least as
 // many others work. If not, this node itself is more likely cut off.
 func (d *stallDetector) check(now time.Time) (found []cluster.ReplicaID, othersWork bool) {
@@ -152,7 +200,7 @@
 	defer d.mu.Unlock()
 	working := 0
 	for id, a := range d.replicas {
-		quarantined := !a.stalledSince.IsZero() && now.Sub(a.stalledSince) < stallQuarantine
+		quarantined := a.quarantined(now)
 		switch {
 		case a.running == 0 && !quarantined && now.Sub(a.reportedAt) >= reportLifetime && now.After(a.healthyUntil):
 			delete(d.replicas, id)
@@ -185,8 +233,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.activity(id)
-	quarantined := !a.stalledSince.IsZero() && now.Sub(a.stalledSince) < stallQuarantine
-	if quarantined || a.running > 0 || now.Before(a.healthyUntil) {
+	if a.quarantined(now) || a.running > 0 || now.Before(a.healthyUntil) {
 		return false
 	}
 	confirmed := a.reportedBy != "" && a.reportedBy != by && now.Sub(a.reportedAt) < reportLifetime
--- a/internal/suspect/request.go
+++ b/internal/suspect/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,11 @@
 	return nil
 }
 
+// IsSuspect reports whether there is a record of the request or of a part of it. It never waits.
+func (t *Tracker) IsSuspect(req Request) bool {
+	return t.known(req.Fingerprint.key()) || slices.ContainsFunc(req.Parts, func(p Part) bool { return t.known(key(p)) })
+}
+
 // AdmitRequest returns an error for a request that is quarantined itself or holds a quarantined
 // part. Suspects, and requests with a part on probation, wait until no other run of the same kind
 // is under way.
