internal/relay: a node that stood still knows nothing of the silence of servers

Cause: a node without a processor for half a second (a signal, a busy machine) wakes with full sockets and a check for stalls that is due. Whichever runs first is not fixed: if it is the check, it finds every replica silent, and the idle timers of its attempts are due as well. Class: a clock that ran while its reader did not.

TestNodeThatStoodStillFindsNoStall is red with the call of excuse made empty (found: both replicas).

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -98,6 +98,10 @@
 		return
 	}
 	now := time.Now()
+	if a.s.r.stoodStill(now) {
+		a.idleTimer.Reset(hedgeRetryInterval) // what has arrived is not read yet
+		return
+	}
 	if left := a.idleTimeout - a.idleFor(now); a.hedgeReason == hedgeNone && left > 0 {
 		a.idleTimer.Reset(left)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,6 +124,7 @@
 		late := now.Sub(time.Unix(0, r.lastCheck.Swap(now.UnixNano()))) - stallCheckInterval
 		if late > maxCheckDelay {
 			r.opts.Log.Warn("node stood still", "for", late)
+			r.stalls.excuse(late, now)
 		}
 		r.checkStalls(now)
 	})
@@ -142,6 +143,13 @@
 	}
 }
 
+// stoodStill reports whether this node has just had no processor for so long that answers may have
+// arrived which it has not read.
+func (r *Relay) stoodStill(now time.Time) bool {
+	last := r.lastCheck.Load()
+	return last != 0 && now.Sub(time.Unix(0, last)) > stallCheckInterval+maxCheckDelay
+}
+
 // ReportStall records another node's report that a replica is stalled.
 func (r *Relay) ReportStall(id cluster.ReplicaID, by cluster.NodeID, now time.Time) {
 	if r.stalls.report(id, by, now) {
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -193,6 +193,17 @@
 	return silent > 1 && float64(silent) > maxSilentShare*float64(silent+working)
 }
 
+// excuse leaves the time for which this node stood still out of the silence of all replicas.
+func (d *stallDetector) excuse(stoodStill time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.replicas {
+		if a.lastActivity = a.lastActivity.Add(stoodStill); a.lastActivity.After(now) {
+			a.lastActivity = now
+		}
+	}
+}
+
 // check returns the replicas that stalled since the last check, and whether at least as
 // many others work. If not, this node itself is more likely cut off.
 func (d *stallDetector) check(now time.Time) (found []cluster.ReplicaID, othersWork bool) {
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -116,3 +116,20 @@
 	require.Len(t, found, 2)
 	require.False(t, othersWork)
 }
+
+// Guards against a node without a processor for a second that takes its own pause for that of all replicas.
+func TestNodeThatStoodStillFindsNoStall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newStallDetector()
+	for _, id := range []cluster.ReplicaID{"a", "b"} {
+		d.begin(id, now)
+		d.recordActivity(id, now)
+	}
+	const stoodStill = time.Second
+	now = now.Add(stoodStill)
+	d.excuse(stoodStill, now)
+	found, _ := d.check(now)
+	require.Empty(t, found)
+	found, _ = d.check(now.Add(stallTimeout + time.Millisecond))
+	require.Len(t, found, 2, "a silence after the pause counts")
+}
