internal/relay: an answer that has begun waits for a replica with room

What callers saw: a server broke off an answer and all other replicas were full at that moment; the connection was closed in the same millisecond, with up to 4.3 s left.

TestBegunAnswerWaitsForRoom was red before (the answer was aborted at once).

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -160,7 +160,8 @@
 )
 
 // awaitReplica chooses a replica. A suspect waits for one that runs no other suspect and that
-// it is this node's turn to use.
+// it is this node's turn to use. A call whose answer has begun waits for one with room: there is no
+// refusal that its caller would get.
 func (s *session) awaitReplica(ctx context.Context) (routing.Choice, error) {
 	waitEnd := time.Now().Add(maxChooseWait)
 	if latest := s.end.Add(-minAttemptTime); !s.end.IsZero() && latest.Before(waitEnd) {
@@ -180,7 +181,7 @@
 
 // mayWaitFor reports whether the call waits until a replica can be chosen.
 func (s *session) mayWaitFor(err error) bool {
-	return s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
+	return s.started || s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
 }
 
 // admit refuses a quarantined request. A suspect waits until no other run of it is under way.
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
@@ -155,3 +156,26 @@
 		}
 	})
 }
+
+// Guards against answers that are ended as their server breaks off while all other replicas are full for a moment.
+func TestBegunAnswerWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 10, ab, handlers{"a": streamPieces(2, errReset), "b": streamPieces(4, io.EOF)})
+		setLoad := func(running int) {
+			f.router.ReportLoad("b", engine.Load{Running: running, MaxRunning: 8}, time.Now())
+		}
+		setLoad(20)
+		time.AfterFunc(time.Second, func() { setLoad(0) })
+		start := time.Now()
+		got := f.serve(t.Context(), resumableTerms)
+		require.True(t, got.ended)
+		require.Equal(t, "1;2;3;4;", got.text)
+		require.Less(t, time.Since(start), 1200*time.Millisecond)
+
+		setLoad(20)
+		start = time.Now()
+		got = f.serve(t.Context(), resumableTerms)
+		require.NotNil(t, got.aborted, "no replica ever has room")
+		require.Less(t, time.Since(start), 3*time.Second)
+	})
+}
