internal/relay: hedges wait while several replicas are silent

Change: an attempt on a stalled replica is hedged at once only if that replica is silent alone or nearly so, and onto a replica of which half is free; if several are silent, after 1.4 s onto any free slot; if most are, not for the silence.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,10 +61,11 @@
 	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
 	lastActivity atomic.Int64
 
-	// The fields below are guarded by s.mu. hedgeReason is why the attempt is to be hedged, and
-	// noHedgeReason why it last could not be.
+	// The fields below are guarded by s.mu. hedgeReason is why the attempt is to be hedged once it has
+	// been idle for hedgeDelay, and noHedgeReason why it last could not be.
 	ended         bool
 	hedgeReason   hedgeReason
+	hedgeDelay    time.Duration
 	noHedgeReason string
 }
 
@@ -315,7 +316,6 @@
 		return &BrokenError{Reason: "the caller takes nothing", Err: err}
 	}
 	a.s.lastID = id
-	a.lastActivity.Store(time.Now().UnixNano()) // the caller may have taken its time
 	a.resetIdleTimer(a.pieceTimeout())
 	return nil
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -90,7 +90,11 @@
 }
 
 func serveOn(r *relay.Relay, kind rules.CallKind) *recorder {
-	terms := rules.RoutePolicy{Kind: kind, MaxAttempts: 1, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
+	return serveTerms(r, rules.RoutePolicy{Kind: kind, MaxAttempts: 1, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}})
+}
+
+// serveTerms serves a call on a route with the terms.
+func serveTerms(r *relay.Relay, terms rules.RoutePolicy) *recorder {
 	got := &recorder{}
 	r.Serve(context.Background(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
 	return got
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -28,8 +28,15 @@
 )
 
 const (
+	// severalStalledDelay is how long an attempt on a stalled replica must have been idle to be hedged
+	// if other replicas are silent too. Replicas that pause together mostly go on before that, while
+	// hedges of all their streams read each prompt once more on the others.
+	severalStalledDelay = minPieceTimeout
 	// hedgeRetryInterval is the time until a hedge is tried again that was not possible.
 	hedgeRetryInterval = 200 * time.Millisecond
+	// earlyHedgeRoom is the share of its slots that a replica may have in use to take the hedge of an
+	// attempt that may soon go on.
+	earlyHedgeRoom = 0.5
 	// minIdleToHedge is how long an attempt must have received nothing to be hedged. A member that
 	// left the list may still work until it has drained: its streams receive a piece in every pass
 	// and complete there.
@@ -55,10 +62,11 @@
 	errNotListed = errors.New("the server is not listed")
 )
 
-// hedgeAttempts hedges the idle attempts on a replica and returns the number of hedges.
-func (r *Relay) hedgeAttempts(id cluster.ReplicaID, reason hedgeReason) (hedged int) {
+// hedgeAttempts hedges the attempts on a replica once they have been idle for the delay, and returns
+// the number of hedges that have begun.
+func (r *Relay) hedgeAttempts(id cluster.ReplicaID, reason hedgeReason, delay time.Duration) (hedged int) {
 	for _, a := range r.attemptsOn(id) {
-		if a.suspectSilence(reason) {
+		if a.suspectSilence(reason, delay) {
 			hedged++
 		}
 	}
@@ -74,14 +82,14 @@
 	return attempts
 }
 
-// suspectSilence hedges the attempt if it has been idle for a while and may be repeated.
-func (a *attempt) suspectSilence(reason hedgeReason) (hedged bool) {
-	if !a.idempotent || a.idleFor(time.Now()) <= minIdleToHedge || !a.s.mu.TryLock() {
+// suspectSilence hedges the attempt if it may be repeated, once it has been idle for the delay.
+func (a *attempt) suspectSilence(reason hedgeReason, delay time.Duration) (hedged bool) {
+	if !a.idempotent || !a.s.mu.TryLock() {
 		return false // a piece is being written to the caller
 	}
 	defer a.s.mu.Unlock()
 	if a.hedgeReason != hedgeReplicaLost {
-		a.hedgeReason = reason
+		a.hedgeReason, a.hedgeDelay = reason, delay
 	}
 	return a.hedge()
 }
@@ -107,7 +115,7 @@
 		return
 	}
 	if a.hedgeReason == hedgeNone {
-		a.hedgeReason = hedgeIdle
+		a.hedgeReason, a.hedgeDelay = hedgeIdle, 0
 	}
 	a.hedge()
 }
@@ -120,7 +128,7 @@
 		return false
 	}
 	a.idleTimer.Reset(hedgeRetryInterval)
-	if len(s.inFlight) > 1 {
+	if len(s.inFlight) > 1 || a.idleFor(time.Now()) < a.hedgeDelay {
 		return false
 	}
 	to, err := s.chooseHedge(a)
@@ -173,7 +181,7 @@
 		}
 	}
 	now := time.Now()
-	if a.isSilent() && s.r.stalls.mostSilent(now) {
+	if a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
 		return destination{}, errMostSilent
 	}
 	if s.call.Model != "" && !s.r.limits.begin(s.group, unlimitedShare, now) {
@@ -202,6 +210,9 @@
 	}
 	if s.call.Model != "" && a.isSilent() {
 		req.Limit = routing.Limit{PerSlot: 1}
+		if a.idleFor(now) < severalStalledDelay {
+			req.Limit.PerSlot = earlyHedgeRoom
+		}
 	}
 	return req
 }
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -143,7 +143,7 @@
 	ids := slices.Collect(maps.Keys(r.running))
 	r.mu.Unlock()
 	for _, id := range ids {
-		hedged += r.hedgeAttempts(id, hedgeUnreachable)
+		hedged += r.hedgeAttempts(id, hedgeUnreachable, minIdleToHedge)
 	}
 	return hedged
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,13 +130,18 @@
 	})
 }
 
-// checkStalls hedges the attempts on replicas that have stalled.
+// checkStalls has the attempts on replicas that have stalled hedged if these stay silent.
 func (r *Relay) checkStalls(now time.Time) {
 	found, othersWork := r.stalls.check(now)
+	delay := severalStalledDelay
+	if r.stalls.silenceSpread(now) == isolatedSilence {
+		delay = minIdleToHedge
+	}
 	for _, id := range found {
 		r.recordFailure(string(id))
 		silent := r.stalls.silentFor(id, now)
-		r.opts.Log.Warn("replica stalled", "replica", id, "silent", silent, "hedged", r.hedgeAttempts(id, hedgeStalled), "others_responding", othersWork)
+		r.hedgeAttempts(id, hedgeStalled, delay)
+		r.opts.Log.Warn("replica stalled", "replica", id, "silent", silent, "others_responding", othersWork)
 	}
 	if len(found) > 0 && r.opts.OnStall != nil {
 		r.opts.OnStall(found, othersWork)
@@ -162,7 +167,9 @@
 
 // ReplicaLost hedges the attempts on a replica that lost a member. The engines would hold them for
 // seconds before failing them.
-func (r *Relay) ReplicaLost(id cluster.ReplicaID) { r.hedgeAttempts(id, hedgeReplicaLost) }
+func (r *Relay) ReplicaLost(id cluster.ReplicaID) {
+	r.hedgeAttempts(id, hedgeReplicaLost, minIdleToHedge)
+}
 
 // Running returns the number of attempts in progress.
 func (r *Relay) Running() (count int) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
@@ -215,7 +214,7 @@
 	if a.to.node != nil {
 		return s.runOnNode(a)
 	}
-	s.beginSuspectRun(a)
+	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
 	result, err := a.run()
 	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
 	a.suspectRun.End(suspectOutcome(result, a.lossCause == lossCrash))
@@ -228,15 +227,6 @@
 	return err
 }
 
-// beginSuspectRun records the run for the tracker of suspects. A hedge is not admitted alone.
-func (s *session) beginSuspectRun(a *attempt) {
-	var admission suspect.Admission
-	if !a.isHedge {
-		admission = s.admission
-	}
-	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, admission)
-}
-
 func suspectOutcome(result routing.Result, crashed bool) suspect.Outcome {
 	switch {
 	case crashed:
@@ -414,53 +404,5 @@
 	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) && !stopping(ctx)
 }
 
-var (
-	attemptSeconds    = metrics.NewHistogram("fennel_relay_attempt_seconds")
-	firstPieceSeconds = metrics.NewHistogram("fennel_relay_first_piece_seconds")
-)
-
-// logAttempt logs a finished attempt: the replica chosen and why, the load that the server
-// reported, and the latencies beside the route's targets.
-func (s *session) logAttempt(a *attempt, result routing.Result, err error) {
-	attemptSeconds.Update(result.Duration.Seconds())
-	if result.FirstToken > 0 {
-		firstPieceSeconds.Update(result.FirstToken.Seconds())
-	}
-	terms, choice := s.call.Route.Policy, a.to.choice
-	fields := []any{"request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
-		"group", s.group, "attempt", a.number, "hedge", a.isHedge, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
-		"reason", choice.Reason, "considered", choice.Considered, "alone", s.admission.Alone, "waited", a.started.Sub(s.call.ReceivedAt),
-		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
-	if s.streams() {
-		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.longestGap(), "pause_target", terms.TargetGap)
-	}
-	if len(s.suspect.Parts) > 0 {
-		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
-	}
-	if load := a.state.Load; load != nil {
-		fields = append(fields, "running", load.Running, "waiting", load.Waiting, "slots", load.Slots)
-	}
-	if a.state.RateLimit > 0 {
-		fields = append(fields, "rate_limit", a.state.RateLimit)
-	}
-	if a.state.Pushback > 0 || a.state.Leaving {
-		fields = append(fields, "pushback", a.state.Pushback, "leaving", a.state.Leaving)
-	}
-	if a.lossCause != lossNone {
-		fields = append(fields, "connection_lost", a.lossCause)
-	}
-	if silent := a.idleFor(time.Now()); err != nil && silent > minIdleToHedge {
-		fields = append(fields, "silent", silent)
-	}
-	s.r.opts.Log.Info("attempt", append(fields, "crashed", a.lossCause == lossCrash, "outcome", outcomeOf(err))...)
-}
-
-// longestGap returns the longest time between two pieces that the caller was sent.
-func (s *session) longestGap() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.maxGap
-}
-
 // streams reports whether the answer is a stream of pieces.
 func (s *session) streams() bool { return s.call.Route.Policy.Kind == rules.CallStream }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -40,9 +40,10 @@
 	// quietTimeout is how long a replica with streams may send nothing before it counts as silent for
 	// hedges.
 	quietTimeout = 200 * time.Millisecond
-	// maxSilentShare is the share of the replicas with streams that may be silent for hedges to be of
-	// use. If more are, their cause is common, and the others have no room for the streams of all.
-	maxSilentShare = 0.5
+	// Up to isolatedShare of the replicas with streams, a silence is that of single replicas. Above
+	// commonShare its cause is common, and the others have no room for the streams of all.
+	isolatedShare = 0.125
+	commonShare   = 0.5
 	// reportLifetime is how long another node's report is valid.
 	reportLifetime = time.Second
 	// healthyLifetime is how long a replica whose members all respond is allowed the
@@ -176,9 +177,20 @@
 	return ids
 }
 
-// mostSilent reports whether more than one replica and most of those with streams are silent. One that
-// has yet to send its first piece counts only once it is silent.
-func (d *stallDetector) mostSilent(now time.Time) bool {
+// spread says how many of the replicas with streams are silent.
+type spread int
+
+const (
+	// isolatedSilence: one replica, or few of those with streams.
+	isolatedSilence spread = iota
+	partialSilence
+	// commonSilence: most replicas with streams, and more than one.
+	commonSilence
+)
+
+// silenceSpread returns how many replicas are silent. One that has yet to send its first piece counts
+// only once it is silent.
+func (d *stallDetector) silenceSpread(now time.Time) spread {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	working, silent := 0, 0
@@ -190,7 +202,14 @@
 			working++
 		}
 	}
-	return silent > 1 && float64(silent) > maxSilentShare*float64(silent+working)
+	share := float64(silent) / float64(silent+working)
+	switch {
+	case silent <= 1 || share <= isolatedShare:
+		return isolatedSilence
+	case share <= commonShare:
+		return partialSilence
+	}
+	return commonSilence
 }
 
 // excuse leaves the time for which this node stood still out of the silence of all replicas.
