internal/relay: calls that can be refused leave a part of the retry budget to begun answers

What callers saw: a server broke off an answer, another one could have gone on with it, and the connection was closed with 'retry budget used': calls whose answer had not begun had used the budget, though their callers can be told.

Change: only calls whose answer has begun may use the last three tenths of the budget; all nodes together stay within the same whole.

TestRetryBudgetKeepsAPartForBegunAnswers and TestRetriesStayWithinBudget are red with the part left out. The latter asked for the whole budget for calls that had not begun; it now asks for exactly their part of it.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -23,6 +23,8 @@
 	// ratioMargin is the fraction of the ratio that is used. Calls are counted where they
 	// arrive, in windows that may not be aligned with those of the operators.
 	ratioMargin = 0.8
+	// begunReserve is the fraction of the budget that only calls whose answer has begun may use.
+	begunReserve = 0.3
 	// windowBuckets is the number of buckets of the sliding window.
 	windowBuckets = 20
 )
@@ -55,8 +57,9 @@
 	w.calls[w.bucket%windowBuckets]++
 }
 
-// TryRetry takes one retry from the service's budget, or returns false if it is exhausted.
-func (b *Budget) TryRetry(service cluster.Service, now time.Time) bool {
+// TryRetry takes one retry from the service's budget, or returns false if it is exhausted. Calls whose
+// answer has not begun leave a part of the budget to those whose answer has: these cannot be refused.
+func (b *Budget) TryRetry(service cluster.Service, begun bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
@@ -65,7 +68,11 @@
 		calls += w.calls[i]
 		retries += w.retries[i]
 	}
-	if float64(retries+1) > b.opts.Ratio*ratioMargin*float64(calls)+b.opts.Slack/float64(max(b.opts.Nodes, 1)) {
+	allowed := b.opts.Ratio*ratioMargin*float64(calls) + b.opts.Slack/float64(max(b.opts.Nodes, 1))
+	if !begun {
+		allowed *= 1 - begunReserve
+	}
+	if float64(retries+1) > allowed {
 		return false
 	}
 	w.retries[w.bucket%windowBuckets]++
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -346,6 +346,6 @@
 		})
 		terms := rules.RoutePolicy{Kind: rules.CallSafe, MaxAttempts: 2, Timeout: time.Second, Split: []rules.WeightedService{{Service: "s", Weight: 1}}}
 		r.Serve(t.Context(), &call.Call{ID: "id-1", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now(), AttemptsLeft: 1, HandedOver: handedOver}, &recorder{})
-		require.Equal(t, retries, budget.TryRetry("s", time.Now()))
+		require.Equal(t, retries, budget.TryRetry("s", true, time.Now()))
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -70,13 +70,13 @@
 }
 
 // Retries of calls that failed on overloaded servers would keep the servers overloaded. No
-// retry may be made beyond the budget.
+// retry may be made beyond the part of the budget that calls may use whose answer has not begun.
 func TestRetriesStayWithinBudget(t *testing.T) {
-	f := newFixture(t, 3, ab, handlers{"a": failWith(errReset), "b": failWith(errReset)})
+	f := newFixture(t, 10, ab, handlers{"a": failWith(errReset), "b": failWith(errReset)})
 	for range 10 {
 		f.serve(t.Context(), safeTerms)
 	}
-	require.Len(t, f.backend.sent(), 10+3)
+	require.Len(t, f.backend.sent(), 10+7)
 }
 
 // If a stream is interrupted, another server continues it. The caller must receive one
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -369,7 +369,7 @@
 		// Any replica can continue a stream after the id of its last piece.
 		ResponseStarted: s.started, CanContinue: true,
 		Attempts: s.sent, MaxAttempts: s.call.MaxAttempts(), OutOfTime: time.Until(s.end) < minAttemptTime,
-		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, time.Now()) },
+		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, s.started, time.Now()) },
 	}
 }
 
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -179,3 +179,17 @@
 		require.Less(t, time.Since(start), 3*time.Second)
 	})
 }
+
+// Guards against answers that are ended as their server breaks off because calls that can still be refused have used the retry budget.
+func TestRetryBudgetKeepsAPartForBegunAnswers(t *testing.T) {
+	f := newFixture(t, 10, ab, handlers{"a": streamPieces(0, errReset), "b": failWith(errReset)})
+	for range 20 {
+		require.NotNil(t, f.serve(t.Context(), resumableTerms).refused)
+	}
+	require.Len(t, f.backend.sent(), 20+7)
+	f.backend.handlers = handlers{"a": streamPieces(2, errReset), "b": streamPieces(4, io.EOF)}
+	for i := range 4 {
+		got := f.serve(t.Context(), resumableTerms)
+		require.Equal(t, i < 3, got.ended, "the whole budget is ten retries")
+	}
+}
