--- a/internal/rules/inforce.go
+++ b/internal/rules/inforce.go
@@ -11,3 +11,11 @@
 	// Fresh reports whether Age is short enough to refuse what the set does not contain.
 	Fresh bool
 }
+
+// LoggedAge returns the age for logs; "none" while the node knows no rules.
+func (f InForce) LoggedAge() string {
+	if f.Set == nil {
+		return "none"
+	}
+	return f.Age.String()
+}
