internal/entry: a node that knows no others detects a lost path too

Callers of a node without datagrams were refused for ten minutes with 429 request_quarantined after a cut between it and the servers that resets connections and refuses new ones. Cause: the detector of a lost path was handed to the relay only together with the client for other nodes, so that each reset connection counted as a crash of its server (connection_lost=crash in the log) and the requests on it as suspects.

Now the detector is always there; without other nodes a call is refused at once while no server is in reach. TestCutPathOfANodeWithoutOthersMakesNoSuspects failed before (crashed=true).

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -15,15 +15,17 @@
 // node may be reached sooner.
 const nodeDialTimeout = 400 * time.Millisecond
 
-// enableHandOver has calls go to another node while this one reaches no backend server.
+// enableHandOver has calls go to another node while this one reaches no backend server. A node that
+// knows no others refuses them at once.
 func (n *Core) enableHandOver(o *relay.Options, opts CoreOptions) {
 	accepts := func(ctx context.Context, p conns.Peer) bool { return o.Backend.Accepts(ctx, p) }
 	n.reach = reach.NewDetector(reach.Options{Servers: n.listedServers, Accepts: accepts, OnLost: n.onServersLost, Log: n.log})
+	o.Reach = n.reach
 	if n.platform.NodeClient == nil || opts.Nodes == nil {
 		return
 	}
 	o.Zone = n.cfg.Zone
-	o.Reach, o.Nodes, o.NodeClient = n.reach, opts.Nodes, n.platform.NodeClient(n.nodePool, opts.SignHandOver)
+	o.Nodes, o.NodeClient = opts.Nodes, n.platform.NodeClient(n.nodePool, opts.SignHandOver)
 }
 
 // onServersLost moves the calls that can be repeated to other nodes.
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -178,7 +178,7 @@
 
 // nextNode returns the node to be offered the call next because this one reaches no server, or nil.
 func (s *session) nextNode(now time.Time) *Node {
-	if len(s.nodesTried) >= maxNodes || s.r.nodeBackoffs.exhausted(now) {
+	if s.r.opts.NodeClient == nil || len(s.nodesTried) >= maxNodes || s.r.nodeBackoffs.exhausted(now) {
 		return nil
 	}
 	return s.pickNode(now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,8 +61,8 @@
 	// and with whether other replicas work; may be nil.
 	OnStall func(ids []cluster.ReplicaID, othersWork bool)
 	// Reach tells whether this node reaches the backend servers. While it does not, calls go
-	// to another one of Nodes, by NodeClient. Reach may be nil; then calls never do. Zone is
-	// this node's zone.
+	// to another one of Nodes, by NodeClient, or are refused if that is nil. Reach may be nil; then
+	// neither happens. Zone is this node's zone.
 	Zone       cluster.ZoneID
 	Reach      Reachability
 	Nodes      func() []Node
