internal/soak: the nodes' path to the servers is cut, both ways and one way

The faults of a seed stay the same. A cut of one node alone is not played: all nodes reach a server through one proxy, by the address that the store lists.

--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -28,6 +28,7 @@
 	faults := flags.DurationLong("faults", 10*time.Second, "time in which faults are injected, for each seed")
 	serverFaults := flags.BoolLongDefault("ailing", true, "also make backend servers return errors, truncate responses, omit events and swap responses")
 	serverSignals := flags.BoolLongDefault("signals", true, "also make backend servers ask for no requests and say that they leave")
+	serverCuts := flags.BoolLongDefault("cuts", false, "also cut the nodes off from most backend servers, both ways or one way")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
 		ShortHelp: "inject faults into a system of real daemons and check the responses",
@@ -43,7 +44,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults, ServerSignals: *serverSignals, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults, ServerSignals: *serverSignals, ServerCuts: *serverCuts, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -25,13 +25,13 @@
 
 // Proxy relays TCP connections to one address and injects network faults on demand.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	target, addr string
 
-	mu    sync.Mutex
-	mode  ProxyMode
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	mu       sync.Mutex
+	listener net.Listener // nil while the path is cut
+	mode     ProxyMode
+	conns    map[net.Conn]struct{}
+	wg       sync.WaitGroup
 }
 
 // NewProxy starts a proxy to the target on an unused loopback address.
@@ -40,13 +40,46 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
-	p.wg.Go(p.accept)
+	p := &Proxy{target: target, addr: listener.Addr().String(), conns: make(map[net.Conn]struct{})}
+	p.listen(listener)
 	return p, nil
 }
 
 // Addr returns the address on which the proxy accepts connections.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.addr }
+
+func (p *Proxy) listen(listener net.Listener) {
+	p.listener = listener
+	p.wg.Go(func() { p.accept(listener) })
+}
+
+// Cut has new connections refused until Restore. Open ones are reset or, if oneWay is set, deliver
+// only what the client sends.
+func (p *Proxy) Cut(oneWay bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.mode = DropResponses
+	if !oneWay {
+		p.resetLocked()
+	}
+}
+
+// Restore reverts Cut. It fails if another process has taken the address.
+func (p *Proxy) Restore() error {
+	listener, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = Forward
+	p.listen(listener)
+	return nil
+}
 
 // SetMode changes the mode. Disconnect resets open connections at once.
 func (p *Proxy) SetMode(mode ProxyMode) {
@@ -76,8 +109,7 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.Reset()
+	p.Cut(false)
 	p.wg.Wait()
 }
 
@@ -87,9 +119,9 @@
 	return p.mode
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -166,9 +166,10 @@
 	}
 	rnd := rand.New(rand.NewPCG(opts.Seed, 0))
 	callers := startCallers(env, opts.Callers, opts.Seed)
-	stopSignals := env.startSignals()
+	stopSignals, stopCuts := startBeside(opts.ServerSignals, env.giveSignals), startBeside(opts.ServerCuts, env.cutServers)
 	result.Faults = env.injectFaults(rnd)
 	result.Findings = append(result.Findings, stopSignals()...)
+	result.Findings = append(result.Findings, stopCuts()...)
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
 	}
@@ -181,14 +182,14 @@
 	return result, nil
 }
 
-// startSignals has servers give signals if the options say so. The function that it returns ends that
+// startBeside runs disturb beside the faults if it is enabled. The function that it returns ends that
 // and returns the findings.
-func (env *Environment) startSignals() (stop func() []string) {
-	if !env.opts.ServerSignals {
+func startBeside(enabled bool, disturb func(stop <-chan struct{}) (findings []string)) (stop func() []string) {
+	if !enabled {
 		return func() []string { return nil }
 	}
 	ended, findings := make(chan struct{}), make(chan []string, 1)
-	go func() { findings <- env.giveSignals(ended) }()
+	go func() { findings <- disturb(ended) }()
 	return func() []string {
 		close(ended)
 		return <-findings
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,8 +1,11 @@
 package soak_test
 
 import (
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +69,22 @@
 		require.Empty(t, result.Findings, "seed %d", seed)
 	}
 }
+
+// Guards against calls that run twice, are refused though they ran, or stay unserved, because the nodes' path to the servers is cut, both ways or one way.
+func TestShortSoakWithCutServers(t *testing.T) {
+	path := buildDaemon(t)
+	for _, seed := range []uint64{6, 7} {
+		dir := t.TempDir()
+		result, err := soak.Run(soak.Options{Binary: path, Dir: dir, Seed: seed, Nodes: 3, Callers: 12, FaultDuration: 6 * time.Second, ServerCuts: true, Log: t.Logf})
+		require.NoError(t, err)
+		t.Logf("seed %d: %d completed, %d refused, %d failed; %v", seed, result.Completed, result.Refused, result.Failed, result.Faults)
+		require.Empty(t, result.Findings, "seed %d", seed)
+		logs := ""
+		for i := range 3 {
+			log, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("node-%d.log", i)))
+			require.NoError(t, err)
+			logs += string(log)
+		}
+		require.True(t, strings.Contains(logs, "backend servers unreachable"), "no node lost its path")
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,7 +32,9 @@
 	ServerFaults bool
 	// ServerSignals makes backend servers ask for no requests and say that they leave in addition.
 	ServerSignals bool
-	Log           func(format string, args ...any)
+	// ServerCuts separates all nodes from most backend servers in addition, time after time.
+	ServerCuts bool
+	Log        func(format string, args ...any)
 }
 
 // Environment is the system under test: a stand-in platform and its nodes.
@@ -172,10 +174,7 @@
 		n.store.Close()
 	}
 	env.fleet.Close()
-	env.mu.Lock()
-	proxies := env.proxies
-	env.mu.Unlock()
-	for _, p := range proxies {
+	for _, p := range env.allProxies() {
 		p.Close()
 	}
 	_ = env.http.Close() // the error is irrelevant after the run
