internal/gateway: the loss of a node's path to the engines is no crash of them

In the product's own form a sound request was refused on all nodes for 15 minutes (422 request_quarantined) because two engines did not answer while the node's path to all of them was lost: new connections refused, open ones silent (trial: 12 engines, one request). Each engine that does not answer a probe counted as crashed by the request.

--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -20,6 +20,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/openai"
 	"github.com/fennelcourse/fennelcourse/internal/peer"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
+	"github.com/fennelcourse/fennelcourse/internal/reach"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/rulestore"
@@ -130,6 +131,7 @@
 		Node: n.cfg.Node, Protocol: openai.Protocol{}, Rules: n.rules, Router: confirmingRouter{n.routing, n.health}, Services: n.vms, Admitter: n.admission, Claimer: gateway.StoreClaimer{Manager: n.claims},
 		Quarantine: n.suspects, Pools: n.pools, Streamer: engine.NewStreamer(n.pools, 0), Prober: n.prober, Log: n.log,
 		OnReplicaFailed: func(r cluster.Replica, _ string) { n.health.RequestPoll(r.ID) },
+		Reachable:       reach.NewDetector(reach.Options{Servers: n.listedEngines, Accepts: acceptsConnection, Log: n.log}).Probe,
 		NewRequestID:    newRequestID,
 		MaxBody:         req.MaxBody, FirstTokenTimeout: req.Deadline, CallTimeout: req.CallTimeout,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,9 @@
 	// OnReplicaFailed is called when a replica failed a request, so that its health is
 	// checked at once. It may be nil.
 	OnReplicaFailed func(replica cluster.Replica, reason string)
+	// Reachable reports whether this node reaches the engines at all. While it does not, an engine
+	// that does not answer has not crashed. It may be nil.
+	Reachable func(ctx context.Context) bool
 	// NewRequestID returns a request ID that is unique over all nodes.
 	NewRequestID func() string
 
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -54,7 +54,7 @@
 }
 
 // Apply implements recovery.Call.
-func (s *session) Apply(_ context.Context, d recovery.Decision, err error) error {
+func (s *session) Apply(ctx context.Context, d recovery.Decision, err error) error {
 	choice := s.target.choice
 	s.g.opts.Log.Warn("attempt failed", "request", s.c.requestID, "replica", choice.Replica.ID, "addr", choice.Addr,
 		"after_event", s.exchange.LastEventID(), "next", d.Step, "reason", d.Reason, "err", err.Error())
@@ -69,7 +69,7 @@
 	if !s.failure.crashed && !s.failure.resumeRejected {
 		s.cancelAtReplica()
 	}
-	s.endTarget(routing.Result{}, s.failure.crashed)
+	s.endTarget(routing.Result{}, s.failure.crashed && s.g.reachesEngines(ctx))
 	if d.Step == recovery.GiveUp {
 		return s.giveUp(d.Reason, err)
 	}
@@ -115,6 +115,12 @@
 	return err == nil && state.Assignment.Replica == replica.ID && state.Assignment.Generation == replica.Generation
 }
 
+// reachesEngines reports whether this node reaches the engines at all. It does not depend on the
+// caller's presence.
+func (g *Gateway) reachesEngines(ctx context.Context) bool {
+	return g.opts.Reachable == nil || g.opts.Reachable(context.WithoutCancel(ctx))
+}
+
 func (s *session) reportReplicaFailure(err error) {
 	if s.failure.crashed {
 		replicaCrashes.Inc()
