internal/player: paths to the servers that are cut one way or lose packets; what callers get at 4 and 28 nodes

IsolateNodes can lose only what VMs send (OneWay), or a share of the packets (Factor): data is sent again after 0.2 s, the first packet of a connection after 1 s, each time twice as long. Pieces keep the time at which they were sent, so that retransmissions overlap. Hand-overs are counted by call.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -38,7 +38,7 @@
 	}
 	ans, job, load, err := b.admit(v, a)
 	if err != nil {
-		return nil, err
+		return nil, b.awaitRefusal(ctx, err)
 	}
 	body := &streamBody{ctx: ctx, w: b.w, node: b.node, answer: ans, cancelJob: func() { b.w.cancelJob(v, job) }, lastPiece: resumeOffset(a.ResumeAfter)}
 	if err := body.awaitFirst(); err != nil {
@@ -51,14 +51,22 @@
 	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, State: relay.ServerState{Load: &load, RateLimit: limit, Leaving: leaving}, Body: body}, nil
 }
 
+// awaitRefusal returns a VM's refusal, or an error when ctx ends if what VMs send is lost.
+func (b *backend) awaitRefusal(ctx context.Context, refusal error) error {
+	if cut, disturbed := b.w.pathOf(b.node); !disturbed || cut.loss > 0 {
+		return refusal
+	}
+	<-ctx.Done()
+	return &relay.BrokenError{Reason: "no answer", Err: ctx.Err()}
+}
+
 // Refuses implements relay.Backend.
 func (b *backend) Refuses(_ context.Context, p conns.Peer) bool {
 	time.Sleep(roundTrip)
 	b.w.mu.Lock()
 	defer b.w.mu.Unlock()
 	v := b.w.vms[p.Server]
-	cut, isolated := b.w.isolated[b.node]
-	if isolated {
+	if cut, disturbed := b.w.isolated[b.node]; disturbed && cut.loss == 0 {
 		return cut.refuse
 	}
 	return v != nil && v.crashed && b.w.reaches(b.zone, v.entry.Zone)
@@ -69,11 +77,19 @@
 	time.Sleep(roundTrip)
 	b.w.mu.Lock()
 	v := b.w.vms[p.Server]
-	cut, isolated := b.w.isolated[b.node]
+	cut, disturbed := b.w.isolated[b.node]
+	isolated := disturbed && cut.loss == 0
 	reachable := v != nil && !isolated && b.w.reaches(b.zone, v.entry.Zone)
 	refused := isolated && cut.refuse || reachable && v.crashed
 	accepted := reachable && !v.crashed && !v.dead
 	b.w.mu.Unlock()
+	if accepted && disturbed {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(b.w.connectDelay(cut.loss)):
+		}
+	}
 	if !accepted && !refused {
 		<-ctx.Done()
 	}
@@ -95,10 +111,17 @@
 func (b *backend) reach(ctx context.Context, a relay.Attempt) (*vm, error) {
 	b.w.mu.Lock()
 	v := b.w.vms[a.Peer.Server]
-	cut, isolated := b.w.isolated[b.node]
-	reachable := v != nil && !isolated && b.w.reaches(b.zone, v.entry.Zone)
+	cut, disturbed := b.w.isolated[b.node]
+	isolated := disturbed && cut.loss == 0
+	reachable := v != nil && (!isolated || cut.oneWay) && b.w.reaches(b.zone, v.entry.Zone)
 	refused := isolated && cut.refuse || reachable && v.crashed
 	b.w.mu.Unlock()
+	if reachable && cut.loss > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(b.w.retransmission(cut.loss)):
+		}
+	}
 	switch {
 	case refused:
 		return nil, &relay.NotRunError{Reason: "connection refused", Refused: true, Err: errors.New("connection refused")}
@@ -136,7 +159,7 @@
 	}
 	tokens := max(b.answerTokens(a.Call.ID)-resumeOffset(a.ResumeAfter)*w.scenario.Engine.StepsPerPass, 1)
 	job := &enginemodel.Job{PromptTokens: max(a.Call.PromptTokens, 1), OutputTokens: tokens, Priority: a.Call.Priority}
-	ans := &answer{pieces: make(chan struct{}, tokens/w.scenario.Engine.StepsPerPass+1), failed: make(chan struct{})}
+	ans := &answer{pieces: make(chan time.Time, tokens/w.scenario.Engine.StepsPerPass+1), failed: make(chan struct{})}
 	h.replica.Add(job)
 	h.jobs[job] = ans
 	if isCrashRequest(a.Call) {
@@ -170,7 +193,9 @@
 	cancelJob    func()
 	lastPiece    int
 	firstPending bool
-	ended        bool
+	// arrival is when the last piece arrived over a path that loses packets.
+	arrival time.Time
+	ended   bool
 }
 
 // awaitFirst waits for the first piece, which arrives together with the response head.
@@ -186,8 +211,8 @@
 // await waits for the next piece; it returns io.EOF at the end of the stream.
 func (r *streamBody) await() error {
 	select {
-	case _, ok := <-r.answer.pieces:
-		if err := r.awaitPath(); err != nil {
+	case sent, ok := <-r.answer.pieces:
+		if err := r.awaitPath(sent); err != nil {
 			return err
 		}
 		if !ok {
--- a/internal/player/handover.go
+++ b/internal/player/handover.go
@@ -31,7 +31,7 @@
 // Send implements relay.NodeClient.
 func (c nodeClient) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
 	time.Sleep(roundTrip / 2)
-	c.from.sys.handOvers.Add(1)
+	c.from.sys.recordHandOver(a.Call.ID)
 	to := c.from.sys.node(cluster.NodeID(a.Peer.Addr))
 	core := to.currentCore()
 	if core == nil {
@@ -58,6 +58,16 @@
 	return &relay.Reply{Head: call.Head{Status: http.StatusOK, Header: http.Header{}}, Body: answer}, nil
 }
 
+// recordHandOver records that a call was offered to a node.
+func (sys *Simulation) recordHandOver(callID string) {
+	sys.mu.Lock()
+	defer sys.mu.Unlock()
+	if sys.handOvers == nil {
+		sys.handOvers = make(map[string]int)
+	}
+	sys.handOvers[callID]++
+}
+
 // node returns the node with the id.
 func (sys *Simulation) node(id cluster.NodeID) *node {
 	for _, n := range sys.nodes {
--- a/internal/player/result.go
+++ b/internal/player/result.go
@@ -37,9 +37,9 @@
 	// it for none. LatestToLeaving is how long after a server said that it shuts down a node last
 	// sent it a request.
 	MostInPushback int
-	// HandOvers is how often a node offered a call to another.
-	HandOvers       int
-	LatestToLeaving time.Duration
+	// HandOvers is how often a node offered a call to another, HandedOver the number of these calls.
+	HandOvers, HandedOver int
+	LatestToLeaving       time.Duration
 }
 
 // VMSample counts the VMs by state at one moment.
@@ -97,7 +97,10 @@
 	r.ModelLoads = sys.world.loads
 	r.ColdServers, r.MostOnColdServer = sys.world.mostOnColdVM()
 	r.LimitedServers, r.LimitExcess = sys.world.limitExcess()
-	r.HandOvers = int(sys.handOvers.Load())
+	r.HandedOver = len(sys.handOvers)
+	for _, offers := range sys.handOvers {
+		r.HandOvers += offers
+	}
 	r.MostInPushback, r.LatestToLeaving = sys.world.requestsAgainstSignals()
 	r.CrashDeliveries, r.Crashes = sys.world.crashDeliveries, sys.world.crashes
 }
--- a/internal/player/scenario.go
+++ b/internal/player/scenario.go
@@ -125,7 +125,7 @@
 // replicas at once. LimitServers has heads of replicas name a
 // rate limit, Factor requests per second, in their answers for a time. ColdServers has heads of
 // replicas be cold for a time. IsolateNodes separates the first Count nodes from all VMs, and from
-// nothing else, for a time. OneNode has all callers' first attempts arrive at the first node for a time.
+// nothing else, for a time; with OneWay set, what VMs send is lost only, with Factor set that share of the packets. OneNode has all callers' first attempts arrive at the first node for a time.
 // PushbackServers has heads of replicas refuse all requests of the first Nodes nodes for a time and
 // ask each time to get none for Factor seconds. LeavingServers has heads of replicas say that they
 // shut down, which the store does not, for a time.
@@ -163,6 +163,8 @@
 	Factor float64 `yaml:"factor"`
 	// Refuse has connections of isolated nodes be refused instead of hang.
 	Refuse bool `yaml:"refuse"`
+	// OneWay has IsolateNodes lose only what VMs send.
+	OneWay bool `yaml:"one_way"`
 	// Nodes limits the nodes that PushbackServers and LeavingServers affect; 0 means all.
 	Nodes int `yaml:"nodes"`
 	// Middle has CrashPart use the second part of the prompt.
--- a/internal/player/system.go
+++ b/internal/player/system.go
@@ -34,8 +34,8 @@
 	nodesDone sync.WaitGroup
 	// oneNode is set while all first attempts arrive at one node.
 	oneNode atomic.Bool
-	// handOvers counts the calls that nodes offered to others.
-	handOvers atomic.Int64
+	// handOvers counts by call how often it was offered to other nodes.
+	handOvers map[string]int
 }
 
 // Options configures a simulation.
--- a/internal/player/vm.go
+++ b/internal/player/vm.go
@@ -51,7 +51,7 @@
 
 // answer is the sender's view of one request on a replica.
 type answer struct {
-	pieces chan struct{}
+	pieces chan time.Time
 	// failed is closed when the replica abandons the request.
 	failed chan struct{}
 }
@@ -311,7 +311,7 @@
 		if a == nil {
 			continue
 		}
-		a.pieces <- struct{}{}
+		a.pieces <- time.Now()
 		if j.Done() {
 			close(a.pieces)
 			delete(h.jobs, j)
