internal/reach: a node stopped during a probe keeps its servers

What callers would see: a node that stood still for half a second while it probed its path handed all its calls over, hedged those in progress and gave up the placement lease, for 0.6 s at least. Cause: the probe's timeout of 400 ms was due at the wake-up, while the connections had long been accepted.

Change: the probe's timeout leaves out the pause.

TestStoppedNodeKeepsItsServers (a process stopped for a second, answers waiting) failed 9 of 15, and 2 of 10 in another series, with the old timeout (which of the two runs first is not fixed), and none of 15 with the new one.

--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -257,7 +257,7 @@
 func (d *Detector) probe(ctx context.Context) probeResult {
 	probesTotal.Inc()
 	servers := d.sample()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := clock.WithRunningTimeout(ctx, probeTimeout)
 	defer cancel()
 	accepted := make(chan bool, len(servers))
 	for _, server := range servers {
