internal/formation: a holder stopped during its probes finds no lost VM

Cause: as in internal/reach, for the probes of the members of a stalled replica and of unlisted VMs (250 ms). Two such pauses in a row end a sound replica with all its streams; one is enough for a replica with an unlisted member that still works.

Change: the timeout of probes leaves out the pause.

Not covered: the machine's own 500 ms for the first probe of an unlisted VM and 2.5 s for its last response still count a pause.

--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/lifecycle"
@@ -86,7 +87,7 @@
 
 // findUnresponsive probes VMs concurrently and returns those that did not respond.
 func (t *term) findUnresponsive(ctx context.Context, vms []fleet.Server) (failed []failedProbe) {
-	ctx, cancel := context.WithTimeout(ctx, lifecycle.ProbeTimeout)
+	ctx, cancel := clock.WithRunningTimeout(ctx, lifecycle.ProbeTimeout)
 	defer cancel()
 	errs := make([]error, len(vms))
 	var wg sync.WaitGroup
