internal/feed: a follower that was stopped keeps its feed

Cause: the silence of 700 ms after which a follower drops its feed counted a pause of the follower itself. It then backed the feed off for 3 s and read a whole copy from another one, or from the store; all followers of it wait meanwhile.

Change: the silence leaves out the pause.

Tests of this package now print the follower's log if they fail.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -52,7 +52,7 @@
 	_, handler := wirepbconnect.NewFeedServiceHandler(&feed.Server{Source: source})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	f := feed.NewFollower("", []string{strings.TrimPrefix(server.URL, "http://")}, []string{"servers/"}, slog.New(slog.DiscardHandler))
+	f := feed.NewFollower("", []string{strings.TrimPrefix(server.URL, "http://")}, []string{"servers/"}, slog.New(slog.NewTextHandler(t.Output(), nil)))
 	t.Cleanup(f.Close)
 	return f, server
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
@@ -136,7 +137,7 @@
 func (f *Follower) follow(ctx context.Context, addr string, handle func(store.WatchBatch, time.Duration)) (redirect []string, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(silenceTimeout, cancel)
+	watchdog := clock.NewWatchdog(silenceTimeout, cancel)
 	defer watchdog.Stop()
 	client := wirepbconnect.NewFeedServiceClient(f.client, "http://"+addr)
 	stream, err := client.Follow(ctx, connect.NewRequest(&wirepb.FollowRequest{Prefixes: f.prefixes, Addr: f.self}))
@@ -153,7 +154,7 @@
 			streamsTotal.Inc()
 			f.log.Info("following", "feed", addr)
 		}
-		watchdog.Reset(silenceTimeout)
+		watchdog.Reset()
 		handle(decode(msg), time.Duration(msg.GetSourceAgeMs())*time.Millisecond)
 	}
 	if err := stream.Err(); err != nil {
