internal/suspect: a verdict waits for reports that arrived during a pause

What callers would see: all requests that share a part of their prompt are refused for minutes, though the answer that clears the part had arrived. Cause: a node that stood still wakes with its verdict due (150 ms for parts, 2 s for requests) and with other nodes' reports and its own answers unread. A verdict on a request was postponed only if it was late by over a second; one on parts never was.

Change: the delay of both leaves out a pause. The check for a late verdict stays.

--- a/internal/suspect/part.go
+++ b/internal/suspect/part.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 )
 
 // Part identifies one part of the prompts for a model, by a hash of the model and the part's ID.
@@ -126,7 +128,7 @@
 		t.parts.crashed(h.part, partCrash{crash: c.id, at: c.at, request: h.request})
 	}
 	if len(added) > 0 {
-		time.AfterFunc(partVerdictDelay, func() { t.judgeParts(model, candidates) })
+		clock.NewWatchdog(partVerdictDelay, func() { t.judgeParts(model, candidates) })
 	}
 	return len(added) > 0
 }
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 )
 
@@ -212,7 +213,7 @@
 // scheduleVerdict decides the verdict after VerdictDelay, or waits again if it is late.
 func (t *Tracker) scheduleVerdict(k key, crashID uint64, replica cluster.ReplicaID, crashedAt time.Time) {
 	due := t.now().Add(t.timing.VerdictDelay)
-	time.AfterFunc(t.timing.VerdictDelay, func() {
+	clock.NewWatchdog(t.timing.VerdictDelay, func() {
 		if late := t.now().Sub(due); late > maxVerdictLateness {
 			t.log.Warn("verdict postponed", "fingerprint", k, "replica", replica, "crash", crashID, "late", late)
 			t.scheduleVerdict(k, crashID, replica, crashedAt)
