Tests: backoffs of nodes that refuse calls run in virtual time

TestCallsAreServedWhileAnyNodeReachesTheServers failed once beside load (354 of 369 served): its 400 calls took 9 s on a machine with a load of 70, in which backoffs of 0.5 s ran out and nodes without a path were asked again. Nothing fails in virtual time; the bounds are the same.

--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -260,38 +260,42 @@
 
 // Guards against calls that are refused, or offered to one node of a cut zone after the other, while the nodes of another zone reach the servers.
 func TestCallsOfACutZoneGoStraightToAnotherZone(t *testing.T) {
-	refusal := fennelerr.New(fennelerr.ServersUnreachable, "no server").WithRun(fennelerr.NotRun)
-	reach, others := &severedReach{}, &otherNodes{errs: make(map[string]error)}
-	for i := range nodesInZone {
-		others.errs[fmt.Sprint("addr-", i)] = &relay.NodeRefusalError{Refusal: refusal}
-	}
-	reach.severed.Store(true)
-	r := newNodesRelay(reach, others, &listRouter{}, &fakeBackend{})
-	const calls = 20
-	for range calls {
-		require.True(t, serveKindOn(r, rules.CallSafe, 0).ended)
-	}
-	require.Len(t, others.sent, calls+1, "the first call alone was refused by a node")
-}
-
-// Guards against callers refused because some nodes reach no server while others do.
-func TestCallsAreServedWhileAnyNodeReachesTheServers(t *testing.T) {
-	refusal := fennelerr.New(fennelerr.ServersUnreachable, "no server").WithRun(fennelerr.NotRun)
-	for nodes, cut := range map[int]int{8: 7, 200: 150} {
-		reach, others := &severedReach{}, &otherNodes{errs: make(map[string]error), count: nodes}
-		for i := range cut {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := fennelerr.New(fennelerr.ServersUnreachable, "no server").WithRun(fennelerr.NotRun)
+		reach, others := &severedReach{}, &otherNodes{errs: make(map[string]error)}
+		for i := range nodesInZone {
 			others.errs[fmt.Sprint("addr-", i)] = &relay.NodeRefusalError{Refusal: refusal}
 		}
 		reach.severed.Store(true)
 		r := newNodesRelay(reach, others, &listRouter{}, &fakeBackend{})
-		served := 0
-		for range 2 * nodes {
-			if serveKindOn(r, rules.CallSafe, 0).ended {
-				served++
+		const calls = 20
+		for range calls {
+			require.True(t, serveKindOn(r, rules.CallSafe, 0).ended)
+		}
+		require.Len(t, others.sent, calls+1, "the first call alone was refused by a node")
+	})
+}
+
+// Guards against callers refused because some nodes reach no server while others do.
+func TestCallsAreServedWhileAnyNodeReachesTheServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := fennelerr.New(fennelerr.ServersUnreachable, "no server").WithRun(fennelerr.NotRun)
+		for nodes, cut := range map[int]int{8: 7, 200: 150} {
+			reach, others := &severedReach{}, &otherNodes{errs: make(map[string]error), count: nodes}
+			for i := range cut {
+				others.errs[fmt.Sprint("addr-", i)] = &relay.NodeRefusalError{Refusal: refusal}
+			}
+			reach.severed.Store(true)
+			r := newNodesRelay(reach, others, &listRouter{}, &fakeBackend{})
+			served := 0
+			for range 2 * nodes {
+				if serveKindOn(r, rules.CallSafe, 0).ended {
+					served++
+				}
 			}
+			require.GreaterOrEqual(t, served, 2*nodes-cut/5-1, "a call is offered to five nodes")
 		}
-		require.GreaterOrEqual(t, served, 2*nodes-cut/5-1, "a call is offered to five nodes")
-	}
+	})
 }
 
 // Guards against refusals with another reason or retry time than the refusing node gave.
