internal/relay: an idle timer does not fire before its attempt holds it

Its function runs before the timer is assigned, finds the call's lock held and resets a nil timer: the process ends.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,8 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if a.idempotent {
 		a.idleTimeout = time.Duration(firstPieceShare * float64(s.end.Sub(a.started)))
-		a.idleTimer = time.AfterFunc(a.idleTimeout, a.checkIdle)
+		a.idleTimer = time.AfterFunc(math.MaxInt64, a.checkIdle)
+		a.idleTimer.Reset(a.idleTimeout) // checkIdle uses the timer
 	}
 	return a
 }
