internal/relay: an answered call is not hedged

Found by the review of the hedges: between the end of an answer and that of its attempt (the body is closed) the attempt counted as in progress. A timer due in that time began a hedge, whose answer followed the first one.

Change: the call is answered once its answer is written, under the lock that a hedge and its first piece need.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -255,6 +255,7 @@
 	if !a.s.claim(a) {
 		return a.result(false, first, 0), a.superseded()
 	}
+	a.s.answered = true
 	if err := a.s.sink.Respond(reply.Head, body); err != nil {
 		a.s.r.opts.Log.Info("caller gone", "request", a.s.call.ID, "err", err.Error())
 	}
@@ -337,6 +338,7 @@
 	if !a.s.claim(a) {
 		return a.result(false, first, pieces), a.superseded()
 	}
+	a.s.answered = true
 	if err := a.startAnswer(reply); err != nil {
 		return a.result(true, first, pieces), nil // the caller has disconnected
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -124,7 +124,7 @@
 // delivers first answers the call. The caller holds s.mu.
 func (a *attempt) hedge() (started bool) {
 	s := a.s
-	if a.ended || a.ctx.Err() != nil {
+	if a.ended || s.answered || a.ctx.Err() != nil {
 		return false
 	}
 	a.idleTimer.Reset(hedgeRetryInterval)
@@ -278,7 +278,7 @@
 	if s.leader == a {
 		return true
 	}
-	if s.leader != nil || a.ctx.Err() != nil {
+	if s.leader != nil || s.answered || a.ctx.Err() != nil {
 		return false
 	}
 	s.leader = a
