internal/relay: a begun answer is handed over in a pushback without a wait

Found by the review: since an answer that has begun waits for a replica with room, it waited two seconds too while all replicas want requests from other nodes only, and was handed over when its caller had given up.

--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -11,8 +11,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
+	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // Guards against idle timers that fire before the attempt holds them, when the deadline has passed.
@@ -65,3 +70,41 @@
 		require.Len(t, f.backend.sent(), 1)
 	})
 }
+
+// pushbackRouter has a replica for the first attempt, then all want no requests.
+type pushbackRouter struct{ listRouter }
+
+func (r *pushbackRouter) Choose(req routing.Request) (routing.Choice, error) {
+	if len(req.Exclude) == 0 {
+		return r.listRouter.Choose(req)
+	}
+	return routing.Choice{}, &routing.FullError{Pushback: routing.Pushback{Replicas: 1, Left: 30 * time.Second}, OnlyPushback: true}
+}
+
+// streamingNodes takes over streams.
+type streamingNodes struct{ at time.Time }
+
+func (n *streamingNodes) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+	n.at = time.Now()
+	return streamPieces(4, io.EOF)(ctx, a)
+}
+
+// Guards against a begun answer that waits in a pushback of all replicas although another node may go on with it.
+func TestBegunAnswerGoesToAnotherNodeInAPushback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := &streamingNodes{}
+		r := relay.New(relay.Options{
+			Router: &pushbackRouter{listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}, Backend: &fakeBackend{handlers: handlers{"a": streamPieces(2, errReset)}},
+			Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
+			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
+			Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+			Reach: &severedReach{}, NodeClient: nodes, Nodes: func() []relay.Node { return []relay.Node{{ID: "n", Addr: "n"}} },
+		})
+		terms := resumableTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 2, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+		start := time.Now()
+		got := serveTerms(r, terms)
+		require.Equal(t, answerOf(4), got.text)
+		require.Less(t, nodes.at.Sub(start), 100*time.Millisecond)
+	})
+}
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -190,17 +190,26 @@
 // from this one: they may take those of another node. A call is handed over once at most, and none
 // goes to a node that has just refused one.
 func (s *session) chooseNodeInPushback(err error) bool {
+	node := s.nodeInPushback(err)
+	if node == nil {
+		return false
+	}
+	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback}
+	return true
+}
+
+// nodeInPushback returns the node that may take the call over in a pushback, or nil.
+func (s *session) nodeInPushback(err error) *Node {
 	full, ok := errors.Into[*routing.FullError](err)
 	if !ok || !full.OnlyPushback || s.r.opts.NodeClient == nil || s.call.HandedOver || len(s.nodesTried) > 0 {
-		return false
+		return nil
 	}
 	now := time.Now()
 	node := s.pickNode(now)
 	if node == nil || s.r.nodeBackoffs.contains(now, backoffKey{node: node.ID, group: s.group}) {
-		return false
+		return nil
 	}
-	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback}
-	return true
+	return node
 }
 
 // attemptsLeft returns how many more backend servers may receive the call. The caller holds s.mu.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -180,7 +180,10 @@
 
 // mayWaitFor reports whether the call waits until a replica can be chosen.
 func (s *session) mayWaitFor(err error) bool {
-	return s.started || s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
+	if s.started {
+		return s.nodeInPushback(err) == nil
+	}
+	return s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
 }
 
 // admit refuses a quarantined request. A suspect waits until no other run of it is under way.
