internal/relay: a call whose hedge is silent too is hedged again

Found by the review: a silent attempt does not end any more, so one on a VM that is gone and a hedge on another one held the call until its deadline, with attempts left. Before the hedges it moved on.

Change: a further hedge waits only for an attempt that is not silent itself; all attempts in progress count. Whether one is allowed is decided before a replica is chosen, as the choice uses up part of a replica's named rate.

TestSecondSilenceIsHedgedToo: no answer before.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -128,7 +128,13 @@
 		return false
 	}
 	a.idleTimer.Reset(hedgeRetryInterval)
-	if len(s.inFlight) > 1 || a.idleFor(time.Now()) < a.hedgeDelay {
+	if s.anotherMayDeliver(a) || a.idleFor(time.Now()) < a.hedgeDelay {
+		return false
+	}
+	possible := s.hedgeFailure()
+	possible.TakeRetry = func() bool { return true }
+	if d := recovery.Decide(possible); d.Step == recovery.GiveUp {
+		s.logNoHedge(a, string(d.Reason)) // before a choice, which uses up part of a replica's rate
 		return false
 	}
 	to, err := s.chooseHedge(a)
@@ -136,7 +142,7 @@
 		s.logNoHedge(a, err.Error())
 		return false
 	}
-	if d := recovery.Decide(s.hedgeFailure(a)); d.Step == recovery.GiveUp {
+	if d := recovery.Decide(s.hedgeFailure()); d.Step == recovery.GiveUp {
 		s.release(to)
 		s.logNoHedge(a, string(d.Reason))
 		return false
@@ -160,16 +166,25 @@
 	s.r.opts.Log.Info("no hedge", "request", s.call.ID, "reason", a.hedgeReason, "replica", a.to.choice.Replica.ID, "silent", a.idleFor(time.Now()), "err", reason, "left", time.Until(s.end))
 }
 
-// hedgeFailure describes the silence of an attempt, as if it had failed. The caller holds s.mu.
-func (s *session) hedgeFailure(a *attempt) recovery.Failure {
+// hedgeFailure describes the silence of the attempts in progress, as if they had failed. The caller
+// holds s.mu.
+func (s *session) hedgeFailure() recovery.Failure {
 	f := s.failureState(true)
 	f.MayHaveRun = true
-	if a.hedgeReason != hedgeReplicaLost {
-		f.Attempts++
+	for _, inFlight := range s.inFlight {
+		if inFlight.hedgeReason != hedgeReplicaLost {
+			f.Attempts++
+		}
 	}
 	return f
 }
 
+// anotherMayDeliver reports whether an attempt beside a is in progress and not silent. The caller
+// holds s.mu.
+func (s *session) anotherMayDeliver(a *attempt) bool {
+	return slices.ContainsFunc(s.inFlight, func(other *attempt) bool { return other != a && other.hedgeReason == hedgeNone })
+}
+
 // chooseHedge chooses where the hedge of an attempt is sent. The caller holds s.mu.
 func (s *session) chooseHedge(a *attempt) (destination, error) {
 	if s.admission.Alone || s.r.opts.Suspects.IsSuspect(s.suspect) {
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -108,3 +108,17 @@
 		require.Less(t, nodes.at.Sub(start), 100*time.Millisecond)
 	})
 }
+
+// Guards against calls with attempts left that wait for two silent servers.
+func TestSecondSilenceIsHedgedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			<-ctx.Done()
+			return nil, &relay.BrokenError{Reason: "ended", Err: ctx.Err()}
+		}
+		f := newFixture(t, 10, []cluster.ReplicaID{"a", "b", "c"}, handlers{"a": silent, "b": silent, "c": respondWith(200)})
+		terms := safeTerms
+		terms.MaxAttempts, terms.Timeout = 3, 5*time.Second
+		require.True(t, f.serve(t.Context(), terms).ended)
+	})
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -47,7 +47,7 @@
 	mayHaveRun bool
 	// started is true once part of the answer was sent to the caller, answered once all of it was.
 	started, answered bool
-	// inFlight holds the attempts in progress: one, or two while one is hedged. leader is the one that
+	// inFlight holds the attempts in progress: one, or more while the others are silent. leader is the one that
 	// answers the caller; nil while that is open. hedges waits for those beside the first one.
 	inFlight []*attempt
 	leader   *attempt
