internal/relay: a failure of the first attempt does not end its hedge

Change: while another attempt is in progress the failure is kept, and is the answer only if no attempt succeeds.

TestFailureOfTheFirstAttemptDoesNotEndItsHedge: 500 before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -248,7 +248,8 @@
 	first := time.Since(a.started)
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
-	if reply.Head.Status >= http.StatusInternalServerError && a.s.call.Route.Policy.Kind == rules.CallSafe {
+	mayBeAnswered := a.s.call.Route.Policy.Kind == rules.CallSafe || len(a.s.inFlight) > 1
+	if reply.Head.Status >= http.StatusInternalServerError && mayBeAnswered {
 		a.s.failedAnswer = &storedAnswer{reply.Head, body}
 		return a.result(false, first, 0), serverFailure(reply)
 	}
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -122,3 +122,25 @@
 		require.True(t, f.serve(t.Context(), terms).ended)
 	})
 }
+
+// Guards against a failure that the caller gets while another attempt may answer.
+func TestFailureOfTheFirstAttemptDoesNotEndItsHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		failing := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			if err := pause(ctx, 3500*time.Millisecond); err != nil {
+				return nil, err
+			}
+			return respondWith(500)(ctx, a)
+		}
+		hedge := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			if err := pause(ctx, time.Second); err != nil {
+				return nil, err
+			}
+			return streamPieces(3, io.EOF)(ctx, a)
+		}
+		f := newFixture(t, 10, ab, handlers{"a": failing, "b": hedge})
+		got := f.serve(t.Context(), resumableTerms)
+		require.Equal(t, 200, got.head.Status)
+		require.Equal(t, answerOf(3), got.text)
+	})
+}
