internal/relay: no replica is blamed for this node's lost path

Found by the review: a hedge by another node, or of an attempt on a replica that lost a member, counted as a failure of the first attempt's replica, as one for its silence does. After a lost path that is most replicas.

TestLostPathBlamesNoReplica: the result was not canceled before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -369,7 +369,9 @@
 
 func (a *attempt) result(ok bool, first time.Duration, pieces int) routing.Result {
 	pushedBack := a.state.Pushback > 0 // no failure: the replica is left alone for as long as it asked
-	canceled := !ok && (pushedBack || a.ctx.Err() != nil && (a.isHedge || !errors.Is(context.Cause(a.ctx), errSuperseded)))
+	cause := context.Cause(a.ctx)
+	blamed := !a.isHedge && errors.Is(cause, errSuperseded) && !errors.Is(cause, errSupersededLost)
+	canceled := !ok && (pushedBack || cause != nil && !blamed)
 	return routing.Result{OK: ok, Canceled: canceled, FirstToken: first, Tokens: pieces, Duration: time.Since(a.started)}
 }
 
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -54,6 +54,10 @@
 // errSuperseded cancels the attempts of a call that were slower than another one.
 var errSuperseded = errors.New("another attempt was faster")
 
+// errSupersededLost is an errSuperseded of an attempt whose replica is not to blame: it lost a member, or
+// this node reached no server.
+var errSupersededLost = errors.Wrap(errSuperseded, "lost")
+
 // Reasons for which a silent attempt gets no hedge.
 var (
 	errMustRunAlone = errors.New("the request must run alone")
@@ -287,6 +291,14 @@
 	}
 }
 
+// supersededCause returns the cause with which a slower attempt is canceled. The caller holds s.mu.
+func (a *attempt) supersededCause() error {
+	if a.hedgeReason == hedgeReplicaLost || a.hedgeReason == hedgeUnreachable {
+		return errSupersededLost
+	}
+	return errSuperseded
+}
+
 // claim reports whether the attempt answers the call, and cancels the others if it does. The caller
 // holds s.mu.
 func (s *session) claim(a *attempt) bool {
@@ -299,7 +311,7 @@
 	s.leader = a
 	for _, other := range s.inFlight {
 		if other != a {
-			other.cancel(errSuperseded)
+			other.cancel(other.supersededCause())
 		}
 	}
 	if a.isHedge {
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -144,3 +144,23 @@
 		require.Equal(t, answerOf(3), got.text)
 	})
 }
+
+// Guards against replicas that are blamed since this node had no path to them.
+func TestLostPathBlamesNoReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reach, others, router := &severedReach{}, &otherNodes{}, &listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}
+		silent := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			<-ctx.Done()
+			return nil, &relay.BrokenError{Reason: "ended", Err: ctx.Err()}
+		}
+		r := newNodesRelay(reach, others, router, &fakeBackend{handlers: handlers{"a": silent, "b": silent}})
+		time.AfterFunc(time.Second, func() {
+			reach.severed.Store(true)
+			r.LostServers()
+		})
+		terms := safeTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 2, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+		require.True(t, serveTerms(r, terms).ended)
+		require.Equal(t, []bool{true}, router.canceled)
+	})
+}
