internal/relay: idle timers wait after a late check, whichever of the two runs first

Found by the review: if the late check of a node that stood still ran before an idle timer that was due, the timer took the node for running, and hedged before the sockets were read.

TestIdleTimerAfterALateCheck: a hedge 5 ms after the pause before.

--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -164,3 +164,48 @@
 		require.Equal(t, []bool{true}, router.canceled)
 	})
 }
+
+// Guards against hedges right after a pause of this node, whose late check came before the idle timer.
+func TestIdleTimerAfterALateCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stalled := false
+		slow := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			if err := pause(ctx, 3005*time.Millisecond); err != nil { // is read just after the pause
+				return nil, err
+			}
+			return respondWith(200)(ctx, a)
+		}
+		b := &fakeBackend{handlers: handlers{"a": slow, "b": respondWith(200), "s": streamPieces(1, nil)}}
+		router := &rotatingRouter{listRouter: listRouter{ids: []cluster.ReplicaID{"s", "a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, turn: -1}
+		r := relay.New(relay.Options{
+			Router: router, Backend: b, Budget: relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
+			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
+			Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+			OnStall: func([]cluster.ReplicaID, bool) {
+				if !stalled {
+					stalled = true
+					time.Sleep(2645 * time.Millisecond) // makes the next check late
+				}
+			},
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			terms := resumableTerms
+			terms.MaxAttempts, terms.Timeout, terms.Split = 1, 2*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+			serveTerms(r, terms)
+		})
+		time.Sleep(100 * time.Millisecond)
+		callers.Go(func() {
+			terms := safeTerms
+			terms.MaxAttempts, terms.Timeout, terms.Split = 2, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+			serveTerms(r, terms)
+		})
+		callers.Wait()
+		stop()
+		synctest.Wait()
+		require.True(t, stalled)
+		require.Len(t, b.sent(), 2, "no hedge")
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,7 +105,8 @@
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
 	// lastCheck is when Run last checked for stalled replicas, in Unix nanoseconds; 0 if never.
-	lastCheck atomic.Int64
+	// lastLateCheck is when the last one was late, 0 if none was.
+	lastCheck, lastLateCheck atomic.Int64
 }
 
 // New returns a Relay.
@@ -123,6 +124,7 @@
 		now := time.Now()
 		late := now.Sub(time.Unix(0, r.lastCheck.Swap(now.UnixNano()))) - stallCheckInterval
 		if late > maxCheckDelay {
+			r.lastLateCheck.Store(now.UnixNano())
 			r.opts.Log.Warn("node stood still", "for", late)
 			r.stalls.excuse(late, now)
 		}
@@ -152,7 +154,8 @@
 // arrived which it has not read.
 func (r *Relay) stoodStill(now time.Time) bool {
 	last := r.lastCheck.Load()
-	return last != 0 && now.Sub(time.Unix(0, last)) > stallCheckInterval+maxCheckDelay
+	isLate := last != 0 && now.Sub(time.Unix(0, last)) > stallCheckInterval+maxCheckDelay
+	return isLate || now.Sub(time.Unix(0, r.lastLateCheck.Load())) < hedgeRetryInterval
 }
 
 // ReportStall records another node's report that a replica is stalled.
