internal/relay: the time since the last piece does not follow the time of day

Found by the review: it was kept in Unix nanoseconds. After a step of the clock back, idle timers were put off by its size; a step forward looked like a pause of the node. Both are measured by the monotonic clock now. No test: the clock of the test processes can't be set.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,7 +59,7 @@
 	suspectRun suspect.Run
 	// lossCause is why the attempt lost its connection, if it did.
 	lossCause lossCause
-	// lastActivity is when the attempt last received anything, in Unix nanoseconds.
+	// lastActivity is when the attempt last received anything, in nanoseconds since its start.
 	lastActivity atomic.Int64
 
 	// The fields below are guarded by s.mu. hedgeReason is why the attempt is to be hedged once it has
@@ -75,7 +75,6 @@
 	s.attempts++
 	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(),
 		idempotent: to.node == nil && s.call.Route.Policy.Idempotent() && !s.end.IsZero()}
-	a.lastActivity.Store(a.started.UnixNano())
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if a.idempotent {
 		a.idleTimeout = time.Duration(firstPieceShare * float64(s.end.Sub(a.started)))
@@ -391,7 +390,7 @@
 
 // recordActivity records the arrival of a piece.
 func (a *attempt) recordActivity(now time.Time) {
-	a.lastActivity.Store(now.UnixNano())
+	a.lastActivity.Store(int64(now.Sub(a.started)))
 	if a.to.node != nil {
 		return
 	}
@@ -400,7 +399,7 @@
 }
 
 func (a *attempt) idleFor(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - a.lastActivity.Load())
+	return now.Sub(a.started) - time.Duration(a.lastActivity.Load())
 }
 
 func (a *attempt) pieceTimeout() time.Duration {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,9 +104,9 @@
 	// running holds the attempts by replica, to hedge them when the replica fails.
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
-	// lastCheck is when Run last checked for stalled replicas, in Unix nanoseconds; 0 if never.
-	// lastLateCheck is when the last one was late, 0 if none was.
-	lastCheck, lastLateCheck atomic.Int64
+	// lastCheck is when Run last checked for stalled replicas, and lastLateCheck when it was last late;
+	// nil if it never was.
+	lastCheck, lastLateCheck atomic.Pointer[time.Time]
 }
 
 // New returns a Relay.
@@ -119,12 +119,13 @@
 
 // Run checks for stalled replicas until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	r.lastCheck.Store(time.Now().UnixNano())
+	start := time.Now()
+	r.lastCheck.Store(&start)
 	clock.Every(ctx, stallCheckInterval, func(time.Time) {
 		now := time.Now()
-		late := now.Sub(time.Unix(0, r.lastCheck.Swap(now.UnixNano()))) - stallCheckInterval
+		late := now.Sub(*r.lastCheck.Swap(&now)) - stallCheckInterval
 		if late > maxCheckDelay {
-			r.lastLateCheck.Store(now.UnixNano())
+			r.lastLateCheck.Store(&now)
 			r.opts.Log.Warn("node stood still", "for", late)
 			r.stalls.excuse(late, now)
 		}
@@ -153,9 +154,8 @@
 // stoodStill reports whether this node has just had no processor for so long that answers may have
 // arrived which it has not read.
 func (r *Relay) stoodStill(now time.Time) bool {
-	last := r.lastCheck.Load()
-	isLate := last != 0 && now.Sub(time.Unix(0, last)) > stallCheckInterval+maxCheckDelay
-	return isLate || now.Sub(time.Unix(0, r.lastLateCheck.Load())) < hedgeRetryInterval
+	last, late := r.lastCheck.Load(), r.lastLateCheck.Load()
+	return last != nil && now.Sub(*last) > stallCheckInterval+maxCheckDelay || late != nil && now.Sub(*late) < hedgeRetryInterval
 }
 
 // ReportStall records another node's report that a replica is stalled.
