internal/logqueue: a line after the end is dropped, and dropped lines are counted in the log

What was seen by reading: a call that the end of the process breaks off still logs while the queue closes; a write to the closed queue panicked, so that the process ended with a stack dump in place of its last lines. And a full queue dropped lines that only a metric of the process counted, which is gone with it.

Change: a write after Close is dropped and counted; where lines are missing, a line says how many.

--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,10 +28,14 @@
 // Writer is an io.Writer that queues lines and never blocks. Each line is either written
 // completely or counted as dropped.
 type Writer struct {
-	lines     chan []byte
-	closing   chan struct{}
-	wg        sync.WaitGroup
-	closeOnce sync.Once
+	lines   chan []byte
+	closing chan struct{}
+	wg      sync.WaitGroup
+	// lost is the number of lines dropped since the last line that says so.
+	lost atomic.Int64
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a Writer that writes to out from a goroutine of its own.
@@ -44,7 +50,8 @@
 	var batch []byte
 	failed := false
 	for line := range w.lines {
-		batch = append(batch[:0], line...)
+		batch = w.appendLost(batch[:0])
+		batch = append(batch, line...)
 		for range len(w.lines) {
 			batch = append(batch, <-w.lines...)
 		}
@@ -58,6 +65,15 @@
 	}
 }
 
+// appendLost appends a line that says how many lines are missing, if any are.
+func (w *Writer) appendLost(batch []byte) []byte {
+	lost := w.lost.Swap(0)
+	if lost == 0 {
+		return batch
+	}
+	return fmt.Appendf(batch, "time=%s level=WARN msg=\"log lines dropped\" count=%d\n", time.Now().Format(time.RFC3339Nano), lost)
+}
+
 // write writes the batch and returns what could not be written before Close gave up. A
 // write that stops early is continued where it stopped: the rest of a line must not be
 // lost, or the next line would be appended to its beginning.
@@ -81,22 +97,39 @@
 	return nil
 }
 
-// Write implements io.Writer. Each call must pass exactly one line.
+// Write implements io.Writer. Each call must pass exactly one line. After Close, the line is dropped.
 func (w *Writer) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if !w.enqueue(append([]byte(nil), line...)) {
+		w.lost.Add(1)
 		dropped.Inc()
 	}
 	return len(line), nil
 }
 
+// enqueue reports whether there was room for the line.
+func (w *Writer) enqueue(line []byte) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
+	}
+	select {
+	case w.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close writes the queued lines and returns when they are written or have been counted as
-// dropped. Write must not be called after Close.
+// dropped.
 func (w *Writer) Close() {
-	w.closeOnce.Do(func() {
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
 		close(w.closing)
 		close(w.lines)
-	})
+	}
+	w.mu.Unlock()
 	w.wg.Wait()
 }
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -48,6 +48,43 @@
 	w.Close()
 }
 
+// Guards against a process that panics at its end because calls that it breaks off still log.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := logqueue.New(&out)
+	w.Close()
+	n, err := w.Write([]byte("line\n"))
+	require.NoError(t, err)
+	require.Equal(t, len("line\n"), n)
+	require.Empty(t, out.String())
+}
+
+// gate is a buffer whose writes wait for open.
+type gate struct {
+	bytes.Buffer
+	open chan struct{}
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	return g.Buffer.Write(b)
+}
+
+// Guards against a log that lacks lines and does not say so.
+func TestLogSaysHowManyLinesWereDropped(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	w := logqueue.New(out)
+	const written = 2 * logqueue.Capacity
+	for range written {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	close(out.open)
+	w.Close()
+	kept := strings.Count(out.String(), "line\n")
+	require.True(t, strings.Contains(out.String(), fmt.Sprintf("msg=\"log lines dropped\" count=%d\n", written-kept)))
+}
+
 // shortWriter writes at most limit bytes per call, and fails every second call without
 // writing anything, like a full pipe.
 type shortWriter struct {
