internal/entry: a process that ends says why, and which calls it breaks off

And no line said which signal had come.

Change: 'signal received', 'stopping reason=', and one line for each open call with id, code, held and left, 1,000 at most, then their number.

Not run red: the new line of the e2e test of a planned stop.

--- a/cmd/fenneld/main.go
+++ b/cmd/fenneld/main.go
@@ -97,7 +97,7 @@
 		log.Error("startup failed", "node", cfg.Node, "err", err.Error())
 		return exitFailed
 	}
-	ctx, force, stopSignals := signalContexts()
+	ctx, force, stopSignals := signalContexts(log)
 	defer stopSignals()
 	go func() {
 		for range reload {
@@ -137,22 +137,28 @@
 	}
 }
 
+// signalError is the cause of a context that ended with a signal.
+type signalError struct{ os.Signal }
+
+// Error implements error.
+func (e signalError) Error() string { return "signal " + e.String() }
+
 // signalContexts returns a context that ends with the first stop signal and one that
 // ends with the second, and a function that releases both.
-func signalContexts() (ctx, force context.Context, stop func()) {
-	ctx, cancelCtx := context.WithCancel(context.Background())
-	force, cancelForce := context.WithCancel(context.Background())
+func signalContexts(log *slog.Logger) (ctx, force context.Context, stop func()) {
+	ctx, cancelCtx := context.WithCancelCause(context.Background())
+	force, cancelForce := context.WithCancelCause(context.Background())
 	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		if _, ok := <-ch; ok {
-			cancelCtx()
-		}
-		if _, ok := <-ch; ok {
-			cancelForce()
+		for _, cancel := range []context.CancelCauseFunc{cancelCtx, cancelForce} {
+			if sig, ok := <-ch; ok {
+				log.Info("signal received", "signal", sig.String())
+				cancel(signalError{sig})
+			}
 		}
 	}()
-	return ctx, force, func() { signal.Stop(ch); close(ch); cancelCtx(); cancelForce() }
+	return ctx, force, func() { signal.Stop(ch); close(ch); cancelCtx(nil); cancelForce(nil) }
 }
 
 func versionText() string {
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -24,6 +24,7 @@
 	_, err := fmt.Fprintf(late, "POST %s HTTP/1.1\r\nHost: %s\r\n", engine.ChatPath, n.callers)
 	require.NoError(t, err)
 	n.signal(syscall.SIGTERM)
+	n.await(`msg="signal received" signal=terminated`)
 	n.await(`msg=stopping .*step=unready`)
 	require.True(t, idle.get().Close, "the caller would use the connection again")
 	n.await(`msg=connections .*step=shutdown`)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	// exiting ends shortly before the process does, and ends the calls still running; endCalls ends it.
 	exiting  context.Context
 	endCalls context.CancelFunc
+	// open holds the calls in progress, as keys of the type *call.Call.
+	open sync.Map
 }
 
 // New builds the node's components and opens its listeners. Nothing runs before Run.
@@ -99,12 +102,14 @@
 		}
 	}
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "callers", addrOf(n.callers), "inside", addrOf(n.admin), "first_start", n.cfg.Process.FirstStart)
-	var err error
+	var err, reason error
 	select {
 	case err = <-failed:
+		reason = err
 	case <-ctx.Done():
+		reason = context.Cause(ctx)
 	}
-	err = errors.Join(err, n.stop(force, stopTasks))
+	err = errors.Join(err, n.stop(force, stopTasks, reason))
 	<-done
 	n.log.Info("stopped", "node", n.cfg.Node)
 	return err
@@ -119,11 +124,11 @@
 
 // stop shuts the node down gracefully: it reports not ready, still accepts requests until
 // the load balancer has noticed, and then finishes every request.
-func (n *Node) stop(force context.Context, stopTasks func()) error {
+func (n *Node) stop(force context.Context, stopTasks func(), reason error) error {
 	began := time.Now()
 	n.stopping.Store(true)
 	n.callers.LastRequests()
-	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice)
+	n.log.Info("stopping", "step", "unready", "notice", n.cfg.Drain.Notice, "reason", reason)
 	n.HandOver()
 	clock.Pause(force, n.cfg.Drain.Notice)
 	err := n.finishCalls(force, began.Add(n.cfg.Process.Grace-shutdownMargin))
@@ -148,11 +153,35 @@
 	err := n.callers.Shutdown(ctx)
 	if err != nil {
 		n.log.Error("stopping", "step", "requests aborted", "running", n.relay.Running(), "err", err.Error())
+		n.logOpenCalls()
 		err = errors.Join(err, n.callers.Close())
 	}
 	return err
 }
 
+// maxOpenCallLines limits the lines about calls that the end of the process breaks off.
+const maxOpenCallLines = 1000
+
+// logOpenCalls logs the calls that the end of the process breaks off.
+func (n *Node) logOpenCalls() {
+	count := 0
+	n.open.Range(func(key, _ any) bool {
+		c := key.(*call.Call)
+		if count++; count > maxOpenCallLines {
+			return true
+		}
+		fields := []any{"request", c.ID, "code", fennelerr.NotReady, "held", time.Since(c.ReceivedAt)}
+		if end := c.EffectiveDeadline(); !end.IsZero() {
+			fields = append(fields, "left", time.Until(end))
+		}
+		n.log.Error("call broken off by the end of the process", fields...)
+		return true
+	})
+	if count > maxOpenCallLines {
+		n.log.Error("further calls broken off by the end of the process", "count", count-maxOpenCallLines)
+	}
+}
+
 // retryElsewhere is the retry time of a call that any other node can take at once.
 const retryElsewhere = 10 * time.Millisecond
 
@@ -163,6 +192,8 @@
 		sink.Refuse(fennelerr.New(fennelerr.NotReady, "the node is stopping").WithRun(fennelerr.NotRun).WithRetryAfter(retryElsewhere))
 		return
 	}
+	n.open.Store(c, nil)
+	defer n.open.Delete(c)
 	ctx, cancel := n.untilExit(ctx)
 	defer cancel()
 	n.Serve(ctx, c, sink)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -123,7 +123,7 @@
 		answer <- string(body)
 	}()
 	<-arrived
-	require.NoError(t, n.stop(t.Context(), func() {}))
+	require.NoError(t, n.stop(t.Context(), func() {}, context.Canceled))
 	require.Equal(t, relay.ErrStopping.Error(), <-answer)
 	require.NoError(t, <-served)
 }
