--- a/internal/player/isolation.go
+++ b/internal/player/isolation.go
@@ -101,7 +101,7 @@
 func (w *world) connectDelay(loss float64) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return backoffUntil(connectTimeout, func() bool { return w.rng.Float64() >= loss && w.rng.Float64() >= loss })
+	return backoffUntil(connectTimeout, func() bool { return w.rng.Float64() < (1-loss)*(1-loss) })
 }
 
 // backoffUntil returns the sum of the time-outs, the first of which is given, until arrives is true.
