internal/gateway: a request that ends while its replica is queried did not crash it

What callers saw: a request whose caller left, or whose time was up, within the query of its replica's state (up to a second behind a silent or broken stream) went on record as one that crashed the replica. Two such records quarantine it, for every caller that sends it.

Cause: the query ends with the request's context, and any failed query counted as the replica's. Class: this node's own end taken for that of a server.

Change: what is done about a failure begins with the question whether the request is still wanted, as an attempt's end does.

TestRequestEndedDuringProbeIsNoCrash was red in both cases before (one crash recorded for each).

--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -55,6 +55,9 @@
 
 // Apply implements recovery.Call.
 func (s *session) Apply(ctx context.Context, d recovery.Decision, err error) error {
+	if abandoned := s.Abandoned(ctx, err); abandoned != nil {
+		return abandoned // while the replica was queried, which shows nothing then
+	}
 	choice := s.target.choice
 	s.g.opts.Log.Warn("attempt failed", "request", s.c.requestID, "replica", choice.Replica.ID, "addr", choice.Addr,
 		"after_event", s.exchange.LastEventID(), "next", d.Step, "reason", d.Reason, "err", err.Error())
