internal/gateway: an answer outlives the silence of its replica

What callers saw: a streamed answer was aborted, or a request refused, 3.5 s after its replica had fallen silent, though the replica still held the request and would have sent the rest.

Cause: a replica that did not answer the query of its state within a second counted as crashed: the request was taken from it, and only then recovery.Decide and the router were asked for another one. Retry budget used, an answer that can't be continued, a request that may run once, no other replica: each ended an answer that was still there. The dial of a resume that timed out counted in the same way. Class: an answer given up before another is sure.

Change: the query tells a replica that is lost (connection refused or broken, another assignment) from one that is silent (no answer in time). A silent replica is kept until another one has been chosen. A lost replica is left at once, as before; a silent one that is left counts as crashed, as before, so that requests which end VMs are quarantined as they were.

Weighed: a second attempt beside the first, as in internal/relay: the engines hold a request and resume it by event, so nothing is lost by ending the connection, and a hedge would run each request twice. Reserving the other replica before the decision: a suspect's replica is chosen behind the record of the crash, and twenty answers of one silent replica would still queue for one.

TestAnswerOutlivesTheSilenceOfItsReplica was red before in four of its five cases (all but 'all replicas are silent').

--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -17,6 +17,8 @@
 type replicaFailure struct {
 	// crashed: the replica does not answer or its assignment changed.
 	crashed bool
+	// silent: the replica did not answer in time. It counts as crashed, but may only stand still.
+	silent bool
 	// unreachable: the request did not reach the replica.
 	unreachable bool
 	// resumeRejected: the replica rejected a resume or a continuation, usually because it does
@@ -34,10 +36,10 @@
 		TakeRetry: func() bool { return s.g.opts.Admitter.AllowRetry(s.c.team.Name) },
 	}
 	s.failure = replicaFailure{}
-	_, notStarted := errors.Into[*engine.NotStartedError](err)
+	refused, notStarted := errors.Into[*engine.NotStartedError](err)
 	_, rejected := errors.Into[*engine.RejectedError](err)
 	switch {
-	case notStarted:
+	case notStarted && (!s.resume || refused.Status != 0):
 		f.Outcome = recovery.NotRun
 		s.failure.unreachable = true
 		s.failure.crashed = s.resume // it had received the request and has become unreachable
@@ -47,8 +49,7 @@
 		f.Outcome = recovery.Rejected
 	default:
 		countInterruption(err)
-		f.CanResume = s.probe(ctx)
-		s.failure.crashed = !f.CanResume
+		return s.classifyInterruption(ctx, f)
 	}
 	return f
 }
@@ -72,6 +73,11 @@
 	if !s.failure.crashed && !s.failure.resumeRejected {
 		s.cancelAtReplica()
 	}
+	if s.failure.silent && d.Step != recovery.GiveUp {
+		s.leaveSilentTarget()
+		s.prepareNextReplica(d.Step)
+		return nil
+	}
 	s.endTarget(routing.Result{}, s.failure.crashed && s.g.reachesEngines(ctx))
 	if d.Step == recovery.GiveUp {
 		return s.giveUp(d.Reason, err)
@@ -108,16 +114,6 @@
 	}
 }
 
-// probe queries the target over a new connection and reports whether it still has the same
-// assignment.
-func (s *session) probe(ctx context.Context) (unchanged bool) {
-	ctx, cancel := context.WithTimeout(ctx, s.g.opts.ProbeTimeout)
-	defer cancel()
-	state, err := s.g.opts.Prober.State(ctx, s.target.choice.Addr)
-	replica := s.target.choice.Replica
-	return err == nil && state.Assignment.Replica == replica.ID && state.Assignment.Generation == replica.Generation
-}
-
 // reachesEngines reports whether this node reaches the engines at all. It does not depend on the
 // caller's presence.
 func (g *Gateway) reachesEngines(ctx context.Context) bool {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -43,6 +43,10 @@
 	exchange call.Exchange
 	info     engine.StreamInfo
 	target   *target
+	// left is a silent replica that the request has not been taken from yet; nil for none.
+	left *target
+	// admission is that of the last replica chosen.
+	admission suspect.Admission
 	// resume is set if the next attempt resumes the request at the same replica.
 	resume bool
 	// continuation is set if the next attempt continues the answer at another replica.
@@ -98,6 +102,13 @@
 
 // Choose implements recovery.Call. It chooses the replica for the next attempt.
 func (s *session) Choose(ctx context.Context) error {
+	if s.left != nil {
+		return s.chooseOther(ctx)
+	}
+	return s.choose(ctx)
+}
+
+func (s *session) choose(ctx context.Context) error {
 	admission, err := s.g.opts.Quarantine.AdmitRequest(ctx, s.suspect)
 	if err != nil {
 		if canceled := s.cancelError(ctx, err); canceled != nil {
@@ -105,6 +116,7 @@
 		}
 		return s.withRunState(err)
 	}
+	s.admission = admission
 	choice, err := s.chooseReplica(ctx, admission.Alone)
 	if err != nil {
 		if canceled := s.cancelError(ctx, err); canceled != nil {
@@ -275,12 +287,17 @@
 		return
 	}
 	s.target = nil
+	t.run.End(suspectOutcome(res, crashed))
+	s.releaseTarget(t, res)
+}
+
+// releaseTarget reports the result of the use of a replica to the router.
+func (s *session) releaseTarget(t *target, res routing.Result) {
 	res.Tokens = t.tokens
 	res.Duration = time.Since(t.startedAt)
 	if !t.firstTokenAt.IsZero() {
 		res.FirstToken = t.firstTokenAt.Sub(t.startedAt)
 	}
-	t.run.End(suspectOutcome(res, crashed))
 	s.g.opts.Router.End(t.choice, res)
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
 )
 
@@ -63,3 +65,79 @@
 		})
 	}
 }
+
+// firstUnanswered is a Prober that calls then after the first query that a replica does not answer.
+type firstUnanswered struct {
+	Prober
+	then func()
+	once sync.Once
+}
+
+func (u *firstUnanswered) State(ctx context.Context, addr string) (engine.State, error) {
+	state, err := u.Prober.State(ctx, addr)
+	if err != nil {
+		u.once.Do(u.then)
+	}
+	return state, err
+}
+
+// noRetries is an Admitter whose retry budget is used.
+type noRetries struct{ *unlimitedAdmitter }
+
+func (noRetries) AllowRetry(cluster.TeamID) bool { return false }
+
+// Guards against answers that are ended because their replica stands still for a while.
+func TestAnswerOutlivesTheSilenceOfItsReplica(t *testing.T) {
+	cases := map[string]struct {
+		engines    int
+		engineOpts standinengine.Options
+		change     func(*fixture)
+	}{
+		"the only replica":            {1, standinengine.Options{CanContinue: true}, nil},
+		"all replicas are silent":     {2, standinengine.Options{CanContinue: true}, nil},
+		"retry budget used":           {2, standinengine.Options{CanContinue: true}, func(b *fixture) { b.opts.Admitter = noRetries{b.admitter} }},
+		"not continuable elsewhere":   {2, standinengine.Options{}, nil},
+		"a request that may run once": {2, standinengine.Options{}, func(b *fixture) { b.opts.Rules = onceRequired(b.t) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.engineOpts.MaxGap, c.engineOpts.TokenInterval = 20*time.Millisecond, 10*time.Millisecond
+			b := newFixture(t, c.engines, c.engineOpts, func(b *fixture) {
+				b.opts.ProbeTimeout = 50 * time.Millisecond
+				b.opts.Streamer = engine.NewStreamer(b.opts.Pools, 200*time.Millisecond)
+				b.opts.Prober = &firstUnanswered{Prober: b.opts.Prober, then: func() { b.setFaults(standinengine.Faults{}) }}
+				if c.change != nil {
+					c.change(b)
+				}
+			})
+			freeze := func() { b.setFaults(standinengine.Faults{Freeze: true}) }
+			requireCompleteStream(t, b.chatDuring(chatStreamBody, freeze, HeaderIdempotencyKey, "k1"), chatStreamBody)
+			require.Zero(t, b.admitter.held.Load())
+		})
+	}
+}
+
+func onceRequired(t testing.TB) fakeRules {
+	set := testRuleSet(t)
+	set.Routes[0].Once = rules.OnceRequired
+	return fakeRules{set}
+}
+
+// setFaults sets the faults of all engines.
+func (b *fixture) setFaults(f standinengine.Faults) {
+	for _, e := range b.engines {
+		e.SetFaults(f)
+	}
+}
+
+// Guards against answers that wait for a replica which stays silent while another one is to be had.
+func TestAnswerLeavesAReplicaThatStaysSilent(t *testing.T) {
+	b := newFixture(t, 2, standinengine.Options{CanContinue: true, MaxGap: 20 * time.Millisecond, TokenInterval: 10 * time.Millisecond}, func(b *fixture) {
+		b.opts.ProbeTimeout, b.opts.MaxSilence = 50*time.Millisecond, time.Hour
+	})
+	requireCompleteStream(t, b.chatDuring(chatStreamBody, func() { b.engines[0].SetFaults(standinengine.Faults{Freeze: true}) }), chatStreamBody)
+	require.Len(t, b.router.ended, 2)
+	require.False(t, b.router.ended[0].OK)
+	require.EqualValues(t, 1, b.quarantine.crashes.Load())
+}
--- /dev/null
+++ b/internal/gateway/silent.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/recovery"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
+)
+
+// probeResult is what the query of a replica's state over a new connection shows.
+type probeResult int
+
+const (
+	// replicaLost: nothing listens there any more, or the assignment changed.
+	replicaLost probeResult = iota
+	// replicaUnchanged: the replica still holds the requests that it was sent.
+	replicaUnchanged
+	// replicaSilent: no answer came in time. The replica may only stand still.
+	replicaSilent
+)
+
+// probe queries the state of a replica over a new connection.
+func (s *session) probe(ctx context.Context, choice routing.Choice) probeResult {
+	ctx, cancel := context.WithTimeout(ctx, s.g.opts.ProbeTimeout)
+	defer cancel()
+	state, err := s.g.opts.Prober.State(ctx, choice.Addr)
+	if netErr, ok := errors.Into[net.Error](err); ok && netErr.Timeout() {
+		return replicaSilent
+	}
+	if err != nil || state.Assignment.Replica != choice.Replica.ID || state.Assignment.Generation != choice.Replica.Generation {
+		return replicaLost
+	}
+	return replicaUnchanged
+}
+
+// awaitReplica waits until a silent replica answers, for at most MaxSilence, and reports whether it
+// still holds its requests.
+func (s *session) awaitReplica(ctx context.Context, choice routing.Choice) (unchanged bool) {
+	ctx, cancel := context.WithTimeout(ctx, s.g.opts.MaxSilence)
+	defer cancel()
+	for {
+		switch s.probe(ctx, choice) {
+		case replicaUnchanged:
+			return true
+		case replicaLost:
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(retryPollInterval):
+		}
+	}
+}
+
+// classifyInterruption completes the failure of an attempt that the replica did not refuse. A silent
+// replica is waited for if the request can't be sent elsewhere.
+func (s *session) classifyInterruption(ctx context.Context, f recovery.Failure) recovery.Failure {
+	result := s.probe(ctx, s.target.choice)
+	f.CanResume = result == replicaUnchanged
+	if result == replicaSilent && f.Attempts < f.MaxAttempts {
+		f.TakeRetry = sync.OnceValue(f.TakeRetry) // the decision is made once more on the result
+		elsewhere := recovery.Decide(f).Step != recovery.GiveUp
+		f.CanResume = !elsewhere && s.awaitReplica(ctx, s.target.choice)
+		s.failure.silent = elsewhere
+	}
+	s.failure.crashed = !f.CanResume
+	return f
+}
+
+// leaveSilentTarget ends the run on a silent replica, which stays the request's replica until
+// another one is chosen.
+func (s *session) leaveSilentTarget() {
+	s.target.run.End(suspectOutcome(routing.Result{}, true))
+	s.left, s.target = s.target, nil
+}
+
+// chooseOther chooses a replica in place of the silent one, or the silent one again if it answers
+// before another is to be had.
+func (s *session) chooseOther(ctx context.Context) error {
+	left := s.left
+	s.left = nil
+	s.excluded = append(s.excluded, left.choice.Replica.ID)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var returned bool
+	var probes sync.WaitGroup
+	probes.Go(func() {
+		returned = s.awaitReplica(ctx, left.choice)
+		if returned {
+			cancel()
+		}
+	})
+	err := s.choose(ctx)
+	if err == nil {
+		cancel()
+	}
+	probes.Wait()
+	if err != nil && returned {
+		s.returnTo(left)
+		return nil
+	}
+	s.releaseTarget(left, routing.Result{})
+	return err
+}
+
+// returnTo resumes the request at a replica that was silent.
+func (s *session) returnTo(left *target) {
+	s.g.opts.Log.Info("replica answers again", "request", s.c.requestID, "replica", left.choice.Replica.ID, "after_event", s.exchange.LastEventID())
+	resumesSame.Inc()
+	s.excluded = s.excluded[:len(s.excluded)-1]
+	left.run = s.g.opts.Quarantine.BeginRequest(s.suspect, left.choice.Replica.ID, left.choice.Replica.Generation, s.admission)
+	s.target, s.resume = left, true
+}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -115,11 +115,14 @@
 }
 
 // chatDuring sends a streamed request and calls event after the first token.
-func (b *fixture) chatDuring(body string, event func()) reply {
+func (b *fixture) chatDuring(body string, event func(), headers ...string) reply {
 	b.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, b.server.URL+engine.ChatPath, strings.NewReader(body))
 	require.NoError(b.t, err)
 	req.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := b.server.Client().Do(req)
 	require.NoError(b.t, err)
 	defer resp.Body.Close()
