--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -14,6 +15,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	standinengine "github.com/fennelcourse/fennelcourse/internal/standin/engine"
 )
@@ -141,3 +143,28 @@
 	require.False(t, b.router.ended[0].OK)
 	require.EqualValues(t, 1, b.quarantine.crashes.Load())
 }
+
+// lateProbe is a Prober whose first query ends late and unanswered, as on a node that stood still.
+type lateProbe struct {
+	Prober
+	queries int
+}
+
+func (l *lateProbe) State(ctx context.Context, _ string) (engine.State, error) {
+	l.queries++
+	if l.queries > 1 {
+		return engine.State{}, nil
+	}
+	<-ctx.Done()
+	time.Sleep(time.Second)
+	return engine.State{}, ctx.Err()
+}
+
+// Guards against a node that stood still and takes that for a silent replica.
+func TestProbeOnANodeThatStoodStillIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSession(t, httptest.NewRecorder())
+		s.g.opts.Prober = &lateProbe{}
+		require.Equal(t, replicaUnchanged, s.probe(t.Context(), routing.Choice{}))
+	})
+}
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -24,8 +24,21 @@
 	replicaSilent
 )
 
+// maxProbeDelay is how late a probe may end. One that ends later shows that this node had no
+// processor, and nothing about the replica.
+const maxProbeDelay = 50 * time.Millisecond
+
 // probe queries the state of a replica over a new connection.
 func (s *session) probe(ctx context.Context, choice routing.Choice) probeResult {
+	started := time.Now()
+	result := s.probeOnce(ctx, choice)
+	if result == replicaSilent && time.Since(started) > s.g.opts.ProbeTimeout+maxProbeDelay {
+		result = s.probeOnce(ctx, choice)
+	}
+	return result
+}
+
+func (s *session) probeOnce(ctx context.Context, choice routing.Choice) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, s.g.opts.ProbeTimeout)
 	defer cancel()
 	state, err := s.g.opts.Prober.State(ctx, choice.Addr)
