internal/gateway: an answer that has begun waits for a replica that takes it

What callers saw: a streamed answer was aborted in the same millisecond in which its replica was lost, because the others wanted no requests for a second (pushback), or none was healthy just then.

Cause: only a suspect waited for a replica, and only while none was healthy. A crash makes a request a suspect, so the wait for a healthy replica was there for most; the one for replicas that want none was there for nobody. Class: an answer given up before another is sure.

Change: a request whose answer has begun, or which is a suspect, waits for a replica of either kind, for up to 10 s as suspects did. The constant and the wait for a silent replica become one option, MaxReplicaWait.

Why it works: the caller has the answer's first part and can't be told to come back later; replicas that want none say so for a second or two.

TestAnswerThatHasBegunWaitsForAReplica was red in both cases before (unexpected EOF). TestAnswerIsAbortedIfNoReplicaIsLeft sets the wait to 0.1 s; what it requires is unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,7 @@
 	DefaultCallTimeout       = 20 * time.Second
 	DefaultWriteTimeout      = 30 * time.Second
 	DefaultProbeTimeout      = time.Second
-	DefaultMaxSilence        = 10 * time.Second
+	DefaultMaxReplicaWait    = 10 * time.Second
 	DefaultMaxAttempts       = 6
 	DefaultKeepAlive         = 5 * time.Second
 	DefaultAnswerBuffer      = 1 << 20
@@ -72,9 +72,9 @@
 	WriteTimeout time.Duration
 	// ProbeTimeout limits the query of an engine's state after a failed attempt.
 	ProbeTimeout time.Duration
-	// MaxSilence is how long a replica that does not answer is waited for if the request can't be
-	// sent elsewhere.
-	MaxSilence time.Duration
+	// MaxReplicaWait limits the wait for a replica that takes a request whose answer has begun or
+	// which is a suspect, and the wait for a silent replica if the request can't be sent elsewhere.
+	MaxReplicaWait time.Duration
 	// MaxAttempts limits the consecutive attempts of a request that make no progress.
 	MaxAttempts int
 	// KeepAlive is the interval of comments that are sent on an idle stream.
@@ -90,7 +90,7 @@
 	setIfUnset(&o.CallTimeout, DefaultCallTimeout)
 	setIfUnset(&o.WriteTimeout, DefaultWriteTimeout)
 	setIfUnset(&o.ProbeTimeout, DefaultProbeTimeout)
-	setIfUnset(&o.MaxSilence, DefaultMaxSilence)
+	setIfUnset(&o.MaxReplicaWait, DefaultMaxReplicaWait)
 	setIfUnset(&o.MaxAttempts, DefaultMaxAttempts)
 	setIfUnset(&o.KeepAlive, DefaultKeepAlive)
 	setIfUnset(&o.AnswerBuffer, DefaultAnswerBuffer)
--- a/internal/gateway/runstate_test.go
+++ b/internal/gateway/runstate_test.go
@@ -37,7 +37,7 @@
 				b := newFixture(t, 1, standinengine.Options{MaxGap: 10 * time.Millisecond}, func(b *fixture) {
 					b.opts.MaxAttempts = 2
 					b.opts.Streamer = engine.NewStreamer(b.opts.Pools, 100*time.Millisecond)
-					b.opts.ProbeTimeout, b.opts.MaxSilence = 100*time.Millisecond, 100*time.Millisecond
+					b.opts.ProbeTimeout, b.opts.MaxReplicaWait = 100*time.Millisecond, 100*time.Millisecond
 				})
 				fault(b)
 				b.requireTruthfulRunState(b.chat(body), b.runs())
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -133,27 +133,25 @@
 	return nil
 }
 
-const (
-	// retryPollInterval is how often a suspect tries to get a replica for its retry alone.
-	retryPollInterval = 50 * time.Millisecond
-	// maxRetryWait limits the wait for such a replica.
-	maxRetryWait = 10 * time.Second
-)
+// retryPollInterval is how often a request that waits for a replica asks for one.
+const retryPollInterval = 50 * time.Millisecond
 
-// chooseReplica gets a replica from the router. A suspect waits for a replica on which no other
-// suspect runs and which it is this node's turn to use.
+// chooseReplica gets a replica from the router. A request whose answer has begun waits for one. So does
+// a suspect: for a replica on which no other suspect runs and which it is this node's turn to use.
 func (s *session) chooseReplica(ctx context.Context, alone bool) (routing.Choice, error) {
 	req := routing.Request{
 		Group: s.route.Group, Prefer: s.route.Prefer, PrefixHashes: s.modelCall.PrefixHashes, Exclude: s.excluded,
 		Alone: alone, MayRetryOn: s.g.opts.Quarantine.MayRetryOn,
 	}
-	waitEnd := time.Now().Add(maxRetryWait)
+	mayWait := alone || s.exchange.ResponseStarted()
+	waitEnd := time.Now().Add(s.g.opts.MaxReplicaWait)
 	for {
 		choice, err := s.g.opts.Router.Choose(req)
-		if full, ok := errors.Into[*routing.FullError](err); ok {
+		full, isFull := errors.Into[*routing.FullError](err)
+		if isFull {
 			err = fennelerr.Wrap(err, fennelerr.Overloaded, "the model's replicas want no requests").WithRetryAfter(full.Pushback.Left)
 		}
-		if err == nil || !alone || !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
+		if err == nil || !mayWait || !isFull && !fennelerr.Is(err, fennelerr.NoReplica) || time.Now().After(waitEnd) {
 			return choice, err
 		}
 		select {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -136,7 +136,7 @@
 // Guards against answers that wait for a replica which stays silent while another one is to be had.
 func TestAnswerLeavesAReplicaThatStaysSilent(t *testing.T) {
 	b := newFixture(t, 2, standinengine.Options{CanContinue: true, MaxGap: 20 * time.Millisecond, TokenInterval: 10 * time.Millisecond}, func(b *fixture) {
-		b.opts.ProbeTimeout, b.opts.MaxSilence = 50*time.Millisecond, time.Hour
+		b.opts.ProbeTimeout, b.opts.MaxReplicaWait = 50*time.Millisecond, time.Hour
 	})
 	requireCompleteStream(t, b.chatDuring(chatStreamBody, func() { b.engines[0].SetFaults(standinengine.Faults{Freeze: true}) }), chatStreamBody)
 	require.Len(t, b.router.ended, 2)
@@ -168,3 +168,35 @@
 		require.Equal(t, replicaUnchanged, s.probe(t.Context(), routing.Choice{}))
 	})
 }
+
+// busyRouter is a Router whose other replicas want no requests for the first choices.
+type busyRouter struct {
+	*fakeRouter
+	err     error
+	refused int
+}
+
+func (r *busyRouter) Choose(req routing.Request) (routing.Choice, error) {
+	if len(req.Exclude) > 0 && r.refused < 3 {
+		r.refused++
+		return routing.Choice{}, r.err
+	}
+	return r.fakeRouter.Choose(req)
+}
+
+// Guards against answers that are ended because no replica takes them at once.
+func TestAnswerThatHasBegunWaitsForAReplica(t *testing.T) {
+	for name, err := range map[string]error{
+		"replicas want no requests": &routing.FullError{Group: "fit"},
+		"no healthy replica":        fennelerr.New(fennelerr.NoReplica, "none"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := &busyRouter{err: err}
+			b := newFixture(t, 2, standinengine.Options{TokenInterval: 5 * time.Millisecond, CanContinue: true}, func(b *fixture) {
+				router.fakeRouter, b.opts.Router = b.router, router
+			})
+			requireCompleteStream(t, b.chatDuring(chatStreamBody, func() { b.engines[0].Crash() }), chatStreamBody)
+			require.Equal(t, 3, router.refused)
+		})
+	}
+}
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -51,10 +51,10 @@
 	return replicaUnchanged
 }
 
-// awaitReplica waits until a silent replica answers, for at most MaxSilence, and reports whether it
+// awaitReplica waits until a silent replica answers, for at most MaxReplicaWait, and reports whether it
 // still holds its requests.
 func (s *session) awaitReplica(ctx context.Context, choice routing.Choice) (unchanged bool) {
-	ctx, cancel := context.WithTimeout(ctx, s.g.opts.MaxSilence)
+	ctx, cancel := context.WithTimeout(ctx, s.g.opts.MaxReplicaWait)
 	defer cancel()
 	for {
 		switch s.probe(ctx, choice) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -75,7 +75,7 @@
 // The only replica crashes in the middle of a streamed answer. The response must be aborted so
 // that the caller can't take it for complete.
 func TestAnswerIsAbortedIfNoReplicaIsLeft(t *testing.T) {
-	b := newFixture(t, 1, standinengine.Options{TokenInterval: 5 * time.Millisecond}, nil)
+	b := newFixture(t, 1, standinengine.Options{TokenInterval: 5 * time.Millisecond}, func(b *fixture) { b.opts.MaxReplicaWait = 100 * time.Millisecond })
 	r := b.chatDuring(chatStreamBody, func() { b.engines[0].Crash() })
 	require.Error(t, r.err, "the body must not end cleanly")
 	text, complete := streamText(r.body)
