internal/gateway: the last line of a call without a whole answer says how it ended

What was missing: a plain call whose caller took nothing of the answer ended without a line, and so did one in a panic but for its stack, which names no request. The other last lines had no time left and did not say whether, for how long and whose silence had come before; 'answer aborted' of a plain call had no code.

Change: 'refuse', 'answer aborted' and 'caller gone' have held, left (until the deadline of the first token, or of a plain call), and the last silence: silent with silent_replica or silent_addr. 'duration' stays with 'answered'. A panic is logged with its request and goes on to net/http.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := g.opts.NewRequestID()
 	w.Header().Set(engine.HeaderRequestID, id)
+	defer g.logPanic(id)
 	c, err := g.authenticate(r, id)
 	if err != nil {
 		g.refuse(w, r, c, err)
@@ -170,6 +171,18 @@
 	}
 }
 
+// logPanic names the request of a panic, which net/http only logs with its stack.
+func (g *Gateway) logPanic(requestID string) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		g.opts.Log.Error("panic", "request", requestID, "err", p)
+	}
+	panic(p)
+}
+
 func (g *Gateway) authenticate(r *http.Request, id string) (caller, error) {
 	c := caller{requestID: id, rules: g.opts.Rules.Current()}
 	if c.rules == nil {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -65,7 +65,7 @@
 		return nil, deadline, fennelerr.New(fennelerr.ModelNotFound, "path %s is routed to a plain service, not to a model", r.URL.Path).
 			WithField("path").WithRun(fennelerr.NotRun)
 	}
-	return &session{g: g, c: c, modelCall: modelCall, path: r.URL.Path, body: body, route: route, run: fennelerr.NotRun, started: now,
+	return &session{g: g, c: c, modelCall: modelCall, path: r.URL.Path, body: body, route: route, run: fennelerr.NotRun, progress: progress{started: now, deadline: deadline},
 		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.team.Name, r.URL.Path, body), Model: modelCall.Model,
 			Parts: suspect.PartsOf(modelCall.Model, modelCall.PromptParts)}}, deadline, nil
 }
@@ -92,19 +92,20 @@
 // finishModel completes the answer to the caller after the session ended with err.
 func (g *Gateway) finishModel(w http.ResponseWriter, r *http.Request, s *session, err error) {
 	log := g.opts.Log.With("request", s.c.requestID, "team", s.c.team.Name, "model", s.modelCall.Model, "tokens", s.tokens,
-		"duration", time.Since(s.started))
+		"begun", s.exchange.ResponseStarted())
 	if err == nil {
 		answersComplete.Inc()
-		log.Info("answered")
+		log.Info("answered", "duration", time.Since(s.progress.started))
 		return
 	}
+	log = log.With(s.progress.fields()...)
 	if _, gone := errors.Into[*callerGoneError](err); gone {
 		callersGone.Inc()
 		log.Info("caller gone", "run", s.run, "err", err.Error())
 		return
 	}
 	if !s.exchange.ResponseStarted() {
-		g.refuse(w, r, s.c, err)
+		g.refuse(w, r, s.c, err, s.progress.fields()...)
 		return
 	}
 	// The status line was already sent. An error event and an aborted body keep clients from
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -44,20 +44,26 @@
 	call := &plainCall{g: g, c: c, route: route, request: r, body: body, claim: claim, run: fennelerr.NotRun, repeatable: isRepeatable(route, r.Method)}
 	ctx, cancel := g.callContext(r, claim)
 	defer cancel()
+	call.progress.started = time.Now()
+	call.progress.deadline, _ = ctx.Deadline()
 	resp, err := call.execute(ctx)
 	if err != nil {
 		g.settleClaim(claim, call.failureOutcome())
 		if r.Context().Err() != nil {
-			callersGone.Inc()
-			g.opts.Log.Info("caller gone", "request", c.requestID, "team", c.team.Name, "run", call.run)
+			call.logCallerGone(r.Context().Err())
 			return
 		}
-		g.refuse(w, r, c, err)
+		g.refuse(w, r, c, err, call.progress.fields()...)
 		return
 	}
 	defer resp.body.Close()
 	g.settleClaim(claim, claimOutcome{kind: claimExecuted, answer: resp.claimAnswer()})
-	g.writePlain(w, c, resp)
+	call.write(w, resp)
+}
+
+func (p *plainCall) logCallerGone(err error) {
+	callersGone.Inc()
+	p.g.opts.Log.With(p.progress.fields()...).Info("caller gone", "request", p.c.requestID, "team", p.c.team.Name, "run", p.run, "err", err.Error())
 }
 
 // callContext returns the context of a call, with the call timeout. A claimed call continues if
@@ -95,25 +101,28 @@
 	return answer
 }
 
-// writePlain forwards the answer to the caller. It aborts the response if the backend server's
-// answer ends early.
-func (g *Gateway) writePlain(w http.ResponseWriter, c caller, a *plainAnswer) {
+// write forwards the answer to the caller. It aborts the response if the backend server's answer ends
+// early.
+func (p *plainCall) write(w http.ResponseWriter, a *plainAnswer) {
 	rc := http.NewResponseController(w)
 	copyAnswerHeader(w.Header(), a.header)
 	w.Header().Set(HeaderRun, string(fennelerr.Ran))
 	w.WriteHeader(a.status)
-	_ = rc.SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout)) // not supported by httptest.ResponseRecorder
-	err := a.copyTo(w, func() { _ = rc.SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout)) })
+	extend := func() { _ = rc.SetWriteDeadline(time.Now().Add(p.g.opts.WriteTimeout)) } // not supported by httptest.ResponseRecorder
+	extend()
+	err := a.copyTo(w, extend)
 	if err == nil {
 		answersComplete.Inc()
-		g.opts.Log.Info("answered", "request", c.requestID, "team", c.team.Name, "status", a.status)
+		p.g.opts.Log.Info("answered", "request", p.c.requestID, "team", p.c.team.Name, "status", a.status)
 		return
 	}
-	if _, gone := errors.Into[*callerGoneError](err); gone {
-		callersGone.Inc()
+	if gone, ok := errors.Into[*callerGoneError](err); ok {
+		p.logCallerGone(gone)
 		return
 	}
 	answersAborted.Inc()
-	g.opts.Log.Error("answer aborted", "request", c.requestID, "team", c.team.Name, "run", fennelerr.Ran, "err", err.Error())
+	p.recordSilence()
+	p.g.opts.Log.With(p.progress.fields()...).Error("answer aborted", "request", p.c.requestID, "team", p.c.team.Name,
+		"code", fennelerr.BackendFailed, "run", fennelerr.Ran, "err", err.Error())
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -33,6 +34,7 @@
 	addrs    []string
 	attempts int
 	answer   *plainAnswer
+	progress progress
 }
 
 // plainAnswer is a backend server's answer. The first part of the body was read, the rest may
@@ -71,10 +73,16 @@
 
 // Attempt implements recovery.Call.
 func (p *plainCall) Attempt(ctx context.Context) (err error) {
+	p.progress.lastActivity = time.Now()
 	p.answer, err = p.attempt(ctx, p.addr())
+	if err != nil {
+		p.recordSilence()
+	}
 	return err
 }
 
+func (p *plainCall) recordSilence() { p.progress.recordSilence("silent_addr", p.addr()) }
+
 // Abandoned implements recovery.Call. It returns nil because a call whose time is up is
 // classified like any failed one.
 func (p *plainCall) Abandoned(context.Context, error) error { return nil }
@@ -195,6 +203,7 @@
 		resp.Body.Close()
 		return nil, &engine.NotStartedError{Addr: addr, Status: resp.StatusCode, Message: string(message)}
 	}
+	resp.Body = activeBody{resp.Body, &p.progress}
 	p.run = fennelerr.Unknown
 	if got := resp.Header.Get(engine.HeaderRequestID); got != "" && got != p.c.requestID {
 		mismatches.Inc()
@@ -211,6 +220,21 @@
 	return &plainAnswer{status: resp.StatusCode, header: resp.Header, buffered: buffered, complete: complete, body: resp.Body}, nil
 }
 
+// activeBody records when data of an answer arrives.
+type activeBody struct {
+	io.ReadCloser
+	progress *progress
+}
+
+// Read implements io.Reader.
+func (b activeBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.progress.lastActivity = time.Now()
+	}
+	return n, err
+}
+
 // copyTo writes the buffered part of the body and then the rest. It calls progress after each
 // write of the rest.
 func (a *plainAnswer) copyTo(w io.Writer, progress func()) error {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -48,8 +48,9 @@
 	return &e
 }
 
-// refuse writes err as a complete HTTP response. Nothing may have been written before.
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c caller, err error) {
+// refuse writes err as a complete HTTP response and logs it with the given fields. Nothing may have been
+// written before.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c caller, err error, fields ...any) {
 	e := normalizeError(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
@@ -61,7 +62,7 @@
 	_, _ = w.Write(g.opts.Protocol.Error(e, c.requestID)) // if the caller disconnected, there is no one to report to
 	countRefusal(e)
 	g.countTeamRefusal(c)
-	g.opts.Log.Info("refuse", "request", c.requestID, "team", c.teamName(), "path", r.URL.Path,
+	g.opts.Log.With(fields...).Info("refuse", "request", c.requestID, "team", c.teamName(), "path", r.URL.Path,
 		"code", e.Code, "run", e.Run, "retry_after", e.RetryAfter, "err", e.Error())
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -59,7 +59,7 @@
 	slot                    Slot
 	// claim is nil for a call that needs none.
 	claim        Claim
-	started      time.Time
+	progress     progress
 	firstTokenAt time.Time
 	// firstTokenState decides the race between the first token and its deadline. Without it, a
 	// token that arrived at the deadline was sent to the caller and the stream then aborted.
@@ -125,6 +125,7 @@
 		return s.withRunState(err)
 	}
 	run := s.g.opts.Quarantine.BeginRequest(s.suspect, choice.Replica.ID, choice.Replica.Generation, admission)
+	s.progress.lastActivity = time.Now()
 	s.target = &target{choice: choice, run: run, startedAt: time.Now()}
 	s.resume = false
 	s.g.opts.Log.Info("route", "request", s.c.requestID, "team", s.c.team.Name, "group", s.route.Group, "rule_line", s.route.Line,
@@ -225,6 +226,7 @@
 }
 
 func (s *session) recordToken() {
+	s.progress.lastActivity = time.Now()
 	s.tokens++
 	s.target.tokens++
 	s.target.run.Piece()
@@ -233,13 +235,15 @@
 	}
 	if s.firstTokenAt.IsZero() {
 		s.firstTokenAt = s.target.firstTokenAt
+		s.progress.deadline = time.Time{}
 		s.slot.FirstToken()
-		firstTokenSeconds.Update(s.firstTokenAt.Sub(s.started).Seconds())
+		firstTokenSeconds.Update(s.firstTokenAt.Sub(s.progress.started).Seconds())
 	}
 }
 
 // Abandoned implements recovery.Call.
 func (s *session) Abandoned(ctx context.Context, err error) error {
+	s.recordSilence(s.target)
 	canceled := s.cancelError(ctx, err)
 	if canceled != nil {
 		s.cancelAtReplica()
@@ -248,6 +252,10 @@
 	return canceled
 }
 
+func (s *session) recordSilence(t *target) {
+	s.progress.recordSilence("silent_replica", string(t.choice.Replica.ID))
+}
+
 // cancelError returns an error if the caller disconnected or the first token is late, else
 // nil.
 func (s *session) cancelError(ctx context.Context, err error) error {
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -118,6 +118,9 @@
 		s.returnTo(left)
 		return nil
 	}
+	if err != nil {
+		s.recordSilence(left)
+	}
 	s.releaseTarget(left, routing.Result{})
 	return err
 }
