internal/gateway: silence makes no suspects

What callers saw: a sound request whose two replicas stood still, one after the other, was refused with 422 request_quarantined for 15 minutes, by every node. A request that left one silent replica ran alone from then on and waited up to 10 s for a replica without another suspect, as all requests of that replica did.

Cause: a replica that did not answer the query of its state counted as crashed under the request. Class: a silence taken for an end.

Change: the rule that internal/relay has (docs/crash-requests.md, 'What counts as a crash'): a crash is an address where nothing listens, a broken connection or another assignment. A silent replica that is left has the run abandoned; it is polled at once, as before, and told to cancel the request.

Weighed: counting the crash when the replica is lost later: the suspects of a replica must run alone before their retry, not behind it. What is given up: a request that takes a whole VM off the network is found by nobody; internal/relay accepts the same.

TestSilentReplicasMakeNoSuspects was red before (422 instead of 200); so were TestAnswerLeavesAReplicaThatStaysSilent and one case of TestAnswerOutlivesTheSilenceOfItsReplica with the crash count they require now. TestRequestOutlivesTheSilenceOfItsReplica (refused before the answer begins) is new and was not run on the code before.

--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -15,9 +15,9 @@
 
 // replicaFailure describes the state of a replica after a failed attempt.
 type replicaFailure struct {
-	// crashed: the replica does not answer or its assignment changed.
+	// crashed: nothing listens at the replica's address or its assignment changed.
 	crashed bool
-	// silent: the replica did not answer in time. It counts as crashed, but may only stand still.
+	// silent: the replica did not answer in time. It may only stand still.
 	silent bool
 	// unreachable: the request did not reach the replica.
 	unreachable bool
@@ -68,16 +68,16 @@
 		return nil
 	}
 	s.reportReplicaFailure(err)
-	// A replica that rejected a resume may be sent the request again immediately. A cancel in
-	// flight would then end the new attempt, which has the same request ID.
-	if !s.failure.crashed && !s.failure.resumeRejected {
-		s.cancelAtReplica()
-	}
 	if s.failure.silent && d.Step != recovery.GiveUp {
 		s.leaveSilentTarget()
 		s.prepareNextReplica(d.Step)
 		return nil
 	}
+	// A replica that rejected a resume may be sent the request again immediately. A cancel in
+	// flight would then end the new attempt, which has the same request ID.
+	if !s.failure.crashed && !s.failure.resumeRejected {
+		s.cancelAtReplica()
+	}
 	s.endTarget(routing.Result{}, s.failure.crashed && s.g.reachesEngines(ctx))
 	if d.Step == recovery.GiveUp {
 		return s.giveUp(d.Reason, err)
@@ -124,7 +124,7 @@
 	if s.failure.crashed {
 		replicaCrashes.Inc()
 	}
-	if s.failure.crashed || s.failure.unreachable {
+	if s.failure.crashed || s.failure.silent || s.failure.unreachable {
 		s.g.opts.OnReplicaFailed(s.target.choice.Replica, err.Error())
 	}
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -307,12 +307,16 @@
 	s.g.opts.Router.End(t.choice, res)
 }
 
-// cancelAtReplica cancels the request at the engine, in the background.
+// cancelAtReplica cancels the request at the target's engine, if there is a target.
 func (s *session) cancelAtReplica() {
-	if s.target == nil {
-		return
+	if s.target != nil {
+		s.cancelAt(s.target.choice.Addr)
 	}
-	addr, id := s.target.choice.Addr, s.c.requestID
+}
+
+// cancelAt cancels the request at an engine, in the background.
+func (s *session) cancelAt(addr string) {
+	id := s.c.requestID
 	s.g.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
 		defer cancel()
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -10,6 +10,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // probeResult is what the query of a replica's state over a new connection shows.
@@ -20,7 +21,7 @@
 	replicaLost probeResult = iota
 	// replicaUnchanged: the replica still holds the requests that it was sent.
 	replicaUnchanged
-	// replicaSilent: no answer came in time. The replica may only stand still.
+	// replicaSilent: no answer came in time. The replica may only stand still: that is no crash.
 	replicaSilent
 )
 
@@ -51,21 +52,17 @@
 	return replicaUnchanged
 }
 
-// awaitReplica waits until a silent replica answers, for at most MaxReplicaWait, and reports whether it
-// still holds its requests.
-func (s *session) awaitReplica(ctx context.Context, choice routing.Choice) (unchanged bool) {
+// awaitReplica queries a silent replica until it answers or is lost, for at most MaxReplicaWait.
+func (s *session) awaitReplica(ctx context.Context, choice routing.Choice) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, s.g.opts.MaxReplicaWait)
 	defer cancel()
 	for {
-		switch s.probe(ctx, choice) {
-		case replicaUnchanged:
-			return true
-		case replicaLost:
-			return false
+		if result := s.probe(ctx, choice); result != replicaSilent {
+			return result
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return replicaSilent
 		case <-time.After(retryPollInterval):
 		}
 	}
@@ -75,21 +72,21 @@
 // replica is waited for if the request can't be sent elsewhere.
 func (s *session) classifyInterruption(ctx context.Context, f recovery.Failure) recovery.Failure {
 	result := s.probe(ctx, s.target.choice)
-	f.CanResume = result == replicaUnchanged
 	if result == replicaSilent && f.Attempts < f.MaxAttempts {
 		f.TakeRetry = sync.OnceValue(f.TakeRetry) // the decision is made once more on the result
-		elsewhere := recovery.Decide(f).Step != recovery.GiveUp
-		f.CanResume = !elsewhere && s.awaitReplica(ctx, s.target.choice)
-		s.failure.silent = elsewhere
+		if recovery.Decide(f).Step == recovery.GiveUp {
+			result = s.awaitReplica(ctx, s.target.choice)
+		}
 	}
-	s.failure.crashed = !f.CanResume
+	f.CanResume = result == replicaUnchanged
+	s.failure.crashed, s.failure.silent = result == replicaLost, result == replicaSilent
 	return f
 }
 
 // leaveSilentTarget ends the run on a silent replica, which stays the request's replica until
 // another one is chosen.
 func (s *session) leaveSilentTarget() {
-	s.target.run.End(suspectOutcome(routing.Result{}, true))
+	s.target.run.End(suspect.Abandoned)
 	s.left, s.target = s.target, nil
 }
 
@@ -104,7 +101,7 @@
 	var returned bool
 	var probes sync.WaitGroup
 	probes.Go(func() {
-		returned = s.awaitReplica(ctx, left.choice)
+		returned = s.awaitReplica(ctx, left.choice) == replicaUnchanged
 		if returned {
 			cancel()
 		}
@@ -121,6 +118,7 @@
 	if err != nil {
 		s.recordSilence(left)
 	}
+	s.cancelAt(left.choice.Addr)
 	s.releaseTarget(left, routing.Result{})
 	return err
 }
