internal/soak: servers and nodes that stand still for a second

Change: with Options.Silence (--silence) the VMs run in five processes, one for each failure domain, which get SIGSTOP for 1 to 1.3 s, all or three of five; nodes get it for 0.4 to 1.2 s, one or all; the configuration changes beside a silence and by itself; processes keep processors busy. Streams take 1.5 s, deadlines are 7 s. A stream that is closed with time left, and that no server broke off, is a finding with the line of a node's log about it, or with the lack of one. The nodes are asked in parallel whether they serve, with the same check and limit as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,11 @@
 	Body   string
 	// Err is set if no complete response arrived.
 	Err error
+	// Node is the node that got the call, Deadline the call's if not the default, Held the time until
+	// its outcome. Begun says that status 200 arrived.
+	Node           string
+	Deadline, Held time.Duration
+	Begun          bool
 }
 
 // callers is a set of concurrent callers that send requests to random nodes until
@@ -49,9 +55,13 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
+	var deadline time.Duration
+	if c.env.opts.Silence {
+		client.Timeout, deadline = silenceCallTimeout, silenceDeadline
+	}
 	for i := 0; ctx.Err() == nil; i++ {
 		n := c.env.nodes[rnd.IntN(len(c.env.nodes))]
-		call := Call{ID: fmt.Sprintf("%s-%d", name, i), Unsafe: rnd.IntN(3) == 0}
+		call := Call{ID: fmt.Sprintf("%s-%d", name, i), Unsafe: rnd.IntN(3) == 0, Node: n.name, Deadline: deadline}
 		send(client, n, &call, []string{"m3", "m2"}[rnd.IntN(2)])
 		c.mu.Lock()
 		c.calls = append(c.calls, call)
@@ -83,11 +93,17 @@
 	req.GetBody = nil // keeps net/http from sending the request a second time
 	req.Host = "a.example"
 	setRequestHeaders(req.Header, call.ID, model)
+	if call.Deadline > 0 {
+		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	}
+	start := time.Now()
+	defer func() { call.Held = time.Since(start) }()
 	resp, err := client.Do(req)
 	if err != nil {
 		call.Err = err
 		return
 	}
+	call.Begun = resp.StatusCode == http.StatusOK
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	call.Status, call.Body, call.Err = resp.StatusCode, string(body), err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,12 +21,25 @@
 	// Faults lists the injected faults; Findings the violated guarantees.
 	Faults   []string
 	Findings []string
+	// The rest is counted with silent servers only, for streams: Begun counts those whose answer had
+	// begun; of those without a complete response, Ended counts those that a node ended with time
+	// left, Broken those that a server broke off, and Late those at their deadline.
+	Begun, Ended, Broken, Late int
 }
 
 // fault is a kind of fault. The function that inject returns reverts the fault.
 type fault struct {
 	name   string
 	inject func(env *Environment, rnd *rand.Rand) (heal func())
+	// low and high are the bounds of its duration; if zero, minFaultDuration and maxFaultDuration.
+	low, high time.Duration
+}
+
+func (f fault) duration(rnd *rand.Rand) time.Duration {
+	if f.high == 0 {
+		return randomDuration(rnd, minFaultDuration, maxFaultDuration)
+	}
+	return randomDuration(rnd, f.low, f.high)
 }
 
 var noHeal = func() {}
@@ -33,45 +47,41 @@
 // faults lists the faults that are injected at random. They may overlap, also with
 // themselves.
 var faults = []fault{
-	{"kill a node", func(env *Environment, rnd *rand.Rand) func() {
+	{name: "kill a node", inject: func(env *Environment, rnd *rand.Rand) func() {
 		n := env.randomNode(rnd)
 		n.kill()
 		return func() { env.restart(n) }
 	}},
-	{"pause a node", func(env *Environment, rnd *rand.Rand) func() {
-		n := env.randomNode(rnd)
-		n.signal(syscall.SIGSTOP)
-		return func() { n.signal(syscall.SIGCONT) }
-	}},
-	{"reload a node", func(env *Environment, rnd *rand.Rand) func() {
+	{name: "pause a node", inject: pauseNode},
+	{name: "reload a node", inject: func(env *Environment, rnd *rand.Rand) func() {
 		env.randomNode(rnd).signal(syscall.SIGHUP)
 		return noHeal
 	}},
-	{"disconnect a node from the store", storeMode(Disconnect)},
-	{"drop the store's responses to a node", storeMode(DropResponses)},
-	{"delay a node's connections to the store", storeMode(Delay)},
-	{"reset a node's connections to the store", func(env *Environment, rnd *rand.Rand) func() { env.randomNode(rnd).store.Reset(); return noHeal }},
-	{"disconnect a server", serverMode(Disconnect)},
-	{"drop a server's responses", serverMode(DropResponses)},
-	{"delay a server's connections", serverMode(Delay)},
-	{"reset a server's connections", func(env *Environment, rnd *rand.Rand) func() { env.randomProxy(rnd).Reset(); return noHeal }},
-	{"kill a serving VM", killMember(0)},
-	{"kill a member that does not serve", killMember(1)},
-	{"drain a VM", func(env *Environment, rnd *rand.Rand) func() {
+	{name: "disconnect a node from the store", inject: storeMode(Disconnect)},
+	{name: "drop the store's responses to a node", inject: storeMode(DropResponses)},
+	{name: "delay a node's connections to the store", inject: storeMode(Delay)},
+	{name: "reset a node's connections to the store", inject: func(env *Environment, rnd *rand.Rand) func() { env.randomNode(rnd).store.Reset(); return noHeal }},
+	{name: "disconnect a server", inject: serverMode(Disconnect)},
+	{name: "drop a server's responses", inject: serverMode(DropResponses)},
+	{name: "delay a server's connections", inject: serverMode(Delay)},
+	{name: "reset a server's connections", inject: func(env *Environment, rnd *rand.Rand) func() { env.randomProxy(rnd).Reset(); return noHeal }},
+	{name: "kill a serving VM", inject: killMember(0)},
+	{name: "kill a member that does not serve", inject: killMember(1)},
+	{name: "drain a VM", inject: func(env *Environment, rnd *rand.Rand) func() {
 		if heads := env.fleet.OpenHeads("m3"); len(heads) > 0 {
 			heads[0].Drain()
 		}
 		env.replaceVM(rnd)
 		return noHeal
 	}},
-	{"the store is down", storeFaults(memstore.Faults{Down: true})},
-	{"the store is down, and the outcome of calls is unknown", storeFaults(memstore.Faults{Down: true, DownUnknown: true})},
-	{"the store is slow", storeFaults(memstore.Faults{Delay: 200 * time.Millisecond})},
-	{"the store loses responses", storeFaults(memstore.Faults{LoseAnswers: 3})},
-	{"the store drops writes", storeFaults(memstore.Faults{DropWrites: 2})},
-	{"the store compacts its history", func(env *Environment, _ *rand.Rand) func() { env.mem.Compact(env.mem.Revision()); return noHeal }},
-	{"leases expire", func(env *Environment, _ *rand.Rand) func() { env.mem.ExpireLeases(); return noHeal }},
-	{"the configuration changes", func(env *Environment, _ *rand.Rand) func() { _ = env.writeConfig(""); return noHeal }},
+	{name: "the store is down", inject: storeFaults(memstore.Faults{Down: true})},
+	{name: "the store is down, and the outcome of calls is unknown", inject: storeFaults(memstore.Faults{Down: true, DownUnknown: true})},
+	{name: "the store is slow", inject: storeFaults(memstore.Faults{Delay: 200 * time.Millisecond})},
+	{name: "the store loses responses", inject: storeFaults(memstore.Faults{LoseAnswers: 3})},
+	{name: "the store drops writes", inject: storeFaults(memstore.Faults{DropWrites: 2})},
+	{name: "the store compacts its history", inject: func(env *Environment, _ *rand.Rand) func() { env.mem.Compact(env.mem.Revision()); return noHeal }},
+	{name: "leases expire", inject: func(env *Environment, _ *rand.Rand) func() { env.mem.ExpireLeases(); return noHeal }},
+	{name: "the configuration changes", inject: func(env *Environment, _ *rand.Rand) func() { _ = env.writeConfig(""); return noHeal }},
 }
 
 // serverFaultOneIn is the number of calls to a backend server of which one fails. At this
@@ -84,6 +94,12 @@
 // regressionSeeds draw.
 var serverFaults = standin.Faults{Kinds: []standin.Fault{standin.FaultServerError, standin.FaultTruncated, standin.FaultWrongResponse, standin.FaultMissingEvent}, OneIn: serverFaultOneIn}
 
+func pauseNode(env *Environment, rnd *rand.Rand) func() {
+	n := env.randomNode(rnd)
+	n.signal(syscall.SIGSTOP)
+	return func() { n.signal(syscall.SIGCONT) }
+}
+
 func storeMode(mode ProxyMode) func(*Environment, *rand.Rand) func() {
 	return func(env *Environment, rnd *rand.Rand) func() {
 		p := env.randomNode(rnd).store
@@ -173,12 +189,24 @@
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
 	}
+	if opts.Silence {
+		callers.stopAndCollect() // a node that stops may end calls
+	}
 	for _, n := range env.nodes {
 		if err := n.stop(stopTimeout); err != nil {
 			result.Findings = append(result.Findings, err.Error())
 		}
 	}
-	env.check(callers.stopAndCollect(), &result)
+	calls := callers.stopAndCollect()
+	if opts.Silence {
+		if err := env.collectObserved(&result); err != nil {
+			return result, err
+		}
+		if err := env.checkEnded(calls, &result); err != nil {
+			return result, err
+		}
+	}
+	env.check(calls, &result)
 	return result, nil
 }
 
@@ -204,6 +232,8 @@
 		heal func()
 	}
 	var pending []healing
+	var exact sync.WaitGroup // faults with bounds of their own do not wait for the next fault to end
+	defer exact.Wait()
 	healDue := func(all bool) {
 		kept := pending[:0]
 		for _, h := range pending {
@@ -219,14 +249,22 @@
 		env.fleet.SetFaults(serverFaults)
 		defer env.fleet.SetFaults(standin.Faults{})
 	}
+	kinds, minInterval, maxInterval := faults, minFaultInterval, maxFaultInterval
+	if env.opts.Silence {
+		kinds, minInterval, maxInterval = silenceFaults, minSilenceInterval, maxSilenceInterval
+	}
 	end := time.Now().Add(env.opts.FaultDuration)
 	for time.Now().Before(end) {
-		f := faults[rnd.IntN(len(faults))]
+		f := kinds[rnd.IntN(len(kinds))]
 		names = append(names, f.name)
 		env.opts.Log("%s", f.name)
-		heal := f.inject(env, rnd)
-		pending = append(pending, healing{time.Now().Add(randomDuration(rnd, minFaultDuration, maxFaultDuration)), heal})
-		time.Sleep(randomDuration(rnd, minFaultInterval, maxFaultInterval))
+		heal, length := f.inject(env, rnd), f.duration(rnd)
+		if f.high > 0 {
+			exact.Go(func() { time.Sleep(length); heal() })
+		} else {
+			pending = append(pending, healing{time.Now().Add(length), heal})
+		}
+		time.Sleep(randomDuration(rnd, minInterval, maxInterval))
 		healDue(false)
 	}
 	healDue(true)
@@ -240,7 +278,7 @@
 		result.Findings = append(result.Findings, fmt.Sprintf(format, args...))
 	}
 	for _, c := range calls {
-		runs := env.fleet.Runs(c.ID)
+		runs := env.runs(c.ID)
 		switch {
 		case c.Err != nil:
 			result.Failed++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,6 +14,11 @@
 	"github.com/fennelcourse/fennelcourse/internal/soak"
 )
 
+func TestMain(m *testing.M) {
+	soak.RunHelper()
+	os.Exit(m.Run())
+}
+
 // buildDaemon builds the daemon with the race detector and returns its path.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
@@ -88,3 +93,15 @@
 		require.True(t, strings.Contains(logs, "backend servers unreachable"), "no node lost its path")
 	}
 }
+
+// Guards against answers that a node ends while servers, or the node itself, stand still for a second.
+func TestShortSoakWithSilentServers(t *testing.T) {
+	path := buildDaemon(t)
+	for _, seed := range []uint64{210, 212} {
+		result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 24, FaultDuration: 5 * time.Second, Silence: true, Log: t.Logf})
+		require.NoError(t, err)
+		t.Logf("seed %d: %d begun, %d ended, %d broken off, %d late", seed, result.Begun, result.Ended, result.Broken, result.Late)
+		require.Empty(t, result.Findings, "seed %d", seed)
+		require.NotZero(t, result.Begun)
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,7 +34,10 @@
 	ServerSignals bool
 	// ServerCuts separates all nodes from most backend servers in addition, time after time.
 	ServerCuts bool
-	Log        func(format string, args ...any)
+	// Silence runs streams that take longer, whose servers, in processes of their own, and nodes are
+	// stopped for about a second, in place of the other faults. The program must call RunHelper.
+	Silence bool
+	Log     func(format string, args ...any)
 }
 
 // Environment is the system under test: a stand-in platform and its nodes.
@@ -50,6 +53,10 @@
 	plain   []string // the ids of the servers of the plain service
 	servers int
 	version int
+
+	// domains are the processes of servers that fall silent, observed what they observed.
+	domains  []*helper
+	observed map[string]int
 }
 
 // Layout of the system: the number of failure domains (one per zone), of VMs in each and
@@ -75,12 +82,8 @@
 	if err := env.writeConfig(""); err != nil {
 		return nil, err
 	}
-	for d := range domains {
-		for range vmsPerDomain {
-			if err := env.addVM(d); err != nil {
-				return nil, err
-			}
-		}
+	if err := env.startVMs(listener.Addr().String()); err != nil {
+		return nil, err
 	}
 	for i := range plainServers {
 		if err := env.addPlainServer(fmt.Sprintf("desk-%d", i), i); err != nil {
@@ -100,6 +103,21 @@
 	return env, nil
 }
 
+// startVMs starts the VMs of the model service.
+func (env *Environment) startVMs(storeAddr string) error {
+	if env.opts.Silence {
+		return env.startDomains(storeAddr)
+	}
+	for d := range domains {
+		for range vmsPerDomain {
+			if err := env.addVM(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i%domains) }
 
 // addProxy starts a proxy in front of a backend server and returns the proxy's address.
@@ -174,6 +192,9 @@
 		n.store.Close()
 	}
 	env.fleet.Close()
+	for _, h := range env.domains {
+		h.kill()
+	}
 	for _, p := range env.allProxies() {
 		p.Close()
 	}
@@ -201,19 +222,30 @@
 // awaitServing waits until every node serves both models and the plain service.
 func (env *Environment) awaitServing(what string) error {
 	deadline := time.Now().Add(serveTimeout)
+	errs := make(chan error, len(env.nodes))
 	for i, n := range env.nodes {
-		for try := 0; ; try++ {
-			err := env.checkServes(n, fmt.Sprintf("%s-%d-%d", what, i, try))
-			if err == nil {
-				break
-			}
-			if time.Now().After(deadline) {
-				return fmt.Errorf("%s: %s does not serve after %s: %w", what, n.name, serveTimeout, err)
-			}
-			time.Sleep(20 * time.Millisecond)
+		go func() { errs <- env.awaitNode(n, fmt.Sprintf("%s-%d", what, i), deadline) }()
+	}
+	var first error
+	for range env.nodes {
+		if err := <-errs; first == nil {
+			first = err
 		}
 	}
-	return nil
+	return first
+}
+
+func (env *Environment) awaitNode(n *node, id string, deadline time.Time) error {
+	for try := 0; ; try++ {
+		err := env.checkServes(n, fmt.Sprintf("%s-%d", id, try))
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s: %s does not serve after %s: %w", id, n.name, serveTimeout, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 // MakeDir creates a temporary directory for the settings and logs of a run.
