internal/soak: the check whether a node serves is a first attempt, not a returning caller's

The check's deadline (4 s) is shorter than the route's timeout in this mode (7 s), so that it counted as a caller who returns: these leave three of a replica's six slots to first attempts, and 24 callers kept three to five in use. The check now has the deadline of the callers; what it requires is the same.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -208,6 +208,9 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
 	for _, model := range []string{"m3", "m2", ""} {
 		call := Call{ID: id + "-" + model, Unsafe: model == ""}
+		if env.opts.Silence {
+			call.Deadline = silenceDeadline // a shorter one marks the call of a caller who returns
+		}
 		send(client, n, &call, model)
 		if call.Err != nil {
 			return call.Err
