fennel-soak: calls that run on more replicas than their route allows are found

Nobody had measured whether hedges keep to a route's attempts. The stand-in servers now report for each run its replica and members, and when a server ends, drains, leaves its replica or loses its lease. Each soak counts the calls that ran on several replicas and reports those that ran on more than the route's max_attempts as one finding; a replica that lost a member during the call does not count.

Callers see nothing of this.

--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -33,6 +33,7 @@
 	serverSignals := flags.BoolLongDefault("signals", true, "also make backend servers ask for no requests and say that they leave")
 	serverCuts := flags.BoolLongDefault("cuts", false, "also cut the nodes off from most backend servers, both ways or one way")
 	silence := flags.BoolLong("silence", "stop servers and nodes for about a second during longer streams, in place of all other faults")
+	singleSilences := flags.BoolLong("silence-in-turn", "also stop the servers of one failure domain after the other; only with --silence")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
 		ShortHelp: "inject faults into a system of real daemons and check the responses",
@@ -48,7 +49,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, Silence: *silence, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, Silence: *silence, SingleSilences: *silence && *singleSilences, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
@@ -77,7 +78,7 @@
 		fmt.Printf("seed %d: run failed: %v (logs in %s)\n", opts.Seed, err, dir)
 		return false
 	}
-	fmt.Printf("seed %d: %d faults, %d completed, %d refused, %d failed, %d findings\n", result.Seed, len(result.Faults), result.Completed, result.Refused, result.Failed, len(result.Findings))
+	fmt.Printf("seed %d: %d faults, %d completed, %d refused, %d failed, %d ran on several replicas, %d findings\n", result.Seed, len(result.Faults), result.Completed, result.Refused, result.Failed, result.Repeated, len(result.Findings))
 	if opts.Silence {
 		fmt.Printf("  streams: %d begun, %d ended by a node with time left, %d broken off by a server, %d at their deadline\n", result.Begun, result.Ended, result.Broken, result.Late)
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,9 +21,10 @@
 	// Err is set if no complete response arrived.
 	Err error
 	// Node is the node that got the call, Deadline the call's if not the default, Held the time until
-	// its outcome. Begun says that status 200 arrived.
+	// its outcome, Ended when that came. Begun says that status 200 arrived.
 	Node           string
 	Deadline, Held time.Duration
+	Ended          time.Time
 	Begun          bool
 }
 
@@ -97,7 +98,10 @@
 		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
 	}
 	start := time.Now()
-	defer func() { call.Held = time.Since(start) }()
+	defer func() {
+		call.Ended = time.Now()
+		call.Held = call.Ended.Sub(start)
+	}()
 	resp, err := client.Do(req)
 	if err != nil {
 		call.Err = err
--- a/internal/soak/helper.go
+++ b/internal/soak/helper.go
@@ -8,9 +8,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/fennelcourse/fennelcourse/platform"
 	"github.com/fennelcourse/fennelcourse/platform/standin"
 )
@@ -52,10 +55,16 @@
 	select {}
 }
 
-// serve starts the VMs. They print what they observe as one line each.
+// serve starts the VMs. They print what they observe as one line of JSON each.
 func (t helperTask) serve() error {
 	shape := silentServers()
-	shape.Observe = func(event standin.Event, detail string) { fmt.Printf("%s %s\n", event, detail) }
+	out := json.NewEncoder(os.Stdout)
+	var mu sync.Mutex
+	shape.Observe = func(o standin.Observation) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = out.Encode(o) // the soak fails if it cannot read it
+	}
 	fleet := standin.NewFleet(platform.NewKV(t.Store), shape)
 	for _, id := range t.VMs {
 		if _, err := fleet.Add(id, "models", t.Zone, t.Domain); err != nil {
@@ -76,6 +85,7 @@
 
 // helper is a helper process of the soak.
 type helper struct {
+	name    string
 	process *os.Process
 	logPath string
 }
@@ -89,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &helper{logPath: filepath.Join(dir, name+".log")}
+	h := &helper{name: name, logPath: filepath.Join(dir, name+".log")}
 	log, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -114,12 +124,18 @@
 // kill ends the process. It also ends one that is stopped.
 func (h *helper) kill() { h.signal(syscall.SIGKILL) }
 
-// observed returns how often each event was observed, by event and detail.
-func (h *helper) observed() (map[string]int, error) {
+// observed returns what the servers of the process observed.
+func (h *helper) observed() (all []standin.Observation, err error) {
 	text, err := os.ReadFile(h.logPath)
-	counts := make(map[string]int)
+	if err != nil {
+		return nil, err
+	}
 	for line := range strings.Lines(string(text)) {
-		counts[strings.TrimSuffix(line, "\n")]++
+		var o standin.Observation
+		if err := json.Unmarshal([]byte(line), &o); err != nil {
+			return nil, errors.Wrapf(err, "%s: %q", h.logPath, line)
+		}
+		all = append(all, o)
 	}
-	return counts, err
+	return all, nil
 }
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,6 +25,8 @@
 	minTimeLeft = 300 * time.Millisecond
 
 	minSilence, maxSilence                 = time.Second, 1300 * time.Millisecond
+	minSingleSilence, maxSingleSilence     = time.Second, 1600 * time.Millisecond
+	minSingleInterval, maxSingleInterval   = 700 * time.Millisecond, 1200 * time.Millisecond
 	minNodePause, maxNodePause             = 400 * time.Millisecond, 1200 * time.Millisecond
 	minBusy, maxBusy                       = 500 * time.Millisecond, 1500 * time.Millisecond
 	minSilenceInterval, maxSilenceInterval = 400 * time.Millisecond, 2 * time.Second
@@ -69,6 +72,28 @@
 	}
 }
 
+// silenceInTurn silences the servers of one failure domain after the other until stop is closed, so
+// that hedges have replicas to go to and some of these fall silent too. It draws from a random
+// generator of its own, so that the faults of a seed stay the same.
+func (env *Environment) silenceInTurn(stop <-chan struct{}) (findings []string) {
+	rnd := rand.New(rand.NewPCG(env.opts.Seed, 2))
+	var silences sync.WaitGroup
+	defer silences.Wait()
+	for {
+		for _, i := range rnd.Perm(len(env.domains)) {
+			select {
+			case <-stop:
+				return nil
+			case <-time.After(randomDuration(rnd, minSingleInterval, maxSingleInterval)):
+			}
+			domain, length := env.domains[i], randomDuration(rnd, minSingleSilence, maxSingleSilence)
+			env.opts.Log("%s is silent", domain.name)
+			domain.signal(syscall.SIGSTOP)
+			silences.Go(func() { time.Sleep(length); domain.signal(syscall.SIGCONT) })
+		}
+	}
+}
+
 func busy(env *Environment, _ *rand.Rand) (heal func()) {
 	var started []*helper
 	for range busyProcesses {
@@ -116,27 +141,21 @@
 // collectObserved adds what the processes of servers observed: the runs of the calls, the answers
 // that a server broke off, and violated guarantees.
 func (env *Environment) collectObserved(result *Result) error {
-	env.observed = make(map[string]int)
 	for _, h := range env.domains {
-		counts, err := h.observed()
+		observed, err := h.observed()
 		if err != nil {
 			return err
 		}
-		for line, n := range counts {
-			env.observed[line] += n
-			if strings.HasPrefix(line, string(standin.EventViolation)) {
-				result.Findings = append(result.Findings, line)
+		for _, o := range observed {
+			env.observed.record(o)
+			if o.Event == standin.EventViolation {
+				result.Findings = append(result.Findings, fmt.Sprintf("%s %s", o.Event, o.Detail))
 			}
 		}
 	}
 	return nil
 }
 
-// runs returns how often backend servers executed a call.
-func (env *Environment) runs(id string) int {
-	return env.fleet.Runs(id) + env.observed[string(standin.EventRun)+" "+id]
-}
-
 // checkEnded counts the streams that nodes ended although their callers had time left and no server
 // broke them off. Each is a finding with the line of a node's log about it. No node is killed or
 // stopped before the callers are done.
@@ -159,7 +178,7 @@
 		left := silenceDeadline - c.Held
 		switch {
 		case c.Err == nil:
-		case env.observed[string(standin.EventBroken)+" "+c.ID] > 0:
+		case env.observed.broken[c.ID]:
 			result.Broken++
 		case left < minTimeLeft:
 			result.Late++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,8 @@
 	// Completed counts calls answered with status 200, Refused those answered with
 	// another status, and Failed those without a complete response.
 	Completed, Refused, Failed int
+	// Repeated counts calls that ran on more than one replica.
+	Repeated int
 	// Faults lists the injected faults; Findings the violated guarantees.
 	Faults   []string
 	Findings []string
@@ -183,9 +185,11 @@
 	rnd := rand.New(rand.NewPCG(opts.Seed, 0))
 	callers := startCallers(env, opts.Callers, opts.Seed)
 	stopSignals, stopCuts := startBeside(opts.ServerSignals, env.giveSignals), startBeside(opts.ServerCuts, env.cutServers)
+	stopSilences := startBeside(opts.SingleSilences, env.silenceInTurn)
 	result.Faults = env.injectFaults(rnd)
 	result.Findings = append(result.Findings, stopSignals()...)
 	result.Findings = append(result.Findings, stopCuts()...)
+	stopSilences()
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
 	}
@@ -278,7 +282,7 @@
 		result.Findings = append(result.Findings, fmt.Sprintf(format, args...))
 	}
 	for _, c := range calls {
-		runs := env.runs(c.ID)
+		runs := env.observed.runsOf(c.ID)
 		switch {
 		case c.Err != nil:
 			result.Failed++
@@ -297,6 +301,7 @@
 			find("%s was refused with status %d as not executed, but was executed %d times", c.ID, c.Status, runs)
 		}
 	}
+	env.checkAttempts(calls, result)
 	for _, violation := range env.fleet.Violations() {
 		find("%s", violation)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,3 +105,11 @@
 		require.NotZero(t, result.Begun)
 	}
 }
+
+// Guards against hedges, and hedges of hedges, that run a call on more replicas than its route allows.
+func TestShortSoakWithServersSilentInTurn(t *testing.T) {
+	result, err := soak.Run(soak.Options{Binary: buildDaemon(t), Dir: t.TempDir(), Seed: 211, Nodes: 3, Callers: 16, FaultDuration: 8 * time.Second, Silence: true, SingleSilences: true, Log: t.Logf})
+	require.NoError(t, err)
+	t.Logf("%d completed, %d ran on several replicas", result.Completed, result.Repeated)
+	require.Empty(t, result.Findings)
+}
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -10,6 +10,9 @@
 
 const configTemplate = standin.SmallConfig
 
+// maxAttempts is the number of attempts that each route of the configuration allows.
+const maxAttempts = 2
+
 func setRequestHeaders(h http.Header, id, model string) { standin.SetRequestHeaders(h, id, model) }
 
 // expectedAnswer returns the body of the correct response to a call.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -37,7 +37,9 @@
 	// Silence runs streams that take longer, whose servers, in processes of their own, and nodes are
 	// stopped for about a second, in place of the other faults. The program must call RunHelper.
 	Silence bool
-	Log     func(format string, args ...any)
+	// SingleSilences stops the servers of one failure domain after the other in addition to Silence.
+	SingleSilences bool
+	Log            func(format string, args ...any)
 }
 
 // Environment is the system under test: a stand-in platform and its nodes.
@@ -54,9 +56,9 @@
 	servers int
 	version int
 
-	// domains are the processes of servers that fall silent, observed what they observed.
+	// domains are the processes of servers that fall silent.
 	domains  []*helper
-	observed map[string]int
+	observed *observations
 }
 
 // Layout of the system: the number of failure domains (one per zone), of VMs in each and
@@ -69,7 +71,7 @@
 )
 
 func newEnvironment(opts Options) (*Environment, error) {
-	env := &Environment{opts: opts, mem: memstore.New(memstore.Options{})}
+	env := &Environment{opts: opts, mem: memstore.New(memstore.Options{}), observed: newObservations()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -78,6 +80,7 @@
 	go func() { _ = env.http.Serve(listener) }() // returns when close closes the server
 	shape := standin.DefaultOptions()
 	shape.Events, shape.LeaseTTL, shape.Advertise = streamEvents, 900*time.Millisecond, env.addProxy
+	shape.Observe = env.observed.record
 	env.fleet = standin.NewFleet(env.mem, shape)
 	if err := env.writeConfig(""); err != nil {
 		return nil, err
