--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -209,3 +209,26 @@
 		require.Len(t, b.sent(), 2, "no hedge")
 	})
 }
+
+// countingRouter counts its choices, each of which uses up part of a replica's rate.
+type countingRouter struct {
+	listRouter
+	choices int
+}
+
+func (r *countingRouter) Choose(req routing.Request) (routing.Choice, error) {
+	r.choices++
+	return r.listRouter.Choose(req)
+}
+
+// Guards against hedges that use up a replica's rate though the call has no attempt left.
+func TestCallWithoutAttemptsLeftChoosesNoReplicaForAHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		router := &countingRouter{listRouter: listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}
+		f := newFixtureWith(t, 10, router, &fakeBackend{handlers: handlers{"a": streamWithSilence(time.Now(), period{0, 4 * time.Second}, 3, 10*time.Millisecond), "b": streamPieces(3, io.EOF)}})
+		terms := resumableTerms
+		terms.MaxAttempts = 1
+		require.True(t, f.serve(t.Context(), terms).ended)
+		require.Equal(t, 1, router.choices)
+	})
+}
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -133,3 +133,15 @@
 	found, _ = d.check(now.Add(stallTimeout + time.Millisecond))
 	require.Len(t, found, 2, "a silence after the pause counts")
 }
+
+// Guards against a replica that is found stalled too late because a pause of this node, which it was used in, is left out whole.
+func TestPauseOfTheNodeEndsWithItsLateCheck(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newStallDetector()
+	d.begin("r", now)
+	d.recordActivity("r", now)
+	now = now.Add(100 * time.Millisecond)
+	d.excuse(time.Second, now)
+	found, _ := d.check(now.Add(stallTimeout + time.Millisecond))
+	require.Equal(t, []cluster.ReplicaID{"r"}, found)
+}
