A path that breaks to one server after the other is no crash of servers

The class is that of: a failure of the observer taken for a failure of what it observes.

Change: a refusal counts as a crash only if, 50 ms later, the address refuses again, or the list has the server's next start, and other servers are reachable both times. A path that is lost is still found at once. The second refusal covers the reverse: a path that comes back between the check of the server and the probe of the others.

What it costs callers: a request whose server has really ended waits 50 ms more for its next attempt.

What callers saw: 429 request_quarantined for ten minutes for sound requests that were running when a path broke.

TestPathThatChangesDuringTheCheckMakesNoSuspects was red on the old code (both changes of the path) and is red with each of the three guards off.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 )
 
@@ -14,6 +15,9 @@
 	// crashCheckTimeout limits the connection attempt that shows whether a process has ended. A
 	// refusal takes one round trip.
 	crashCheckTimeout = 200 * time.Millisecond
+	// pathSettleTime is how long a path to several servers may take to break or to come back. A crash
+	// counts only if what shows it still holds after that time.
+	pathSettleTime = 50 * time.Millisecond
 	// crashCheckTTL is how long the result of a check holds for the other requests that broke
 	// off with the same process.
 	crashCheckTTL = time.Second
@@ -30,8 +34,8 @@
 type crashCheck struct {
 	at   time.Time
 	done chan struct{}
-	// refused is set if the address refused a connection, crashed if other servers were reachable
-	// then.
+	// refused is set if the address refused a connection, crashed if it went on to and other servers
+	// were reachable all the time.
 	refused, crashed bool
 }
 
@@ -50,7 +54,7 @@
 	lossPlanned lossCause = "planned-end"
 	// lossConnection: the process goes on, or nothing is known of it.
 	lossConnection lossCause = "connection"
-	// lossPath: this node reaches no other server either.
+	// lossPath: this node reaches no other server either, or the path changed meanwhile.
 	lossPath lossCause = "path"
 	// lossCaller: the caller left before the process was checked.
 	lossCaller lossCause = "caller-left"
@@ -78,7 +82,7 @@
 // lossCause returns why an attempt lost its connection. The process crashed if its end was not
 // planned and nothing listens at its address any more, or its successor does. Silence is no
 // evidence: a network partition or a power failure of the VM causes it too. Nor is a refusal on a
-// node that reaches no other server either.
+// node that reaches no other server either, or whose path changes.
 func (d *crashDetector) lossCause(ctx context.Context, p conns.Peer, err error) lossCause {
 	broken, ok := errors.Into[*BrokenError](err)
 	if !ok || !broken.ConnectionLost {
@@ -120,10 +124,9 @@
 func (d *crashDetector) check(ctx context.Context, p conns.Peer, fresh bool) *crashCheck {
 	c, first := d.begin(p, time.Now(), fresh)
 	if first {
-		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
-		defer cancel()
-		c.refused = d.opts.Backend.Refuses(checkCtx, p)
-		c.crashed = c.refused && (d.opts.Reach == nil || d.opts.Reach.Probe(context.WithoutCancel(ctx)))
+		checkCtx := context.WithoutCancel(ctx) // other requests share the check
+		c.refused = d.refuses(checkCtx, p)
+		c.crashed = c.refused && d.crashConfirmed(checkCtx, p)
 		close(c.done)
 	}
 	select {
@@ -134,6 +137,26 @@
 	}
 }
 
+func (d *crashDetector) refuses(ctx context.Context, p conns.Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	return d.opts.Backend.Refuses(ctx, p)
+}
+
+// crashConfirmed reports whether a process whose address has refused a connection has crashed. A path
+// breaks to one server after the other, and comes back so: a refusal and a probe of other servers at
+// one moment don't tell that from a crash.
+func (d *crashDetector) crashConfirmed(ctx context.Context, p conns.Peer) bool {
+	if d.opts.Reach == nil {
+		return true
+	}
+	if !d.opts.Reach.Probe(ctx) || !clock.Pause(ctx, pathSettleTime) {
+		return false
+	}
+	ended := d.opts.Departure(p).Replaced || d.refuses(ctx, p)
+	return ended && d.opts.Reach.Probe(ctx)
+}
+
 // begin returns the check of the process that is under way or recent, or a new one.
 func (d *crashDetector) begin(p conns.Peer, now time.Time, fresh bool) (c *crashCheck, first bool) {
 	d.mu.Lock()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -81,12 +82,19 @@
 }
 
 func newCrashRelay(b relay.Backend, suspects relay.Suspects, departure relay.Departure, pathLost bool) *relay.Relay {
-	return relay.New(relay.Options{
+	opts := crashOptions(b, suspects)
+	opts.Departure, opts.Reach = func(conns.Peer) relay.Departure { return departure }, probedReach{fixedReach{pathLost}}
+	return relay.New(opts)
+}
+
+// crashOptions returns the options of a relay with one server, without Departure and Reach.
+func crashOptions(b relay.Backend, suspects relay.Suspects) relay.Options {
+	return relay.Options{
 		Router: &listRouter{ids: []cluster.ReplicaID{"a"}, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 		Budget:   relay.NewBudget(relay.BudgetOptions{Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-		Suspects: suspects, Departure: func(conns.Peer) relay.Departure { return departure }, Reach: probedReach{fixedReach{pathLost}}, Log: slog.New(slog.DiscardHandler),
-	})
+		Suspects: suspects, Log: slog.New(slog.DiscardHandler),
+	}
 }
 
 func serveOn(r *relay.Relay, kind rules.CallKind) *recorder {
@@ -237,3 +245,59 @@
 	require.Empty(t, others.sent)
 	requireNotRun(t, got.refused)
 }
+
+// stepBackend is a refusingBackend whose checks take their results from a list, the last one again and again.
+type stepBackend struct {
+	refusingBackend
+	refusals steps
+}
+
+func (b *stepBackend) Refuses(context.Context, conns.Peer) bool { return b.refusals.next() }
+
+// stepReach is a Reachability whose probes take their results from a list, the last one again and again.
+type stepReach struct {
+	fixedReach
+	probes steps
+}
+
+func (r *stepReach) Probe(context.Context) bool { return r.probes.next() }
+
+type steps []bool
+
+func (s *steps) next() bool {
+	result := (*s)[0]
+	if len(*s) > 1 {
+		*s = (*s)[1:]
+	}
+	return result
+}
+
+// Guards against requests that count as crashing servers because their path to the servers was lost, or came back, just then.
+func TestPathThatChangesDuringTheCheckMakesNoSuspects(t *testing.T) {
+	lost := &relay.BrokenError{Reason: "no answer", ConnectionLost: true, Err: io.ErrUnexpectedEOF}
+	for name, c := range map[string]struct {
+		refusals, probes steps
+		replaced         bool
+		want             suspect.Outcome
+	}{
+		"lost to one server after the other": {refusals: steps{true}, probes: steps{true, false}, want: suspect.Abandoned},
+		"back after the server was checked":  {refusals: steps{true, false}, probes: steps{true}, want: suspect.Abandoned},
+		"whole, the process has ended":       {refusals: steps{true}, probes: steps{true}, want: suspect.Crashed},
+		"whole, the process started again":   {refusals: steps{true, false}, probes: steps{true}, replaced: true, want: suspect.Crashed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &stepBackend{refusingBackend{fakeBackend: fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": failWith(lost)}}}, c.refusals}
+				suspects, listed := &outcomeRecorder{}, 0
+				opts := crashOptions(b, suspects)
+				opts.Reach = &stepReach{probes: c.probes}
+				opts.Departure = func(conns.Peer) relay.Departure {
+					listed++
+					return relay.Departure{Replaced: c.replaced && listed > 1}
+				}
+				serveOn(relay.New(opts), rules.CallUnsafe)
+				require.Equal(t, []suspect.Outcome{c.want}, suspects.outcomes)
+			})
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,6 +91,8 @@
 			logs += string(log)
 		}
 		require.True(t, strings.Contains(logs, "backend servers unreachable"), "no node lost its path")
+		// The proxy of a server that ends goes on listening, so that only a cut has connections refused.
+		require.False(t, strings.Contains(logs, "replica crashed under a request"), "a cut is no crash of servers")
 	}
 }
 
