internal/relay: a node that has no room does not end a begun answer

Cause: the refusal of a node that a call is handed over to was passed on to the caller at once, also if the answer had begun. Then there is no refusal that the caller would get: the connection was closed in mid-answer, with seconds left, while another node, or a replica a moment later, might have gone on.

Change: for a begun answer the refusal counts as a failed attempt that did not run (or may have, if the node says so).

Callers saw a closed connection where their server broke off while all others wanted no requests.

--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -218,7 +218,7 @@
 }
 
 // runOnNode hands the call over to a node and forwards the answer. The refusal of a node ends the
-// call, unless another attempt is in progress.
+// call, unless another attempt is in progress or the answer has begun.
 func (s *session) runOnNode(a *attempt) error {
 	node := *a.to.node
 	s.mu.Lock()
@@ -250,7 +250,8 @@
 	return err
 }
 
-// refusedByNode passes a node's refusal on to the caller, unless another attempt is in progress.
+// refusedByNode passes a node's refusal on to the caller, unless another attempt is in progress or the
+// answer has begun: then there is no refusal that the caller would get.
 func (s *session) refusedByNode(a *attempt, refusal *NodeRefusalError) error {
 	handOverRefused.Inc()
 	s.r.nodeBackoffs.taken(time.Now())
@@ -258,10 +259,10 @@
 		s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: a.to.node.ID, group: s.group})
 	}
 	ran := refusal.Refusal.Run != fennelerr.NotRun
-	switch {
-	case a.isHedge && ran:
+	switch mustGoOn := a.isHedge || s.started; {
+	case mustGoOn && ran:
 		return &BrokenError{Reason: "refused by another node", Err: refusal}
-	case a.isHedge:
+	case mustGoOn:
 		return &NotRunError{Reason: "refused by another node", Err: refusal}
 	}
 	s.mayHaveRun = s.mayHaveRun || ran
