internal/relay: silent replicas of models keep no plain call from its hedge

Cause: while most replicas with streams are silent, no attempt is hedged for its silence. The share counts the replicas that run streams, of all models, but the rule was applied to plain calls too, whose servers it says nothing of.

Change: it holds for calls to models alone.

Measured: TestPlainCallIsHedgedWhileModelsAreSilent was red before (the call ended at its deadline without an answer, though the second server would have answered at once) and is green now.

Callers saw repeatable calls to a silent server of a plain service run to their deadline while the model replicas were silent too.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -61,7 +61,8 @@
 // Reasons for which a silent attempt gets no hedge.
 var (
 	errMustRunAlone = errors.New("the request must run alone")
-	errMostSilent   = errors.New("most replicas are silent")
+	// errMostSilent: most replicas that run streams are silent. It says nothing of a plain service.
+	errMostSilent = errors.New("most replicas are silent")
 	// errNotListed: a replica was chosen whose server has just left the list.
 	errNotListed = errors.New("the server is not listed")
 )
@@ -200,7 +201,7 @@
 		}
 	}
 	now := time.Now()
-	if a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
+	if s.call.Model != "" && a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
 		return destination{}, errMostSilent
 	}
 	if s.call.Model != "" && !s.r.limits.begin(s.group, unlimitedShare, now) {
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -232,3 +232,22 @@
 		require.Equal(t, 1, router.choices)
 	})
 }
+
+// Guards against plain calls that wait for a silent server since the replicas of a model are silent.
+func TestPlainCallIsHedgedWhileModelsAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			<-ctx.Done()
+			return nil, &relay.BrokenError{Reason: "ended", Err: ctx.Err()}
+		}
+		router := &rotatingRouter{listRouter: listRouter{ids: []cluster.ReplicaID{"s", "t", "a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, turn: -1}
+		f := newFixtureWith(t, 10, router, &fakeBackend{handlers: handlers{"s": streamPieces(1, nil), "t": streamPieces(1, nil), "a": silent, "b": respondWith(200)}})
+		var callers sync.WaitGroup
+		for range 2 {
+			callers.Go(func() { f.serve(t.Context(), resumableTerms) })
+		}
+		synctest.Wait()
+		require.True(t, f.serve(t.Context(), safeTerms).ended)
+		callers.Wait()
+	})
+}
