internal/relay: a node that is always late hedges all the same

Cause: a hedge that is due is put off by 200 ms while one of the node's checks was late in the last 200 ms, so that it does not take its own pause for a silence of the server. There was no bound: a node that is short of processor, with a check late every 200 ms, never hedged for an idle connection (seen in the test), and by reading not for a stall either whose hedge had to wait.

Change: a hedge is put off at most five times in a row, one second. A piece that is sent on begins the count again. clock.Watchdog bounds what it leaves out in the same way.

Measured: TestNodeThatIsAlwaysLateHedges was red before (the call ended at its deadline, though the second server would have answered at once) and is green now. Control: with timely checks the test passes without the change.

Callers saw repeatable calls (by reading, streams too) on a dead connection or a silent server run to their deadline at nodes that were short of processor.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -68,6 +68,8 @@
 	hedgeReason   hedgeReason
 	hedgeDelay    time.Duration
 	noHedgeReason string
+	// postponed is how often a hedge was put off since the last piece as this node stood still.
+	postponed int
 }
 
 // newAttempt returns an attempt to be run at once. The caller holds s.mu.
@@ -308,7 +310,7 @@
 	if !a.s.claim(a) {
 		return a.superseded()
 	}
-	a.hedgeReason, a.noHedgeReason = hedgeNone, ""
+	a.hedgeReason, a.noHedgeReason, a.postponed = hedgeNone, "", 0
 	err := a.startAnswer(reply)
 	if err == nil {
 		a.s.recordPiece(time.Now())
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -34,6 +34,9 @@
 	severalStalledDelay = minPieceTimeout
 	// hedgeRetryInterval is the time until a hedge is tried again that was not possible.
 	hedgeRetryInterval = 200 * time.Millisecond
+	// maxPostponed is how often in a row a hedge is put off as this node stood still, so that a node that
+	// is always late hedges all the same.
+	maxPostponed = 5
 	// earlyHedgeRoom is the share of its slots that a replica may have in use to take the hedge of an
 	// attempt that may soon go on.
 	earlyHedgeRoom = 0.5
@@ -111,7 +114,8 @@
 		return
 	}
 	now := time.Now()
-	if a.s.r.stoodStill(now) {
+	if a.postponed < maxPostponed && a.s.r.stoodStill(now) {
+		a.postponed++
 		a.idleTimer.Reset(hedgeRetryInterval) // what has arrived is not read yet
 		return
 	}
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -251,3 +252,61 @@
 		callers.Wait()
 	})
 }
+
+// delayingHandler takes a time to log a message.
+type delayingHandler struct {
+	slog.Handler
+	message string
+	delay   time.Duration
+}
+
+func (delayingHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h delayingHandler) Handle(_ context.Context, rec slog.Record) error {
+	if rec.Message == h.message {
+		time.Sleep(h.delay)
+	}
+	return nil
+}
+
+// Guards against calls that are never hedged on a node whose processor is always late.
+func TestNodeThatIsAlwaysLateHedges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			<-ctx.Done()
+			return nil, &relay.BrokenError{Reason: "ended", Err: ctx.Err()}
+		}
+		late := false
+		router := &rotatingRouter{listRouter: listRouter{ids: []cluster.ReplicaID{"s", "a", "b"}, loads: make(map[cluster.ReplicaID]engine.Load)}, turn: -1}
+		r := relay.New(relay.Options{
+			Router: router, Backend: &fakeBackend{handlers: handlers{"s": streamPieces(1, nil), "a": silent, "b": respondWith(200)}},
+			Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
+			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
+			Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+			OnStall: func([]cluster.ReplicaID, bool) {
+				if !late {
+					late = true
+					time.Sleep(120 * time.Millisecond) // makes the next check late, and that the one after it
+				}
+			},
+			Log: slog.New(delayingHandler{slog.DiscardHandler, "node stood still", 120 * time.Millisecond}),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		var checks, callers sync.WaitGroup
+		checks.Go(func() { r.Run(ctx) })
+		callers.Go(func() {
+			terms := resumableTerms
+			terms.MaxAttempts, terms.Timeout, terms.Split = 1, 2*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+			serveTerms(r, terms)
+		})
+		synctest.Wait()
+		terms := safeTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 2, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+		got := serveTerms(r, terms)
+		callers.Wait()
+		stop()
+		checks.Wait()
+		require.True(t, late)
+		require.True(t, got.ended)
+	})
+}
