internal/relay: the loss of a member during a write to the caller is not missed

Cause: the word that a replica lost a member was dropped for an attempt whose session was writing a piece to its caller. The idle timer took its place after 1.4 s, and the hedge then counted as an attempt; a call with no attempt left had none and waited for the engines.

Change: the word is kept and applied once the piece is written, or by the idle timer's next check.

Measured: TestReplicaLostDuringAWrite (a caller that takes 200 ms for a piece, one attempt) was red before: the call ended at its deadline. It is green now.

Callers that read slowly saw a long pause, or a closed connection, where others were moved to another replica after 0.2 s.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,6 +61,8 @@
 	lossCause lossCause
 	// lastActivity is when the attempt last received anything, in nanoseconds since its start.
 	lastActivity atomic.Int64
+	// lostDuringWrite is set if the replica lost a member while s.mu was held for a write.
+	lostDuringWrite atomic.Bool
 
 	// The fields below are guarded by s.mu. hedgeReason is why the attempt is to be hedged once it has
 	// been idle for hedgeDelay, and noHedgeReason why it last could not be.
@@ -322,6 +324,7 @@
 	}
 	a.s.lastID = id
 	a.resetIdleTimer(a.pieceTimeout())
+	a.applyLoss()
 	return nil
 }
 
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -92,8 +92,14 @@
 
 // suspectSilence hedges the attempt if it may be repeated, once it has been idle for the delay.
 func (a *attempt) suspectSilence(reason hedgeReason, delay time.Duration) (hedged bool) {
-	if !a.idempotent || !a.s.mu.TryLock() {
-		return false // a piece is being written to the caller
+	if !a.idempotent {
+		return false
+	}
+	if !a.s.mu.TryLock() { // a piece is being written to the caller
+		if reason == hedgeReplicaLost {
+			a.lostDuringWrite.Store(true)
+		}
+		return false
 	}
 	defer a.s.mu.Unlock()
 	if a.hedgeReason != hedgeReplicaLost {
@@ -102,6 +108,15 @@
 	return a.hedge()
 }
 
+// applyLoss has the attempt hedged if its replica lost a member while a piece was written. The caller
+// holds s.mu.
+func (a *attempt) applyLoss() {
+	if a.lostDuringWrite.Swap(false) {
+		a.hedgeReason, a.hedgeDelay = hedgeReplicaLost, minIdleToHedge
+		a.idleTimer.Reset(minIdleToHedge)
+	}
+}
+
 // checkIdle is called when the idle timeout may have passed, and again and again while a hedge that
 // is due has not begun.
 func (a *attempt) checkIdle() {
@@ -113,6 +128,7 @@
 	if a.ended {
 		return
 	}
+	a.applyLoss()
 	now := time.Now()
 	if a.postponed < maxPostponed && a.s.r.stoodStill(now) {
 		a.postponed++
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -310,3 +310,30 @@
 		require.True(t, got.ended)
 	})
 }
+
+// slowCaller takes a time for its first piece.
+type slowCaller struct {
+	recorder
+	takes time.Duration
+}
+
+func (c *slowCaller) WritePiece(data []byte) error {
+	if c.text == "" {
+		time.Sleep(c.takes)
+	}
+	return c.recorder.WritePiece(data)
+}
+
+// Guards against calls that wait on a replica without all its members since it was lost while a piece was written.
+func TestReplicaLostDuringAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 10, ab, handlers{"a": streamPieces(1, nil), "b": streamPieces(3, io.EOF)})
+		time.AfterFunc(100*time.Millisecond, func() { f.relay.ReplicaLost("a") })
+		terms := resumableTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 1, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+		got := &slowCaller{takes: 200 * time.Millisecond}
+		f.relay.Serve(t.Context(), &call.Call{ID: "id-1", Model: "m", Route: &rules.Route{Policy: &terms}, ReceivedAt: time.Now()}, got)
+		require.True(t, got.ended)
+		require.Equal(t, answerOf(3), got.text)
+	})
+}
