internal/relay: a begun answer waits for the path to the servers

Cause: a begun answer whose server broke off waits up to two seconds for a replica with room, but it was ended at once if the node reached no server and no other node took it: the connection was closed with seconds left, though the path was back a moment later.

Change: it waits in the same way for a server in reach. A call that has not begun is refused at once, as before.

Measured: TestBegunAnswerWaitsForThePathToTheServers (the path is back after a second, five seconds are left) was red before ("backend_failed" at once) and is green now.

Callers saw a closed connection in mid-answer.

--- a/internal/relay/begun_answer_test.go
+++ b/internal/relay/begun_answer_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -46,3 +47,32 @@
 		})
 	}
 }
+
+// reachRouter is a listRouter that has no replica while none may be used.
+type reachRouter struct{ listRouter }
+
+func (r *reachRouter) Choose(req routing.Request) (routing.Choice, error) {
+	if req.MayUse != nil && !req.MayUse("addr") {
+		return routing.Choice{}, fennelerr.New(fennelerr.NoReplica, "none in reach").WithRun(fennelerr.NotRun)
+	}
+	return r.listRouter.Choose(req)
+}
+
+// Guards against begun answers that end as their server breaks off while no node reaches a server for a moment.
+func TestBegunAnswerWaitsForThePathToTheServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := fennelerr.New(fennelerr.ServersUnreachable, "no server").WithRun(fennelerr.NotRun)
+		reach, others := &severedReach{}, &otherNodes{err: &relay.NodeRefusalError{Refusal: refusal}}
+		broken := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			reach.severed.Store(true)
+			time.AfterFunc(time.Second, func() { reach.severed.Store(false) })
+			return streamPieces(2, errReset)(ctx, a)
+		}
+		router := &reachRouter{listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}
+		terms := resumableTerms
+		terms.MaxAttempts, terms.Timeout, terms.Split = 2, 5*time.Second, []rules.WeightedService{{Service: "s", Weight: 1}}
+		got := serveTerms(newNodesRelay(reach, others, router, &fakeBackend{handlers: handlers{"a": broken, "b": streamPieces(4, io.EOF)}}), terms)
+		require.Nil(t, got.aborted)
+		require.Equal(t, answerOf(4), got.text)
+	})
+}
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -161,7 +161,7 @@
 	}
 	unreachable := reach.Unreachable()
 	switch {
-	case s.call.HandedOver && unreachable:
+	case s.call.HandedOver && unreachable && !s.started:
 		return false, s.failUnreachable()
 	case s.call.HandedOver, !unreachable && s.refusedBy < maxRefused:
 		return false, nil
@@ -170,7 +170,7 @@
 		s.next = destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable}
 		return true, nil
 	}
-	if unreachable && !reach.SomeReachable() {
+	if unreachable && !reach.SomeReachable() && !s.started { // a begun answer waits for a server
 		return false, s.failUnreachable()
 	}
 	return false, nil
