internal/relay: a begun answer returns to a replica that had no room

Cause: a replica that refused a call was left out for the rest of the call. A begun answer whose server broke off waits up to two seconds for a replica with room, but where all others had refused it once, none could be chosen any more: the connection was closed with seconds left.

Change: a refusal that uses up no attempt excludes its replica for 0.3 s only. The refusals of a call that do not count stay bounded by four, and each costs a retry, as before.

Measured: TestBegunAnswerReturnsToAReplicaThatRefusedIt (two replicas; the second is full for half a second) was red before ("backend_failed") and is green now.

Callers saw a closed connection in mid-answer, most likely on models with few replicas.

--- a/internal/relay/begun_answer_test.go
+++ b/internal/relay/begun_answer_test.go
@@ -76,3 +76,20 @@
 		require.Equal(t, answerOf(4), got.text)
 	})
 }
+
+// Guards against begun answers that end as their server breaks off while the only other one refuses requests for a moment.
+func TestBegunAnswerReturnsToAReplicaThatRefusedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		fullAtFirst := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			if time.Since(start) < 500*time.Millisecond {
+				return nil, errFull
+			}
+			return streamPieces(4, io.EOF)(ctx, a)
+		}
+		f := newFixture(t, 10, ab, handlers{"a": streamPieces(2, errReset), "b": fullAtFirst})
+		got := f.serve(t.Context(), resumableTerms)
+		require.Nil(t, got.aborted)
+		require.Equal(t, answerOf(4), got.text)
+	})
+}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -47,6 +47,8 @@
 	// maxUncountedRefusals is the number of refusals by servers that do not count as attempts, for
 	// a call that may have run.
 	maxUncountedRefusals = 4
+	// refusalBackoff is how long a call is not sent to a replica again whose refusal did not count.
+	refusalBackoff = 300 * time.Millisecond
 )
 
 var (
@@ -244,7 +246,7 @@
 // free slot: a hedge that waits in a queue delays other calls.
 func (s *session) hedgeRequest(a *attempt, now time.Time) routing.Request {
 	req := s.routingRequest()
-	req.Exclude = append(s.r.stalls.silent(now), s.exclude...)
+	req.Exclude = append(s.r.stalls.silent(now), s.excluded()...)
 	for _, other := range s.inFlight {
 		req.Exclude = append(req.Exclude, other.to.choice.Replica.ID)
 	}
@@ -303,7 +305,7 @@
 	if a.to.node != nil {
 		return
 	}
-	s.exclude = append(s.exclude, a.to.choice.Replica.ID)
+	s.excludeAfter(a.to.choice.Replica.ID, uncounted)
 	if isNotRun && notRun.Refused {
 		s.refusedBy++
 	}
@@ -312,6 +314,19 @@
 	}
 }
 
+// excludeAfter excludes a replica that failed the call; if it only refused the call, for a time. The caller
+// holds s.mu.
+func (s *session) excludeAfter(id cluster.ReplicaID, onlyRefused bool) {
+	if !onlyRefused {
+		s.exclude = append(s.exclude, id)
+		return
+	}
+	if s.refusedAt == nil {
+		s.refusedAt = make(map[cluster.ReplicaID]time.Time)
+	}
+	s.refusedAt[id] = time.Now()
+}
+
 // supersededCause returns the cause with which a slower attempt is canceled. The caller holds s.mu.
 func (a *attempt) supersededCause() error {
 	if a.hedgeReason == hedgeReplicaLost || a.hedgeReason == hedgeUnreachable {
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -57,7 +57,7 @@
 
 // failNoReplica ends a call for which no replica is left.
 func (s *session) failNoReplica(err error) {
-	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Policy.Name, "group", s.group, "excluded", len(s.exclude),
+	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Policy.Name, "group", s.group, "excluded", len(s.excluded()),
 		"held", time.Since(s.call.ReceivedAt), "err", err.Error())
 	s.finish(err, func() *fennelerr.Error {
 		if full, ok := errors.Into[*routing.FullError](err); ok {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,8 +55,11 @@
 	hedges   sync.WaitGroup
 	// lastErr is the error of the last attempt that failed.
 	lastErr error
-	exclude []cluster.ReplicaID
-	lastID  string
+	// exclude holds the replicas that failed the call or do not take it, refusedAt the time at which replicas
+	// last refused it without using up an attempt.
+	exclude   []cluster.ReplicaID
+	refusedAt map[cluster.ReplicaID]time.Time
+	lastID    string
 	// failedAnswer is a server's error response, returned to the caller if no attempt
 	// succeeds.
 	failedAnswer *storedAnswer
@@ -307,15 +311,26 @@
 func (s *session) chooseAnyReplica() (routing.Choice, error) {
 	req := s.routingRequest()
 	if stalled := s.r.stalls.stalled(time.Now()); len(stalled) > 0 {
-		req.Exclude = append(stalled, s.exclude...)
+		req.Exclude = append(stalled, s.excluded()...)
 		if choice, err := s.r.opts.Router.Choose(req); err == nil {
 			return choice, nil
 		}
 	}
-	req.Exclude = s.exclude
+	req.Exclude = s.excluded()
 	return s.r.opts.Router.Choose(req)
 }
 
+// excluded returns the replicas that the call is not sent to now: one that had no room may have some later.
+func (s *session) excluded() []cluster.ReplicaID {
+	excluded, now := slices.Clone(s.exclude), time.Now()
+	for id, at := range s.refusedAt {
+		if now.Sub(at) < refusalBackoff {
+			excluded = append(excluded, id)
+		}
+	}
+	return excluded
+}
+
 // routingRequest describes the call to the router, without the replicas to exclude.
 func (s *session) routingRequest() routing.Request {
 	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
