internal/relay: a begun answer is not ended by refusals in a row

Cause: up to four refusals by servers that run nothing use up no attempt, but a begun answer whose server broke off was sent to the next server within a round trip each: where replicas were full together, the four were used in milliseconds, the fifth used the last attempt, and the connection was closed with seconds left.

Change: after the second refusal a begun answer waits for 0.1 s, then 0.2 s and 0.4 s. The bound on refusals and the retry budget stay.

Measured: TestBegunAnswerOutlivesRefusalsInARow (six replicas that are full for 0.3 s) was red before ("backend_failed" at once) and is green now.

Callers saw a closed connection in mid-answer when replicas that had been silent together woke up full.

--- a/internal/relay/begun_answer_test.go
+++ b/internal/relay/begun_answer_test.go
@@ -93,3 +93,20 @@
 		require.Equal(t, answerOf(4), got.text)
 	})
 }
+
+// Guards against begun answers that end within milliseconds as their server breaks off while many others refuse requests for a moment.
+func TestBegunAnswerOutlivesRefusalsInARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		full := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
+			if time.Since(start) < 300*time.Millisecond {
+				return nil, errFull
+			}
+			return streamPieces(4, io.EOF)(ctx, a)
+		}
+		f := newFixture(t, 100, []cluster.ReplicaID{"a", "b", "c", "d", "e", "f", "g"}, handlers{"a": streamPieces(2, errReset), "b": full, "c": full, "d": full, "e": full, "f": full, "g": full})
+		got := f.serve(t.Context(), resumableTerms)
+		require.Nil(t, got.aborted)
+		require.Equal(t, answerOf(4), got.text)
+	})
+}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -47,6 +47,8 @@
 	// maxUncountedRefusals is the number of refusals by servers that do not count as attempts, for
 	// a call that may have run.
 	maxUncountedRefusals = 4
+	// refusalPause is the first pause of a begun answer that servers refuse to go on with. It doubles.
+	refusalPause = 100 * time.Millisecond
 	// refusalBackoff is how long a call is not sent to a replica again whose refusal did not count.
 	refusalBackoff = 300 * time.Millisecond
 )
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -128,6 +128,7 @@
 	if err := s.admit(ctx); err != nil {
 		return err
 	}
+	s.pauseAfterRefusals(ctx)
 	for {
 		choice, err := s.awaitReplica(ctx)
 		if err != nil && s.chooseNodeInPushback(err) {
@@ -182,6 +183,14 @@
 	}
 }
 
+// pauseAfterRefusals waits before a begun answer is sent to yet another server after some have refused it:
+// it has few refusals left, and servers that are full together have room a moment later.
+func (s *session) pauseAfterRefusals(ctx context.Context) {
+	if s.started && s.uncountedRefusals > 1 {
+		clock.Pause(ctx, refusalPause<<(s.uncountedRefusals-2))
+	}
+}
+
 // mayWaitFor reports whether the call waits until a replica can be chosen.
 func (s *session) mayWaitFor(err error) bool {
 	if s.started {
