internal/relay: a used retry budget keeps a silent call from choosing replicas

Cause: before a hedge chooses a replica, which takes part of the rate that the replica named, the call is asked whether another attempt is to be had; but that question took the retry budget for granted. While the budget was used up, each silent call chose a replica every 200 ms and gave it up again, and the rate it had taken was lost to other callers.

Change: Budget.MayRetry answers without taking a retry. TestUsedRetryBudgetChoosesNoReplicaForAHedge was red before (7 choices) and is green now. Callers of servers that name a rate were refused more often than need be while others were silent.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -63,6 +63,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
+	if !b.allows(w, begun) {
+		return false
+	}
+	w.retries[w.bucket%windowBuckets]++
+	return true
+}
+
+// MayRetry reports whether TryRetry would take a retry.
+func (b *Budget) MayRetry(service cluster.Service, begun bool, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.window(service, now), begun)
+}
+
+// allows reports whether the window has room for one more retry. The caller holds b.mu.
+func (b *Budget) allows(w *retryWindow, begun bool) bool {
 	calls, retries := 0, 0
 	for i := range windowBuckets {
 		calls += w.calls[i]
@@ -72,11 +88,7 @@
 	if !begun {
 		allowed *= 1 - begunReserve
 	}
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.bucket%windowBuckets]++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // window returns the service's window, advanced to now. The caller holds b.mu.
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -161,7 +161,7 @@
 		return false
 	}
 	possible := s.hedgeFailure()
-	possible.TakeRetry = func() bool { return true }
+	possible.TakeRetry = func() bool { return s.r.opts.Budget.MayRetry(s.service, s.started, time.Now()) }
 	if d := recovery.Decide(possible); d.Step == recovery.GiveUp {
 		s.logNoHedge(a, string(d.Reason)) // before a choice, which uses up part of a replica's rate
 		return false
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -234,6 +234,16 @@
 	})
 }
 
+// Guards against hedges that use up a replica's rate though the retry budget is used.
+func TestUsedRetryBudgetChoosesNoReplicaForAHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		router := &countingRouter{listRouter: listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}
+		f := newFixtureWith(t, 0, router, &fakeBackend{handlers: handlers{"a": streamWithSilence(time.Now(), period{0, 4 * time.Second}, 3, 10*time.Millisecond), "b": streamPieces(3, io.EOF)}})
+		require.True(t, f.serve(t.Context(), resumableTerms).ended)
+		require.Equal(t, 1, router.choices)
+	})
+}
+
 // Guards against plain calls that wait for a silent server since the replicas of a model are silent.
 func TestPlainCallIsHedgedWhileModelsAreSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
