Hand-overs go by what nodes say of their paths to the servers

Cause: a node that reaches no server finds the nodes that do by trying them.

Change: load reports (heartbeats and gossip) say whether the node reaches the servers and how much of its room is left (Datagram.path), and with more than eight peers what four others said, with their ages. A report counts for 5 s from the sender's time stamp; a refusal takes back what was said before. nodeChoice.choose, a pure function, takes a node that says it reaches servers, the one with the most room first, else one that has said nothing, as before, else none; one of 256 calls is tried all the same. The reason is chosen= on "handed over". Malformed reports and those from the future are ignored and logged; an absent one says nothing.

Bytes: 3 a datagram, 40 with four others, within the same budgets (TestReportsOfPathsKeepTheBudget).

Each guard was switched off and its test seen red: old reports, delayed datagrams, values out of range, lists of unequal length (each way), the future, absent reports, reports passed on twice or without bound, a node's own report, the budget, few peers, the log line, the field in the datagram, nodes that said none, backed-off nodes, the bound of the search, order by room, the trial (never and always), the withdrawal, the own state.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
@@ -114,6 +116,10 @@
 	pool, nodePool *conns.Pool
 	relay          *relay.Relay
 	reach          *reach.Detector
+	// paths holds what other nodes say of their paths to the servers, and pathLog limits the log of
+	// what cannot be used of it.
+	paths   *reach.Reports
+	pathLog rate.Sometimes
 	// suspects tracks the requests that crash servers; quarantines stores those found.
 	suspects    *suspect.Tracker
 	quarantines *quarantineWriter
@@ -177,6 +183,8 @@
 		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
+	n.paths = reach.NewReports(cfg.Node)
+	n.pathLog.Interval = pathLogInterval
 	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL, Shares: nodeShares{n}})
 	scope := cluster.ZoneID(cfg.Region)
 	n.quarantines = newQuarantineWriter(p.Store, scope, cfg.Node, log)
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -20,7 +20,7 @@
 func (n *Core) enableHandOver(o *relay.Options, opts CoreOptions) {
 	accepts := func(ctx context.Context, p conns.Peer) bool { return o.Backend.Accepts(ctx, p) }
 	n.reach = reach.NewDetector(reach.Options{Servers: n.listedServers, Accepts: accepts, OnLost: n.onServersLost, Log: n.log})
-	o.Reach = n.reach
+	o.Reach, o.Paths = n.reach, n.paths
 	if n.platform.NodeClient == nil || opts.Nodes == nil {
 		return
 	}
--- a/internal/entry/loadreport.go
+++ b/internal/entry/loadreport.go
@@ -21,17 +21,18 @@
 const loadEntrySize = 5
 
 // LoadReport returns this node's report to the other nodes of its region, in at most
-// budget bytes: whether it has seen a request, and how many requests it runs on each
+// budget bytes: whether it has seen a request, whether it reaches the servers, and how many requests it runs on each
 // replica. It is sent again each round, as datagrams can be lost.
 func (n *Core) LoadReport(budget int) membership.Section {
-	out := membership.Section{Asked: n.requestSeen.Load()}
+	out := membership.Section{Asked: n.requestSeen.Load(), Path: n.ownPath().Encode()}
 	for group, rate := range n.work.Own(time.Now()) {
 		out.WorkIDs = append(out.WorkIDs, groupHash(group))
 		out.WorkRates = append(out.WorkRates, uint32(rate*workUnit))
 	}
 	if membership.SectionSize(out) > budget {
-		return membership.Section{Asked: out.Asked}
+		return membership.Section{Asked: out.Asked, Path: out.Path}
 	}
+	n.addRelayedPaths(&out, budget)
 	remaining := (budget - membership.SectionSize(out) - 4*loadEntrySize) / loadEntrySize
 	remaining = n.addRateLimits(&out, remaining)
 	for id, count := range n.table.Outstanding() {
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -143,6 +143,7 @@
 	members.OnDatagram(func(from membership.Member, d *wirepb.Datagram) {
 		r.core.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, WorkIDs: d.WorkIds, WorkRates: d.WorkRates,
 			LimitIDs: d.LimitIds, LimitRates: d.LimitRates})
+		r.core.ReceivePathReport(from.Node, membership.Section{Path: d.Path, PathIDs: d.PathIds, PathReports: d.PathReports, PathAgesMs: d.PathAgesMs}, time.UnixMilli(d.SentUnixMs))
 		r.core.ReceiveStallReport(from.Node, membership.Section{StalledIDs: d.StalledIds, WorkingIDs: d.WorkingIds})
 		r.core.ReceiveSuspectReport(d)
 	})
--- a/internal/membership/section.go
+++ b/internal/membership/section.go
@@ -28,6 +28,10 @@
 	// LimitIDs and LimitRates are the rate limits that replicas named to the node, in
 	// thousandths of a request per second.
 	LimitIDs, LimitRates []uint32
+	// Path tells whether the node reaches the backend servers, and PathIDs, PathReports and
+	// PathAgesMs what other nodes told it of themselves, as in package reach.
+	Path                             uint32
+	PathIDs, PathReports, PathAgesMs []uint32
 }
 
 // Source returns the section for the next datagram, of at most budget encoded bytes (see
@@ -41,6 +45,7 @@
 		Replicas: s.Replicas, Quarantines: s.Quarantines, Crashes: s.Crashes,
 		Suspects: s.Suspects, Demands: s.Demands, Asked: s.Asked, LoadIds: s.LoadIDs, LoadCounts: s.LoadCounts, StalledIds: s.StalledIDs, WorkingIds: s.WorkingIDs,
 		WorkIds: s.WorkIDs, WorkRates: s.WorkRates, LimitIds: s.LimitIDs, LimitRates: s.LimitRates,
+		Path: s.Path, PathIds: s.PathIDs, PathReports: s.PathReports, PathAgesMs: s.PathAgesMs,
 	})
 }
 
@@ -73,6 +78,10 @@
 		d.WorkRates = append(d.WorkRates, section.WorkRates...)
 		d.LimitIds = append(d.LimitIds, section.LimitIDs...)
 		d.LimitRates = append(d.LimitRates, section.LimitRates...)
+		d.PathIds = append(d.PathIds, section.PathIDs...)
+		d.PathReports = append(d.PathReports, section.PathReports...)
+		d.PathAgesMs = append(d.PathAgesMs, section.PathAgesMs...)
+		d.Path = max(d.Path, section.Path)
 		d.Asked = d.Asked || section.Asked
 	}
 }
--- a/internal/player/gossip.go
+++ b/internal/player/gossip.go
@@ -47,7 +47,9 @@
 	if sender == nil || receiver == nil || from == to || !sys.world.nodesReach(from.zone, to.zone) {
 		return
 	}
-	receiver.ReceiveLoadReport(from.id, sender.LoadReport(maxReportBytes))
+	load := sender.LoadReport(maxReportBytes)
+	receiver.ReceiveLoadReport(from.id, load)
+	receiver.ReceivePathReport(from.id, load, time.Now())
 	report := sender.UrgentSuspectReport(maxReportBytes)
 	receiver.ReceiveSuspectReport(&wirepb.Datagram{Crashes: report.Crashes, Quarantines: report.Quarantines, Suspects: report.Suspects})
 }
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -1,6 +1,6 @@
 // Package reach detects that a node has lost its path to the backend servers while everything
 // else still works. Servers that end or stall look the same to a single call; a few connections
-// to other servers tell the two apart.
+// to other servers tell the two apart. It also holds what other nodes say of their paths.
 package reach
 
 import (
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -24,6 +24,7 @@
 	// node is nil for a replica. reason is why the call is handed over to the node.
 	node   *Node
 	reason handOverReason
+	chosen choiceReason
 }
 
 // name returns the destination as logged.
--- a/internal/relay/concurrency.go
+++ b/internal/relay/concurrency.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// room returns the free share of the limit that a request in flight has on average: 1 without requests.
+func (l *concurrencyLimits) room() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	free, inFlight := 0., 0.
+	for _, g := range l.groups {
+		requests := float64(g.inFlight)
+		free += requests * max(1-requests/g.limit, 0)
+		inFlight += requests
+	}
+	if inFlight == 0 {
+		return 1
+	}
+	return free / inFlight
+}
+
+// Room returns the share of this node's room for calls that is free.
+func (r *Relay) Room() float64 { return r.limits.room() }
+
 // concurrencyLimit is the limit of one model.
 type concurrencyLimit struct {
 	limit    float64
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -220,8 +220,8 @@
 		return destination{}, errMustRunAlone
 	}
 	if s.unreachable() && !s.call.HandedOver {
-		if node := s.nextNode(time.Now()); node != nil {
-			return destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable}, nil
+		if node, why := s.nextNode(time.Now()); node != nil {
+			return destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable, chosen: why}, nil
 		}
 	}
 	now := time.Now()
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -107,35 +106,6 @@
 // errUnreachable cancels attempts on servers that this node does not reach any more.
 var errUnreachable = errors.New("no backend server is reachable")
 
-// pickNode returns a random one of the nodes that were not offered the call and are not backed off.
-// Nodes of zones that were not tried come first, as a cut often affects a whole zone, then those of
-// zones without a node that was backed off, then those of this node's zone.
-func (s *session) pickNode(now time.Time) (best *Node) {
-	bestRank := 0
-	nodes := s.r.opts.Nodes()
-	for _, i := range rand.Perm(len(nodes)) {
-		node := &nodes[i]
-		tried := func(other Node) bool { return other.ID == node.ID }
-		if slices.ContainsFunc(s.nodesTried, tried) || s.r.nodeBackoffs.contains(now, backoffKey{node: node.ID}) {
-			continue
-		}
-		rank := 0
-		if slices.ContainsFunc(s.nodesTried, func(other Node) bool { return other.Zone == node.Zone }) {
-			rank += 4
-		}
-		if s.r.nodeBackoffs.contains(now, backoffKey{zone: node.Zone}, backoffKey{node: node.ID, group: s.group}) {
-			rank += 2
-		}
-		if node.Zone != s.r.opts.Zone {
-			rank++
-		}
-		if best == nil || rank < bestRank {
-			best, bestRank = node, rank
-		}
-	}
-	return best
-}
-
 // LostServers hedges the idle attempts, once this node reaches no backend server, and returns the
 // number of hedges.
 func (r *Relay) LostServers() (hedged int) {
@@ -166,8 +136,8 @@
 	case s.call.HandedOver, !unreachable && s.refusedBy < maxRefused:
 		return false, nil
 	}
-	if node := s.nextNode(time.Now()); node != nil {
-		s.next = destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable}
+	if node, why := s.nextNode(time.Now()); node != nil {
+		s.next = destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable, chosen: why}
 		return true, nil
 	}
 	if unreachable && !reach.SomeReachable() && !s.started { // a begun answer waits for a server
@@ -176,12 +146,13 @@
 	return false, nil
 }
 
-// nextNode returns the node to be offered the call next because this one reaches no server, or nil.
-func (s *session) nextNode(now time.Time) *Node {
-	if s.r.opts.NodeClient == nil || len(s.nodesTried) >= maxNodes || s.r.nodeBackoffs.exhausted(now) {
-		return nil
+// nextNode returns the node to be offered the call next because this one reaches no server, and why
+// that one, or nil.
+func (s *session) nextNode(now time.Time) (*Node, choiceReason) {
+	if s.r.opts.NodeClient == nil || len(s.nodesTried) >= maxNodes {
+		return nil, ""
 	}
-	return s.pickNode(now)
+	return nodeChoice{candidates: s.candidates(now), exhausted: s.r.nodeBackoffs.exhausted(now), trial: s.isTrial()}.choose()
 }
 
 func peerOfNode(node *Node) conns.Peer { return conns.Peer{Addr: node.Addr} }
@@ -190,26 +161,27 @@
 // from this one: they may take those of another node. A call is handed over once at most, and none
 // goes to a node that has just refused one.
 func (s *session) chooseNodeInPushback(err error) bool {
-	node := s.nodeInPushback(err)
+	node, why := s.nodeInPushback(err)
 	if node == nil {
 		return false
 	}
-	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback}
+	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback, chosen: why}
 	return true
 }
 
 // nodeInPushback returns the node that may take the call over in a pushback, or nil.
-func (s *session) nodeInPushback(err error) *Node {
+func (s *session) nodeInPushback(err error) (*Node, choiceReason) {
 	full, ok := errors.Into[*routing.FullError](err)
 	if !ok || !full.OnlyPushback || s.r.opts.NodeClient == nil || s.call.HandedOver || len(s.nodesTried) > 0 {
-		return nil
+		return nil, ""
 	}
 	now := time.Now()
-	node := s.pickNode(now)
-	if node == nil || s.r.nodeBackoffs.contains(now, backoffKey{node: node.ID, group: s.group}) {
-		return nil
+	candidates := s.candidates(now)
+	for i := range candidates {
+		c := &candidates[i]
+		c.backedOff = c.backedOff || s.r.nodeBackoffs.contains(now, backoffKey{node: c.node.ID, group: s.group})
 	}
-	return node
+	return nodeChoice{candidates: candidates}.choose()
 }
 
 // attemptsLeft returns how many more backend servers may receive the call. The caller holds s.mu.
@@ -227,7 +199,7 @@
 	s.mu.Unlock()
 	result, err := a.run()
 	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
-		"attempt", a.number, "hedge", a.isHedge, "node", node.ID, "addr", node.Addr, "reason", a.to.reason, "refused_by", refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", sent,
+		"attempt", a.number, "hedge", a.isHedge, "node", node.ID, "addr", node.Addr, "reason", a.to.reason, "chosen", a.to.chosen, "refused_by", refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
 	_, notRun := errors.Into[*NotRunError](err)
@@ -237,6 +209,9 @@
 		s.r.nodeBackoffs.taken(time.Now())
 	case refused && refusal.retriable():
 		s.r.nodeBackoffs.add(nodeBackoff, time.Now(), backoffKey{node: node.ID}, backoffKey{zone: node.Zone})
+		if s.r.opts.Paths != nil {
+			s.r.opts.Paths.Withdraw(node.ID, time.Now())
+		}
 		err = &NotRunError{Reason: "refused by another node", Err: err}
 	case refused:
 		err = s.refusedByNode(a, refusal)
--- a/internal/relay/nodes_test.go
+++ b/internal/relay/nodes_test.go
@@ -45,6 +45,8 @@
 	state relay.ServerState
 	// router is that of the node which hands calls over.
 	router *listRouter
+	// paths is what the nodes say of their paths; may be nil.
+	paths relay.Paths
 }
 
 func (o *otherNodes) Send(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
@@ -82,7 +84,7 @@
 		Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 100, Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 		Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
-		Zone: "a", Reach: reach, NodeClient: others, Nodes: func() (out []relay.Node) {
+		Zone: "a", Reach: reach, NodeClient: others, Paths: others.paths, Nodes: func() (out []relay.Node) {
 			for i := range cmp.Or(others.count, 8) {
 				node := relay.Node{ID: cluster.NodeID(fmt.Sprint("node-", i)), Addr: fmt.Sprint("addr-", i), Zone: "a"}
 				if i >= nodesInZone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,7 +45,7 @@
 	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
 
-// Options are the dependencies of a Relay. All are required except OnLeaving, OnStall, Reach and Log.
+// Options are the dependencies of a Relay. All are required except OnLeaving, OnStall, Reach, Paths and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
@@ -67,7 +67,9 @@
 	Reach      Reachability
 	Nodes      func() []Node
 	NodeClient NodeClient
-	Log        *slog.Logger
+	// Paths holds what the other nodes say of their paths to the servers; nil if nothing is known.
+	Paths Paths
+	Log   *slog.Logger
 }
 
 // Limits of a Relay.
@@ -101,6 +103,8 @@
 	crashes *crashDetector
 	// nodeBackoffs holds the nodes that did not take calls over.
 	nodeBackoffs nodeBackoffs
+	// handOvers counts the calls for which another node was looked for.
+	handOvers atomic.Uint64
 	// running holds the attempts by replica, to hedge them when the replica fails.
 	mu      sync.Mutex
 	running map[cluster.ReplicaID]map[*attempt]struct{}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -194,7 +194,8 @@
 // mayWaitFor reports whether the call waits until a replica can be chosen.
 func (s *session) mayWaitFor(err error) bool {
 	if s.started {
-		return s.nodeInPushback(err) == nil
+		node, _ := s.nodeInPushback(err)
+		return node == nil
 	}
 	return s.admission.Alone && fennelerr.Is(err, fennelerr.NoReplica)
 }
