internal/player: no wait polls a timer that is due

The running goroutine was streamBody.sleep(0x0): over a path that loses packets most pieces are not late, and the wait was a select on time.After(0). A select that polls a due timer runs it on its own goroutine, with the race context that all goroutines of a synctest bubble share.

The waits use clock.Pause now, which returns at once for zero. The plays with disturbed paths pass with -race (116 s). No product code is concerned.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
@@ -83,12 +84,8 @@
 	refused := isolated && cut.refuse || reachable && v.crashed
 	accepted := reachable && !v.crashed && !v.dead
 	b.w.mu.Unlock()
-	if accepted && disturbed {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(b.w.connectDelay(cut.loss)):
-		}
+	if accepted && disturbed && !clock.Pause(ctx, b.w.connectDelay(cut.loss)) {
+		return false
 	}
 	if !accepted && !refused {
 		<-ctx.Done()
@@ -117,10 +114,7 @@
 	refused := isolated && cut.refuse || reachable && v.crashed
 	b.w.mu.Unlock()
 	if reachable && cut.loss > 0 {
-		select {
-		case <-ctx.Done():
-		case <-time.After(b.w.retransmission(cut.loss)):
-		}
+		clock.Pause(ctx, b.w.retransmission(cut.loss))
 	}
 	switch {
 	case refused:
@@ -128,10 +122,7 @@
 	case reachable && !v.dead:
 		return v, nil
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(dialTimeout):
-	}
+	clock.Pause(ctx, dialTimeout)
 	return nil, &relay.NotRunError{Reason: "no connection", Err: errors.New("VM is down or unreachable")}
 }
 
--- a/internal/player/isolation.go
+++ b/internal/player/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 )
@@ -66,13 +67,11 @@
 
 // sleep waits, unless the sender gives up.
 func (r *streamBody) sleep(d time.Duration) error {
-	select {
-	case <-r.ctx.Done():
+	if !clock.Pause(r.ctx, d) {
 		r.cancelJob()
 		return &relay.BrokenError{Reason: "no answer", Err: r.ctx.Err()}
-	case <-time.After(d):
-		return nil
 	}
+	return nil
 }
 
 func maxTime(a, b time.Time) time.Time {
