--- a/internal/entry/pathreport.go
+++ b/internal/entry/pathreport.go
@@ -15,7 +15,7 @@
 // directPeers is the number of other nodes up to which each hears the others itself often enough.
 const directPeers = 8
 
-// addRelayedPaths adds what a few other nodes told this one of their paths to the backend servers, if
+// addRelayedPaths adds what a few other nodes reported to this one of their paths to the backend servers, if
 // it fits into the budget.
 func (n *Core) addRelayedPaths(out *membership.Section, budget int) {
 	if n.livePeers() <= directPeers {
--- a/internal/membership/section.go
+++ b/internal/membership/section.go
@@ -29,7 +29,7 @@
 	// thousandths of a request per second.
 	LimitIDs, LimitRates []uint32
 	// Path tells whether the node reaches the backend servers, and PathIDs, PathReports and
-	// PathAgesMs what other nodes told it of themselves, as in package reach.
+	// PathAgesMs what other nodes reported to it of themselves, as in package reach.
 	Path                             uint32
 	PathIDs, PathReports, PathAgesMs []uint32
 }
--- a/internal/reach/reports.go
+++ b/internal/reach/reports.go
@@ -23,10 +23,10 @@
 	Some
 )
 
-// MaxRoom is the room of a node that may take as many more calls as when it has none.
+// MaxRoom is the room of a node that runs no call.
 const MaxRoom = 8
 
-// Report is a node's word of its path to the backend servers.
+// Report is a node's own account of its path to the backend servers.
 type Report struct {
 	State State
 	// Room is the share of its room that a node in state Some has left, from 0 to MaxRoom.
@@ -82,7 +82,7 @@
 	return r
 }
 
-// Relayed holds what other nodes told one node itself, as in a datagram.
+// Relayed holds the reports that other nodes made to one node itself, as in a datagram.
 type Relayed struct{ IDs, Reports, AgesMs []uint32 }
 
 // Reports holds what other nodes say of their paths. All methods are safe for concurrent use.
