Tests: one body for the two calls that must not be hedged

TestRequestThatRunsAloneIsNotHedged repeated TestSuspectIsNotHedged with another Suspects; both call requireNoHedge now. A comment of the crash check says what its result means.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -34,8 +34,8 @@
 type crashCheck struct {
 	at   time.Time
 	done chan struct{}
-	// refused is set if the address refused a connection, crashed if it went on to and other servers
-	// were reachable all the time.
+	// refused is set if the address refused a connection, crashed if it went on refusing, or the process
+	// has started again, while other servers were reachable.
 	refused, crashed bool
 }
 
--- a/internal/relay/hedge_guard_test.go
+++ b/internal/relay/hedge_guard_test.go
@@ -100,25 +100,7 @@
 }
 
 // Guards against a second run of a request that was admitted to run alone.
-func TestRequestThatRunsAloneIsNotHedged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		slow := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
-			if err := pause(ctx, 900*time.Millisecond); err != nil {
-				return nil, err
-			}
-			return respondWith(200)(ctx, a)
-		}
-		b := &fakeBackend{handlers: handlers{"a": slow, "b": respondWith(200)}}
-		r := relay.New(relay.Options{
-			Router: &listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
-			Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
-			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-			Suspects: &aloneRequests{}, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
-		})
-		require.True(t, serveRepeatable(r).ended)
-		require.Len(t, b.sent(), 1)
-	})
-}
+func TestRequestThatRunsAloneIsNotHedged(t *testing.T) { requireNoHedge(t, &aloneRequests{}) }
 
 // Guards against a line that names the silence of a server which answered in time and failed.
 func TestUnansweredCallNamesOnlyRealSilences(t *testing.T) {
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -153,7 +153,11 @@
 func (*suspectedRequests) IsSuspect(suspect.Request) bool { return true }
 
 // Guards against a request that may crash servers and is sent to a second one for the silence of the first.
-func TestSuspectIsNotHedged(t *testing.T) {
+func TestSuspectIsNotHedged(t *testing.T) { requireNoHedge(t, &suspectedRequests{}) }
+
+// requireNoHedge requires that a repeatable call to a slow server is sent to no second one.
+func requireNoHedge(t *testing.T, suspects relay.Suspects) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(ctx context.Context, a relay.Attempt) (*relay.Reply, error) {
 			if err := pause(ctx, 900*time.Millisecond); err != nil {
@@ -166,7 +170,7 @@
 			Router: &listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}, Backend: b,
 			Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
 			Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-			Suspects: &suspectedRequests{}, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+			Suspects: suspects, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
 		})
 		require.True(t, serveRepeatable(r).ended)
 		require.Len(t, b.sent(), 1)
