--- a/review/stage/desk.go
+++ b/review/stage/desk.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,12 +35,9 @@
 	losesAnswers, spoilsAnswers atomic.Bool
 
 	mu   sync.Mutex
-	runs []deskRun
+	runs []string
 }
 
-// deskRun is a request that the server ran.
-type deskRun struct{ id, uri, tenant string }
-
 func (s *stage) addDesk(id, service, zone string, work time.Duration, answerBytes int) (*desk, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,7 +87,7 @@
 		return
 	}
 	d.mu.Lock()
-	d.runs = append(d.runs, deskRun{id, r.RequestURI, r.Header.Get("X-Tenant")})
+	d.runs = append(d.runs, id)
 	d.mu.Unlock()
 	d.s.record("runs", "server", d.id, "service", d.service, "request", id, "uri", r.RequestURI, "tenant", r.Header.Get("X-Tenant"))
 	time.Sleep(d.work)
@@ -109,11 +107,11 @@
 	_, _ = w.Write(make([]byte, d.answerBytes)) // the node may have left
 }
 
-// ran returns the requests that the server ran.
-func (d *desk) ran() []deskRun {
+// ran returns the ids of the requests that the server ran.
+func (d *desk) ran() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return append([]deskRun(nil), d.runs...)
+	return slices.Clone(d.runs)
 }
 
 // sendNoResponse sends what looks like a response and has no valid status.
--- a/review/stage/node.go
+++ b/review/stage/node.go
@@ -21,12 +21,10 @@
 type node struct {
 	name, ip string
 	ports    ports
-	settings string
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	// peakKB is the largest resident memory that was seen, ended is set once the process has ended.
-	peakKB atomic.Int64
-	ended  atomic.Bool
+	// ended is set once the process has ended.
+	ended atomic.Bool
 }
 
 const settingsTemplate = `node: %[1]q
@@ -71,12 +69,13 @@
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ip, p.feeds)))
 	}
 	for i, ip := range ips {
-		n := &node{name: fmt.Sprintf("front-%d", i), ip: ip, ports: p, settings: filepath.Join(s.dir, fmt.Sprintf("front-%d.yaml", i)), exited: make(chan struct{})}
+		n := &node{name: fmt.Sprintf("front-%d", i), ip: ip, ports: p, exited: make(chan struct{})}
 		text := fmt.Sprintf(settingsTemplate, n.name, i, ip, p.callers, p.ready, p.metrics, p.datagrams, s.addr, p.feeds, strings.Join(seeds[:min(3, count)], ", "), memoryMB)
-		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		settings := filepath.Join(s.dir, n.name+".yaml")
+		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
-		if err := n.start(s.daemon, n.settings); err != nil {
+		if err := n.start(s.daemon, settings); err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
@@ -166,37 +165,3 @@
 	}
 	return fmt.Errorf("%s is not ready", n.name)
 }
-
-// residentKB returns the process's resident memory, 0 once it has ended, and records its peak.
-func (n *node) residentKB() int64 {
-	if n.ended.Load() {
-		return 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		value, found := strings.CutPrefix(line, "VmRSS:")
-		if !found {
-			continue
-		}
-		kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
-		if err != nil {
-			return 0
-		}
-		n.peakKB.Store(max(n.peakKB.Load(), kb))
-		return kb
-	}
-	return 0
-}
-
-// restart starts the process again after its end.
-func (n *node) restart(daemon string) error {
-	n.exited = make(chan struct{})
-	if err := n.start(daemon, n.settings); err != nil {
-		return err
-	}
-	n.ended.Store(false)
-	return n.awaitReady()
-}
--- a/review/stage/noresponse.go
+++ b/review/stage/noresponse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -119,10 +120,8 @@
 // hasRun reports whether a server of a plain service ran the request.
 func (s *stage) hasRun(id string) bool {
 	for _, d := range s.desks {
-		for _, run := range d.ran() {
-			if run.id == id {
-				return true
-			}
+		if slices.Contains(d.ran(), id) {
+			return true
 		}
 	}
 	return false
--- a/review/stage/route.go
+++ b/review/stage/route.go
@@ -177,15 +177,15 @@
 	}
 	client := newClient()
 	const count = 40
-	sent := make(map[string]string)
+	sent := make(map[string]bool)
 	for i := range count {
 		uri := fmt.Sprintf("/pay/vip%%2F%d", i) // one segment, the number of a customer: no route but /pay/ begins it
 		a := s.call(client, s.nodes[i%2], request{method: "POST", uri: uri, key: "k1", body: []byte(`{"amount":40}`), deadline: 4 * time.Second})
-		sent[a.id] = uri
+		sent[a.id] = true
 	}
 	wrong := 0
-	for _, run := range vip.ran() {
-		if sent[run.id] != "" {
+	for _, id := range vip.ran() {
+		if sent[id] {
 			wrong++
 		}
 	}
