--- a/review/stage/desk.go
+++ b/review/stage/desk.go
@@ -33,9 +33,16 @@
 	// losesAnswers is set on a server some of whose answers are lost, and spoilsAnswers on one that
 	// sends bytes that are not a response in place of some.
 	losesAnswers, spoilsAnswers atomic.Bool
+	// restTime is for how long the server asks nodes for rest; it then runs nothing. 0 for a server that
+	// does not.
+	restTime time.Duration
 
 	mu   sync.Mutex
 	runs []string
+	// restAskedAt is when the server first asked for rest, and late counts the requests that reached it
+	// restReaction and more after that, and before its end.
+	restAskedAt time.Time
+	late        int
 }
 
 func (s *stage) addDesk(id, service, zone string, work time.Duration, answerBytes int) (*desk, error) {
@@ -43,13 +50,43 @@
 	if err != nil {
 		return nil, err
 	}
+	d := &desk{id: id, service: service, work: work, answerBytes: answerBytes, listener: listener}
+	s.startDesk(d, zone)
+	return d, nil
+}
+
+// startDesk starts the server on its listener.
+func (s *stage) startDesk(d *desk, zone string) {
 	ctx, stop := context.WithCancel(context.Background())
-	d := &desk{s: s, id: id, service: service, work: work, answerBytes: answerBytes, listener: listener, stop: stop, born: time.Now().UnixMilli()}
+	d.s, d.stop, d.born = s, stop, time.Now().UnixMilli()
 	d.http = &http.Server{Handler: d}
-	go func() { _ = d.http.Serve(listener) }() // ends with close
+	go func() { _ = d.http.Serve(d.listener) }() // ends with close
 	s.desks = append(s.desks, d)
 	go d.register(ctx, zone)
-	return d, nil
+}
+
+// askForRest turns a request away and asks for rest.
+func (d *desk) askForRest(w http.ResponseWriter, id string) {
+	d.mu.Lock()
+	now := time.Now()
+	if d.restAskedAt.IsZero() {
+		d.restAskedAt = now
+	}
+	since := now.Sub(d.restAskedAt)
+	if since >= restReaction && since < d.restTime {
+		d.late++
+	}
+	d.mu.Unlock()
+	d.s.record("asks for rest", "server", d.id, "request", id, "since", since)
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.Itoa(int(d.restTime.Seconds())))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (d *desk) arrivalsInRest() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.late
 }
 
 func (d *desk) close() {
@@ -86,6 +123,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if d.restTime > 0 {
+		d.askForRest(w, id)
+		return
+	}
 	d.mu.Lock()
 	d.runs = append(d.runs, id)
 	d.mu.Unlock()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -33,6 +33,7 @@
 		"slow-reader":       playSlowReader,
 		"escaped-path":      playEscapedPath,
 		"accepted-config":   playAcceptedConfig,
+		"full-queue":        playFullQueue,
 	}
 }
 
