Review, case 1: doses of single entries of the site file

The case took the largest figure of each field from different entries; an answer lost in silence has x .3 at most there, and garble a share of .6 only with x .03.

--- a/review/stage/noresponse.go
+++ b/review/stage/noresponse.go
@@ -15,9 +15,9 @@
 const (
 	bookServers  = 5
 	losingBooks  = 2
-	lostShare    = 0.4
-	spoiledShare = 0.05
-	faultTime    = 5500 * time.Millisecond
+	lostShare    = 0.3
+	spoiledShare = 0.03
+	faultTime    = 5000 * time.Millisecond
 	faultPeriod  = 8 * time.Second
 	faultPeriods = 9
 )
