--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
 done
 trouble=true
 [ "${TROUBLE:-1}" != 0 ] || trouble=false
-exec target/review-stage -scene escaped-path -daemon target/fenneld -record "$here/record.txt" -trouble="$trouble"
+exec target/review-stage -scene move-model-route -daemon target/fenneld -record "$here/record.txt" -trouble="$trouble"
