--- a/review/stage/caller.go
+++ b/review/stage/caller.go
@@ -21,6 +21,10 @@
 	key         string
 	body        []byte
 	deadline    time.Duration
+	// pace is how many bytes of the body are sent each second; 0 sends it at once.
+	pace int
+	// opaque sends the path as it stands, without the client's own escapes.
+	opaque bool
 }
 
 // answer is what the caller got.
@@ -62,6 +66,12 @@
 	if err != nil {
 		return answer{id: id, err: err}
 	}
+	if r.pace > 0 {
+		req.Body = &pacedBody{data: r.body, pace: r.pace, began: time.Now()}
+	}
+	if r.opaque {
+		req.URL.Opaque = r.uri
+	}
 	req.Host = callerHost
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(r.deadline.Milliseconds(), 10))
@@ -93,3 +103,28 @@
 	s.record("gets", "request", id, "status", a.status, "kept", a.kept, "seal", a.seal, "bytes", a.size, "took", a.took, "err", a.err)
 	return a
 }
+
+// pacedBody is a body that is sent at a steady pace.
+type pacedBody struct {
+	data  []byte
+	sent  int
+	pace  int
+	began time.Time
+}
+
+// pacedChunk is the most that is sent at once.
+const pacedChunk = 64 << 10
+
+// Read implements io.Reader.
+func (b *pacedBody) Read(p []byte) (int, error) {
+	if b.sent == len(b.data) {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), pacedChunk)], b.data[b.sent:])
+	b.sent += n
+	time.Sleep(time.Until(b.began.Add(time.Duration(b.sent) * time.Second / time.Duration(b.pace))))
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *pacedBody) Close() error { return nil }
--- a/review/stage/desk.go
+++ b/review/stage/desk.go
@@ -33,12 +33,17 @@
 	// losesAnswers is set on a server some of whose answers are lost, and spoilsAnswers on one that
 	// sends bytes that are not a response in place of some.
 	losesAnswers, spoilsAnswers atomic.Bool
+	// switchesProtocols is set on a server that answers some requests by switching to another protocol,
+	// which nobody has asked for, and then says nothing.
+	switchesProtocols atomic.Bool
 	// restTime is for how long the server asks nodes for rest; it then runs nothing. 0 for a server that
 	// does not.
 	restTime time.Duration
 
 	mu   sync.Mutex
 	runs []string
+	// targets holds the path and query of each request that ran, by its id.
+	targets map[string]string
 	// restAskedAt is when the server first asked for rest, and late counts the requests that reached it
 	// restReaction and more after that, and before its end.
 	restAskedAt time.Time
@@ -50,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &desk{id: id, service: service, work: work, answerBytes: answerBytes, listener: listener}
+	d := &desk{id: id, service: service, work: work, answerBytes: answerBytes, listener: listener, targets: make(map[string]string)}
 	s.startDesk(d, zone)
 	return d, nil
 }
@@ -129,6 +134,7 @@
 	}
 	d.mu.Lock()
 	d.runs = append(d.runs, id)
+	d.targets[id] = r.RequestURI
 	d.mu.Unlock()
 	d.s.record("runs", "server", d.id, "service", d.service, "request", id, "uri", r.RequestURI, "tenant", r.Header.Get("X-Tenant"))
 	time.Sleep(d.work)
@@ -141,6 +147,10 @@
 		d.s.record("bytes that are not a response", "server", d.id, "request", id)
 		d.sendNoResponse(w, id)
 		return
+	case d.switchesProtocols.Load() && draw < spoiledShare:
+		d.s.record("switches protocols", "server", d.id, "request", id)
+		d.sendSwitch(w, id)
+		return
 	}
 	w.Header().Set("X-Replica-Seal", "seal-"+d.id)
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -155,6 +165,26 @@
 	return slices.Clone(d.runs)
 }
 
+// target returns the path and query with which a request ran, or "" if it has not.
+func (d *desk) target(id string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[id]
+}
+
+// silentTime is how long a server leaves a connection open on which it says nothing.
+const silentTime = 7 * time.Second
+
+// sendSwitch sends the head of a response that switches protocols, and nothing after it.
+func (d *desk) sendSwitch(w http.ResponseWriter, id string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n\r\n", id, d.id)
+	time.AfterFunc(silentTime, func() { _ = conn.Close() })
+}
+
 // sendNoResponse sends what looks like a response and has no valid status.
 func (d *desk) sendNoResponse(w http.ResponseWriter, id string) {
 	conn, _, err := w.(http.Hijacker).Hijack()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -34,6 +34,8 @@
 		"escaped-path":      playEscapedPath,
 		"accepted-config":   playAcceptedConfig,
 		"full-queue":        playFullQueue,
+		"raw-path":          playRawPath,
+		"switch-protocols":  playSwitchProtocols,
 	}
 }
 
