--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -36,6 +36,7 @@
 		"full-queue":        playFullQueue,
 		"raw-path":          playRawPath,
 		"switch-protocols":  playSwitchProtocols,
+		"uploads":           playUploads,
 	}
 }
 
--- a/review/stage/node.go
+++ b/review/stage/node.go
@@ -25,6 +25,8 @@
 	exited   chan struct{}
 	// ended is set once the process has ended.
 	ended atomic.Bool
+	// peakKB is the most memory that the process was seen to take.
+	peakKB atomic.Int64
 }
 
 const settingsTemplate = `node: %[1]q
