--- a/review/stage/uploads.go
+++ b/review/stage/uploads.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,7 +16,7 @@
 	// allCallers are the clients of the small deployment. smallCallers of them send small payments, the
 	// others such as have the largest body that the configuration allows.
 	allCallers   = 92
-	smallCallers = 12
+	smallCallers = 10
 	uploadBytes  = 4 << 20
 	uploadPause  = 500 * time.Millisecond
 	smallPause   = 40 * time.Millisecond
@@ -32,17 +33,19 @@
 
 // uploads counts what callers saw of the machine that is left.
 type uploads struct {
-	s     *stage
-	end   time.Time
-	lost  atomic.Int64
-	sent  atomic.Int64
-	total atomic.Int64 // answered with success
+	s   *stage
+	end time.Time
+	// leftOut is when the platform leaves out the lost machines, in nanoseconds.
+	leftOut atomic.Int64
+	lost    atomic.Int64
+	sent    atomic.Int64
+	total   atomic.Int64 // answered with success
 }
 
 // playUploads has callers send large payments to four machines, three of which are lost.
 func playUploads(s *stage, trouble bool) ([]string, error) {
 	for i := range 3 {
-		if _, err := s.addDesk(fmt.Sprintf("desk-%d", i), "desk", fmt.Sprintf("zone-%d", i), 60*time.Millisecond, 800); err != nil {
+		if _, err := s.addDesk(fmt.Sprintf("desk-%d", i), "desk", fmt.Sprintf("zone-%d", i), 300*time.Millisecond, 800); err != nil {
 			return nil, err
 		}
 	}
@@ -63,14 +66,15 @@
 	for i := range allCallers {
 		callers.Go(func() {
 			if i < smallCallers {
-				u.send(s.nodes[i%uploadNodes], small, small, smallPause)
+				u.send(s.nodes[i%uploadNodes], small, smallPause)
 			} else {
-				u.send(s.nodes[i%uploadNodes], small, large, uploadPause)
+				u.send(s.nodes[i%uploadNodes], large, uploadPause)
 			}
 		})
 	}
 	time.Sleep(4 * time.Second) // all machines are in touch
 	if trouble {
+		u.leftOut.Store(time.Now().Add(rotationTime).UnixNano())
 		for _, n := range s.nodes[1:] {
 			s.record("machine lost", "node", n.name)
 			n.kill()
@@ -88,23 +92,18 @@
 	return nil, nil
 }
 
-// send sends one payment after the other over a kept connection, which the first one opens: to the
-// caller's machine, and to the first machine once that is lost.
-func (u *uploads) send(n *node, opening, later request, pause time.Duration) {
+// send sends one payment after the other over a kept connection: to the caller's machine, and to the
+// first machine once the platform has left out the caller's.
+func (u *uploads) send(n *node, r request, pause time.Duration) {
 	first := u.s.nodes[0]
 	client := newKeepingClient()
-	for opened := false; time.Now().Before(u.end) && !first.ended.Load(); time.Sleep(pause) {
+	for time.Now().Before(u.end) && !first.ended.Load() {
 		if n.ended.Load() {
-			time.Sleep(rotationTime)
-			n, client, opened = first, newKeepingClient(), false
+			time.Sleep(time.Until(time.Unix(0, u.leftOut.Load())))
+			n, client = first, newKeepingClient()
 		}
-		r := later
-		if !opened {
-			r = opening
-		}
-		a := u.s.call(client, n, r)
-		opened = a.status != 0
-		u.count(n, a)
+		u.count(n, u.s.call(client, n, r))
+		time.Sleep(pause)
 	}
 }
 
@@ -126,7 +125,7 @@
 // does.
 func (s *stage) enforceMemory(n *node) {
 	for ; !n.ended.Load(); time.Sleep(memoryPoll) {
-		kb := residentKB(n.cmd.Process.Pid)
+		kb := residentKB(n.cmd.Process.Pid) + n.unreadKB()
 		n.peakKB.Store(max(kb, n.peakKB.Load()))
 		if kb > memoryMB<<10 {
 			s.record("memory over the limit", "node", n.name, "kb", kb)
@@ -135,6 +134,31 @@
 	}
 }
 
+// socketEstablished is the state of an open connection in /proc/net/tcp.
+const socketEstablished = "01"
+
+// unreadKB returns what callers have sent to the node and it has not read, which counts as its memory.
+func (n *node) unreadKB() int64 {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	ip := net.ParseIP(n.ip).To4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], n.ports.callers)
+	var sum int64
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local || fields[3] != socketEstablished {
+			continue
+		}
+		if _, unread, found := strings.Cut(fields[4], ":"); found {
+			bytes, _ := strconv.ParseInt(unread, 16, 64) // 0 if malformed
+			sum += bytes
+		}
+	}
+	return sum >> 10
+}
+
 // residentKB returns the memory of a process, or 0 if it has ended.
 func residentKB(pid int) int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
