relay, platform: server bytes that are no response end only their attempt

Cause: net/http accepts any three-digit status. 000 made WriteHeader panic in a hedge's goroutine, which ended the process; a panic of a first attempt left its counts behind; a 101 has a body that outlasts the request's context.

Change: httpbounds.Transport fails responses without a final status and limits their heads, informational responses included, to 64 KiB. It serves the connections to servers and nodes, the store, engines, feeds and the VM list. Each attempt recovers panics and ends its counts.

Weighed: a check in newReply alone would leave the store's client and the refusals of nodes as they were.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -22,6 +22,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
@@ -97,7 +98,7 @@
 type Conn struct {
 	peer        Peer
 	dialTimeout time.Duration
-	transport   *http.Transport
+	transport   *httpbounds.Transport
 	dialed      atomic.Bool
 	uses        int
 	idleTimeout time.Duration
@@ -116,7 +117,7 @@
 		return c
 	}
 	c := &Conn{peer: peer, dialTimeout: p.dialTimeout, idleTimeout: defaultIdleTimeout, uses: 1}
-	c.transport = &http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}
+	c.transport = httpbounds.New(&http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10})
 	return c
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 )
 
 // Defaults of a Client.
@@ -70,7 +72,7 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleConnTimeout,
 	}
-	return &Client{http: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{http: &http.Client{Transport: httpbounds.New(transport)}, timeout: timeout}
 }
 
 // Close closes idle connections.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 )
 
 // Defaults of PoolOptions.
@@ -115,5 +117,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     p.opts.IdleTimeout,
 		DisableCompression:  true,
+		// The head of a response is buffered whole.
+		MaxResponseHeaderBytes: httpbounds.MaxHeaderBytes,
 	}
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -13,6 +13,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 )
 
 const (
@@ -85,7 +86,7 @@
 	pool := s.pools.Get(req.Addr)
 
 	wd.arm(s.headerTimeout)
-	resp, sent, err := s.send(ctx, pool, req)
+	resp, sent, err := s.send(ctx, &httpbounds.Transport{Transport: pool}, req)
 	wd.disarm()
 	if err != nil {
 		return s.classifySendError(ctx, err, sent, wd, pool, req)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
@@ -61,7 +62,7 @@
 // is the ip:port of this node's own feed, if it has one.
 func NewFollower(self string, roots, prefixes []string, log *slog.Logger) *Follower {
 	transport := &http.Transport{DialContext: sockets.Dialer(dialTimeout).DialContext}
-	f := &Follower{prefixes: prefixes, log: log, client: &http.Client{Transport: transport}, self: self, roots: slices.Clone(roots), retryAfter: make(map[string]time.Time)}
+	f := &Follower{prefixes: prefixes, log: log, client: &http.Client{Transport: httpbounds.New(transport)}, self: self, roots: slices.Clone(roots), retryAfter: make(map[string]time.Time)}
 	rand.Shuffle(len(f.roots), func(i, j int) { f.roots[i], f.roots[j] = f.roots[j], f.roots[i] })
 	return f
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -91,7 +91,12 @@
 
 // run sends the call and forwards the answer. A nil error means that a complete answer
 // was received.
-func (a *attempt) run() (routing.Result, error) {
+func (a *attempt) run() (result routing.Result, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			result, err = a.result(false, 0, 0), a.panicked(v)
+		}
+	}()
 	if a.to.node == nil {
 		a.s.r.register(a.to.choice.Replica.ID, a)
 		defer a.s.r.unregister(a.to.choice.Replica.ID, a)
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -99,6 +99,7 @@
 	if !a.idempotent {
 		return false
 	}
+	defer a.recoverHedge()
 	if !a.s.mu.TryLock() { // a piece is being written to the caller
 		if reason == hedgeReplicaLost {
 			a.lostDuringWrite.Store(true)
@@ -124,6 +125,7 @@
 // checkIdle is called when the idle timeout may have passed, and again and again while a hedge that
 // is due has not begun.
 func (a *attempt) checkIdle() {
+	defer a.recoverHedge()
 	if !a.s.mu.TryLock() {
 		a.idleTimer.Reset(hedgeRetryInterval) // a piece is being written to the caller
 		return
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -221,7 +221,6 @@
 	default:
 		handOverFailed.Inc()
 	}
-	s.finishAttempt(a, err)
 	return err
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -226,34 +226,6 @@
 	return err
 }
 
-// run runs an attempt to its end and records the result.
-func (s *session) run(a *attempt) error {
-	if a.to.node != nil {
-		return s.runOnNode(a)
-	}
-	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
-	result, err := a.run()
-	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
-	a.suspectRun.End(suspectOutcome(result, a.lossCause == lossCrash))
-	if result.OK {
-		s.r.advisor.recordCompleted(s.group, time.Now())
-	}
-	s.endChoice(a.to.choice, result)
-	s.logAttempt(a, result, err)
-	s.finishAttempt(a, err)
-	return err
-}
-
-func suspectOutcome(result routing.Result, crashed bool) suspect.Outcome {
-	switch {
-	case crashed:
-		return suspect.Crashed
-	case result.OK:
-		return suspect.Finished
-	}
-	return suspect.Abandoned
-}
-
 // endChoice ends the count of a request on its replica.
 func (s *session) endChoice(choice routing.Choice, result routing.Result) {
 	s.r.opts.Router.End(choice, result)
--- a/internal/store/etcdgw/etcdgw.go
+++ b/internal/store/etcdgw/etcdgw.go
@@ -25,6 +25,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 	"github.com/fennelcourse/fennelcourse/internal/store"
 	"github.com/fennelcourse/fennelcourse/internal/store/etcdjson"
 )
@@ -91,7 +92,7 @@
 		watchIdle: orDefault(opts.WatchIdleTimeout, DefaultWatchIdleTimeout),
 		token:     opts.Token,
 		transport: transport,
-		http:      &http.Client{Transport: transport},
+		http:      &http.Client{Transport: httpbounds.New(transport)},
 	}
 	for _, endpoint := range opts.Endpoints {
 		c.endpoints = append(c.endpoints, strings.TrimRight(endpoint, "/"))
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -16,6 +16,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 )
 
 // Path is the URL path of the list, relative to the platform's base URL.
@@ -45,7 +46,7 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	return &Client{
 		url:  strings.TrimRight(base, "/") + Path,
-		http: &http.Client{Timeout: timeout, Transport: transport},
+		http: &http.Client{Timeout: timeout, Transport: httpbounds.New(transport)},
 	}
 }
 
