--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -100,6 +100,7 @@
 	dialTimeout time.Duration
 	transport   *httpbounds.Transport
 	dialed      atomic.Bool
+	socket      atomic.Pointer[socket] // nil until dialed
 	uses        int
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -111,7 +112,11 @@
 // Get returns an idle connection to the peer that has been idle for at most maxIdle,
 // or a new one.
 func (p *Pool) Get(peer Peer, maxIdle time.Duration, now time.Time) *Conn {
-	if c := p.takeIdle(peer, maxIdle, now); c != nil {
+	for c := p.takeIdle(peer, maxIdle, now); c != nil; c = p.takeIdle(peer, maxIdle, now) {
+		if !c.isReusable() {
+			c.Close()
+			continue
+		}
 		c.uses++
 		reusedTotal.Inc()
 		return c
@@ -205,7 +210,13 @@
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	return sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	conn, err := sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &socket{Conn: conn}
+	c.socket.Store(s)
+	return s, nil
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -1,11 +1,13 @@
 package conns_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +122,38 @@
 	require.NoError(t, exchange(t, pool.Get(peer, time.Minute, now), peer))
 	require.EqualValues(t, 2, opened.Load())
 }
+
+// Guards against requests that get the bytes which a server sent after an earlier response.
+func TestConnectionWithFurtherBytesIsNotReused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	var served sync.WaitGroup
+	defer served.Wait()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			served.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+		}
+	}()
+	peer, pool := conns.Peer{Addr: listener.Addr().String()}, conns.NewPool()
+	defer pool.Close()
+	for range 200 {
+		c := pool.Get(peer, time.Minute, time.Now())
+		require.False(t, c.Reused())
+		require.NoError(t, exchange(t, c, peer))
+		pool.Put(c, time.Now())
+	}
+}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -231,17 +231,21 @@
 	return f
 }
 
-// newFixtureWith is newFixture with another router; the fixture's own is nil.
-func newFixtureWith(t *testing.T, slack float64, router relay.Router, backend *fakeBackend) *fixture {
+// newFixtureWith is newFixture with another router, and options that change modifies; the fixture's own router is nil.
+func newFixtureWith(t *testing.T, slack float64, router relay.Router, backend *fakeBackend, change ...func(*relay.Options)) *fixture {
 	t.Helper()
 	f := &fixture{backend: backend}
-	f.relay = relay.New(relay.Options{
+	opts := relay.Options{
 		Router: router, Backend: f.backend,
 		Budget: relay.NewBudget(relay.BudgetOptions{Slack: slack, Window: 10 * time.Second, Nodes: 1}),
 		Peer:   func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
 
 		Suspects: suspect.New(suspect.Options{Log: slog.New(slog.DiscardHandler)}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
-	})
+	}
+	for _, c := range change {
+		c(&opts)
+	}
+	f.relay = relay.New(opts)
 	return f
 }
 
