--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,7 +94,10 @@
 // serverFaults are the faults of backend servers during the whole fault phase. They are
 // not part of the faults list, since that would change the faults that the seeds in
 // regressionSeeds draw.
-var serverFaults = standin.Faults{Kinds: []standin.Fault{standin.FaultServerError, standin.FaultTruncated, standin.FaultWrongResponse, standin.FaultMissingEvent}, OneIn: serverFaultOneIn}
+var serverFaults = standin.Faults{
+	Kinds: append([]standin.Fault{standin.FaultServerError, standin.FaultTruncated, standin.FaultWrongResponse, standin.FaultMissingEvent}, standin.NonResponses...),
+	OneIn: serverFaultOneIn,
+}
 
 func pauseNode(env *Environment, rnd *rand.Rand) func() {
 	n := env.randomNode(rnd)
