--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -73,6 +73,8 @@
 
 // Pool holds idle connections by peer, in shards with a lock each.
 type Pool struct {
+	// Dial opens connections; nil for TCP connections to the peer's address.
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	dialTimeout time.Duration
 	shards      [shardCount]shard
 }
@@ -97,7 +99,7 @@
 // Conn is one connection, which is dialed on first use. It carries one request at a time.
 type Conn struct {
 	peer        Peer
-	dialTimeout time.Duration
+	dialer      func(ctx context.Context, network, addr string) (net.Conn, error)
 	transport   *httpbounds.Transport
 	dialed      atomic.Bool
 	socket      atomic.Pointer[socket] // nil until dialed
@@ -121,7 +123,10 @@
 		reusedTotal.Inc()
 		return c
 	}
-	c := &Conn{peer: peer, dialTimeout: p.dialTimeout, idleTimeout: defaultIdleTimeout, uses: 1}
+	c := &Conn{peer: peer, dialer: p.Dial, idleTimeout: defaultIdleTimeout, uses: 1}
+	if c.dialer == nil {
+		c.dialer = sockets.Dialer(p.dialTimeout).DialContext
+	}
 	c.transport = httpbounds.New(&http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10})
 	return c
 }
@@ -210,7 +215,7 @@
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	conn, err := sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	conn, err := c.dialer(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -183,6 +184,13 @@
 	panic(p)
 }
 
+// recoverPanic ends a panic of a goroutine beside the request's own, which would end the process.
+func (s *session) recoverPanic() {
+	if p := recover(); p != nil {
+		s.g.opts.Log.Error("panic", "request", s.c.requestID, "err", p, "stack", string(debug.Stack()))
+	}
+}
+
 func (g *Gateway) authenticate(r *http.Request, id string) (caller, error) {
 	c := caller{requestID: id, rules: g.opts.Rules.Current()}
 	if c.rules == nil {
--- a/internal/gateway/plaincall.go
+++ b/internal/gateway/plaincall.go
@@ -13,6 +13,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 	"github.com/fennelcourse/fennelcourse/internal/recovery"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
@@ -138,7 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := p.transport(addr).RoundTrip(out)
+	resp, err := (&httpbounds.Transport{Transport: p.transport(addr)}).RoundTrip(out)
 	if err != nil && !connected {
 		return nil, &engine.NotStartedError{Addr: addr, Err: err}
 	}
@@ -149,7 +150,7 @@
 	return p.readAnswer(addr, resp)
 }
 
-func (p *plainCall) transport(addr string) http.RoundTripper {
+func (p *plainCall) transport(addr string) *http.Transport {
 	if p.repeatable {
 		return p.g.opts.Pools.Get(addr)
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -318,6 +318,7 @@
 func (s *session) cancelAt(addr string) {
 	id := s.c.requestID
 	s.g.background.Go(func() {
+		defer s.recoverPanic()
 		ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
 		defer cancel()
 		if err := s.g.opts.Prober.Cancel(ctx, addr, id); err != nil {
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -101,6 +101,7 @@
 	var returned bool
 	var probes sync.WaitGroup
 	probes.Go(func() {
+		defer s.recoverPanic()
 		returned = s.awaitReplica(ctx, left.choice) == replicaUnchanged
 		if returned {
 			cancel()
--- a/internal/httpbounds/httpbounds.go
+++ b/internal/httpbounds/httpbounds.go
@@ -39,7 +39,8 @@
 		return resp, err
 	}
 	rejectedTotal.Inc()
-	_ = resp.Body.Close() // closes the connection unless the body is empty
+	_ = resp.Body.Close()    // closes the connection unless the body is empty
+	t.CloseIdleConnections() // closes it in that case
 	return nil, &StatusError{Status: resp.StatusCode}
 }
 
--- a/internal/relay/panic_test.go
+++ b/internal/relay/panic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -17,6 +18,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // panicking panics in the goroutine of its attempt.
@@ -40,15 +42,24 @@
 	return f
 }
 
+// panickingSuspects panics as the goroutine of a timer asks whether a call may be hedged.
+type panickingSuspects struct{ relay.Suspects }
+
+func (panickingSuspects) IsSuspect(suspect.Request) bool { panic("bad record") }
+
 // Guards against a panic of an attempt that ends the process or its call, or leaves the request counted on its replica or against its model's limit.
 func TestPanicFailsOnlyItsAttempt(t *testing.T) {
 	for name, c := range map[string]struct {
 		first, second handler
 		change        func(*relay.Options)
 		ends          int
+		event         string
 	}{
 		"first attempt": {first: panicking, second: streamPieces(3, io.EOF), ends: 2},
 		"hedge":         {first: streamWithSilence(time.Time{}, period{}, 3, 1500*time.Millisecond), second: panicking, ends: 2},
+		"hedge decision": {first: streamWithSilence(time.Time{}, period{}, 3, 1500*time.Millisecond), ends: 1, event: "hedge panicked", change: func(o *relay.Options) {
+			o.Suspects = panickingSuspects{o.Suspects}
+		}},
 		"hand-over": {first: streamPieces(3, io.EOF), ends: 0, change: func(o *relay.Options) {
 			o.Reach, o.NodeClient = fixedReach{lost: true}, panickingNodes{}
 			o.Nodes = func() []relay.Node { return []relay.Node{{ID: "n", Addr: "1"}} }
@@ -59,12 +70,12 @@
 				var log bytes.Buffer
 				f := newLoggedFixture(t, handlers{"a": c.first, "b": c.second}, &log, c.change)
 				got := f.serve(t.Context(), resumableTerms)
-				if c.change == nil {
+				if name != "hand-over" {
 					require.Equal(t, answerOf(3), got.text)
 				} else {
 					require.NotNil(t, got.refused)
 				}
-				require.Contains(t, log.String(), `msg="attempt panicked" request=id-1`)
+				require.Contains(t, log.String(), `msg="`+cmp.Or(c.event, "attempt panicked")+`" request=id-1`)
 				require.Len(t, f.router.canceled, c.ends)
 				require.Zero(t, f.relay.Running())
 				require.InDelta(t, 1, f.relay.Room(), 0, "requests are still counted")
