--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -22,6 +22,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
@@ -72,6 +73,8 @@
 
 // Pool holds idle connections by peer, in shards with a lock each.
 type Pool struct {
+	// Dial opens connections; nil for TCP connections to the peer's address.
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	dialTimeout time.Duration
 	shards      [shardCount]shard
 }
@@ -96,9 +99,10 @@
 // Conn is one connection, which is dialed on first use. It carries one request at a time.
 type Conn struct {
 	peer        Peer
-	dialTimeout time.Duration
-	transport   *http.Transport
+	dialer      func(ctx context.Context, network, addr string) (net.Conn, error)
+	transport   *httpbounds.Transport
 	dialed      atomic.Bool
+	socket      atomic.Pointer[socket] // nil until dialed
 	uses        int
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -110,13 +114,20 @@
 // Get returns an idle connection to the peer that has been idle for at most maxIdle,
 // or a new one.
 func (p *Pool) Get(peer Peer, maxIdle time.Duration, now time.Time) *Conn {
-	if c := p.takeIdle(peer, maxIdle, now); c != nil {
+	for c := p.takeIdle(peer, maxIdle, now); c != nil; c = p.takeIdle(peer, maxIdle, now) {
+		if !c.isReusable() {
+			c.Close()
+			continue
+		}
 		c.uses++
 		reusedTotal.Inc()
 		return c
 	}
-	c := &Conn{peer: peer, dialTimeout: p.dialTimeout, idleTimeout: defaultIdleTimeout, uses: 1}
-	c.transport = &http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}
+	c := &Conn{peer: peer, dialer: p.Dial, idleTimeout: defaultIdleTimeout, uses: 1}
+	if c.dialer == nil {
+		c.dialer = sockets.Dialer(p.dialTimeout).DialContext
+	}
+	c.transport = httpbounds.New(&http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10})
 	return c
 }
 
@@ -204,7 +215,13 @@
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	return sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	conn, err := c.dialer(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &socket{Conn: conn}
+	c.socket.Store(s)
+	return s, nil
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
