routing: a group of a model belongs to one service

GroupOf named the replicas of a call by its model alone and dropped the service that the route had selected: after a move of a route, calls with a model still ran at the old service, and a call with a model never reached a plain service.

Groups are now identified by service and model (rules.ModelGroupName). fleet.Replica derives its group from its members' service; replica names on the VMs are unchanged. Nodes report work by the model's name as before, unless two services have the model (SharedName). Weighed: a bare name while one service has the model (the name changes its meaning when a configuration replaces the service, and a call may then meet the table of the old one), and a check of the service in the router (leaves placement with two groups of one name). Placement plans each service by itself: two services with the same models share no VM, but shared their counts and domain affinities.

Calls in progress follow their route at each attempt and hedge (relay.TargetOf).

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -192,7 +192,7 @@
 		OnQuarantined: n.quarantines.add, Timing: suspect.Timing{QuarantineFor: quarantineTime, MaxTurnWait: maxTurnWait}, Log: log})
 	relayOptions := relay.Options{
 		Router: n.table, Backend: p.Backend(n.pool), Peer: n.findPeer, Log: log,
-		Suspects: n.suspects, Departure: n.departure, OnLeaving: n.onLeaving,
+		Rules: n.rules.Load, Suspects: n.suspects, Departure: n.departure, OnLeaving: n.onLeaving,
 		OnStall: n.onStall,
 		Budget:  relay.NewBudget(relay.BudgetOptions{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window, Nodes: cfg.Retries.Nodes}),
 	}
@@ -305,21 +305,26 @@
 // Serve relays a call until it ends. It also records that the node has seen a request.
 func (n *Core) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	n.requestSeen.Store(true)
-	c.EstimatedWork = n.estimateWork(c)
+	g := n.groupOfCall(c)
+	c.EstimatedWork = estimateWork(c, g)
 	if c.EstimatedWork > 0 && !c.LikelyRetry() && c.ResumeAfter == "" && !c.HandedOver {
-		n.work.Record(cluster.GroupName(c.Model), c.EstimatedWork, time.Now())
+		n.work.Record(g.Name, c.EstimatedWork, time.Now())
 	}
 	n.relay.Serve(ctx, c, sink)
 }
 
-// estimateWork returns how much of a replica's time the call takes, by the published
-// figures of its model's engines. It returns zero for a plain service.
-func (n *Core) estimateWork(c *call.Call) time.Duration {
+// groupOfCall returns the group of the model that serves the call; nil for a plain service.
+func (n *Core) groupOfCall(c *call.Call) *rules.Group {
 	set := n.rules.Load()
 	if set == nil || c.Model == "" {
-		return 0
+		return nil
 	}
-	g := placement.FindGroup(set.Groups, cluster.GroupName(c.Model))
+	return placement.FindGroup(set.Groups, relay.TargetOf(set, c, "").Group)
+}
+
+// estimateWork returns how much of a replica's time the call takes, by the published
+// figures of its model's engines. It returns zero for a plain service.
+func estimateWork(c *call.Call, g *rules.Group) time.Duration {
 	if g == nil || !g.Engine.IsSet() {
 		return 0
 	}
--- a/internal/entry/derive.go
+++ b/internal/entry/derive.go
@@ -8,7 +8,6 @@
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/ledger"
-	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
@@ -193,14 +192,14 @@
 		}
 		head := r.Head()
 		out = append(out, routing.Entry{Addr: head.Addr, Slots: head.Slots, StartedAt: head.StartedAt, Replica: cluster.Replica{
-			ID: r.ID(), Group: cluster.GroupName(r.Model), Model: r.Model, Zone: head.Zone, Generation: r.Epoch, Serving: head.ID}})
+			ID: r.ID(), Group: r.Group, Model: r.Model, Zone: head.Zone, Generation: r.Epoch, Serving: head.ID}})
 	}
 	for _, s := range servers {
 		if s.Draining || slices.ContainsFunc(set.Groups, func(g rules.Group) bool { return g.Servers == s.Service }) {
 			continue
 		}
 		out = append(out, routing.Entry{Addr: s.Addr, Slots: s.Slots, StartedAt: s.StartedAt, Replica: cluster.Replica{
-			ID: cluster.ReplicaID(s.ID), Group: relay.GroupOf(s.Service, ""), Zone: s.Zone, Generation: s.StartedAt.UnixMilli(), Serving: s.ID}})
+			ID: cluster.ReplicaID(s.ID), Group: rules.PlainGroup(s.Service), Zone: s.Zone, Generation: s.StartedAt.UnixMilli(), Serving: s.ID}})
 	}
 	return out
 }
--- a/internal/entry/loadreport.go
+++ b/internal/entry/loadreport.go
@@ -25,8 +25,9 @@
 // replica. It is sent again each round, as datagrams can be lost.
 func (n *Core) LoadReport(budget int) membership.Section {
 	out := membership.Section{Asked: n.requestSeen.Load(), Path: n.ownPath().Encode()}
+	set := n.rules.Load()
 	for group, rate := range n.work.Own(time.Now()) {
-		out.WorkIDs = append(out.WorkIDs, groupHash(group))
+		out.WorkIDs = append(out.WorkIDs, groupHash(set.SharedName(group)))
 		out.WorkRates = append(out.WorkRates, uint32(rate*workUnit))
 	}
 	if membership.SectionSize(out) > budget {
@@ -48,7 +49,7 @@
 // workUnit is the number of units of reported work in a replica kept fully busy.
 const workUnit = 1000
 
-// groupHash identifies a model in four bytes.
+// groupHash identifies a group by its shared name in four bytes.
 func groupHash(group cluster.GroupName) uint32 { return uint32(xxhash.Sum64String(string(group))) }
 
 // receiveWork applies another node's report of the work that arrives there.
@@ -59,7 +60,7 @@
 	}
 	rates := make(workload.Rates)
 	for i := range set.Groups {
-		if at := slices.Index(report.WorkIDs, groupHash(set.Groups[i].Name)); at >= 0 {
+		if at := slices.Index(report.WorkIDs, groupHash(set.SharedName(set.Groups[i].Name))); at >= 0 {
 			rates[set.Groups[i].Name] = float64(report.WorkRates[at]) / workUnit
 		}
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -8,7 +8,6 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/operator"
-	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/rulestore"
@@ -92,7 +91,8 @@
 	for _, w := range route.Policy.Split {
 		resp.Target = strings.TrimPrefix(fmt.Sprintf("%s, service %s (weight %d)", resp.Target, w.Service, w.Weight), ", ")
 	}
-	choice, ok := o.n.table.Peek(routing.Request{Group: relay.GroupOf(route.Policy.Split[0].Service, req.Model), Prefer: route.Prefer})
+	group, _ := set.TargetGroup(route.Policy.Split[0].Service, req.Model)
+	choice, ok := o.n.table.Peek(routing.Request{Group: group, Prefer: route.Prefer})
 	if !ok {
 		resp.Reason += "; no replica may take the call"
 		return resp, nil
--- a/internal/entry/outages.go
+++ b/internal/entry/outages.go
@@ -102,7 +102,8 @@
 	o.unreplaced[group] = slices.Delete(unreplaced, i, i+1)
 }
 
-// groupOf returns the group of a replica, whose name its id begins with.
+// groupOf returns the model of a replica, whose name its id begins with. The record knows groups by their
+// models, as earlier versions wrote it.
 func groupOf(id cluster.ReplicaID) cluster.GroupName {
 	return cluster.GroupName(fleet.ModelOf(string(id)))
 }
@@ -158,7 +159,7 @@
 	engines := make(map[cluster.Service]bool)
 	for _, g := range set.Groups {
 		engines[g.Servers] = true
-		counts[strandedKey{g.Name, causeUnassigned}] = 0
+		counts[strandedKey{cluster.GroupName(g.Model), causeUnassigned}] = 0
 	}
 	n.servingMu.Lock()
 	serving := n.serving
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,16 +125,22 @@
 	Name  string
 	Epoch int64
 	Model string
+	// Group is the group of the model at the members' service.
+	Group cluster.GroupName
 	// Size is the number of members that the model requires.
 	Size int
 	// Members are the listed members, ordered by rank. Some may be missing.
 	Members []Server
 }
 
-// newReplica returns the replica of a membership, without members.
-func newReplica(m *Membership, groups []rules.Group) *Replica {
+// newReplica returns the replica of a member, without members. The members of a replica belong to one service.
+func newReplica(s *Server, groups []rules.Group) *Replica {
+	m := s.Membership
 	r := &Replica{Name: m.Replica, Epoch: m.Epoch, Model: ModelOf(m.Replica)}
-	r.Size = groupSize(groups, r.Model)
+	r.Group = rules.ModelGroupName(s.Service, r.Model)
+	if g := rules.ModelGroup(groups, s.Service, r.Model); g != nil {
+		r.Group, r.Size = g.Name, g.VMs
+	}
 	r.Members = make([]Server, 0, r.Size)
 	return r
 }
@@ -216,7 +222,7 @@
 
 // Replicas derives the replicas from the list. A replica's name contains its model (see
 // ReplicaName), so the model is known even before any member has loaded it. Replicas of a model
-// without a group rule have size 0.
+// that their service does not have by the group rules have size 0.
 func Replicas(l List, groups []rules.Group) []Replica {
 	type attempt struct {
 		name  string
@@ -231,7 +237,7 @@
 		}
 		r := attempts[attempt{m.Replica, m.Epoch}]
 		if r == nil {
-			r = newReplica(m, groups)
+			r = newReplica(&l.Servers[i], groups)
 			attempts[attempt{m.Replica, m.Epoch}] = r
 			byID[r.ID()] = r
 		}
@@ -260,12 +266,3 @@
 	}
 	return name[:i]
 }
-
-func groupSize(groups []rules.Group, model string) int {
-	for i := range groups {
-		if groups[i].Model == model {
-			return groups[i].VMs
-		}
-	}
-	return 0
-}
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -135,7 +135,7 @@
 	for _, member := range t.members[id] {
 		s := t.list.Find(member)
 		if r == nil {
-			r = newReplica(s.Membership, groups)
+			r = newReplica(s, groups)
 		}
 		r.Members = append(r.Members, *s)
 	}
--- a/internal/lifecycle/forming.go
+++ b/internal/lifecycle/forming.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		model := fleet.ModelOf(s.Membership.Replica)
-		if g := placement.FindGroup(set.Groups, cluster.GroupName(model)); g != nil && !slices.Contains(s.Staged, model) {
+		if g := rules.ModelGroup(set.Groups, s.Service, model); g != nil && !slices.Contains(s.Staged, model) {
 			m.loads.addInherited(s.ID, now.Add(g.ColdLoad))
 		}
 	}
--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -178,7 +178,7 @@
 // policyReplica converts a replica for the placement policy. One empty member id stands for
 // members that are neither listed nor reachable, or that the head has lost.
 func policyReplica(r *fleet.Replica, unlisted []fleet.Server, zone cluster.ZoneID) cluster.Replica {
-	out := cluster.Replica{ID: r.ID(), Group: cluster.GroupName(r.Model), Model: r.Model, Zone: zone, Generation: r.Epoch}
+	out := cluster.Replica{ID: r.ID(), Group: r.Group, Model: r.Model, Zone: zone, Generation: r.Epoch}
 	for _, member := range r.Members {
 		out.Members = append(out.Members, member.ID)
 	}
--- a/internal/placement/mix.go
+++ b/internal/placement/mix.go
@@ -31,8 +31,8 @@
 // Name implements Policy.
 func (Mix) Name() string { return "mix" }
 
-// Plan implements Policy.
-func (Mix) Plan(in Input, now time.Time) Plan {
+// planService plans the groups of one service.
+func (Mix) planService(in Input, now time.Time) Plan {
 	m := newMixPlan(in)
 	m.breakUp()
 	m.move = m.chooseMove()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,6 +21,7 @@
 type destination struct {
 	choice routing.Choice
 	peer   conns.Peer
+	target Target
 	// node is nil for a replica. reason is why the call is handed over to the node.
 	node   *Node
 	reason handOverReason
@@ -234,10 +235,10 @@
 // judgeQueue records whether the call was late because its replica had more requests than
 // slots.
 func (a *attempt) judgeQueue(load *Load, late bool) {
-	if load == nil || load.Slots < 1 || a.s.call.Model == "" {
+	if load == nil || load.Slots < 1 || !a.to.target.OfModel {
 		return
 	}
-	a.s.r.limits.record(a.s.group, float64(load.Running+load.Waiting)/float64(load.Slots), late, time.Now())
+	a.s.r.limits.record(a.to.target.Group, float64(load.Running+load.Waiting)/float64(load.Slots), late, time.Now())
 }
 
 // forwardUnary reads an answer that is not streamed and forwards it once it is complete.
--- a/internal/relay/attemptlog.go
+++ b/internal/relay/attemptlog.go
@@ -23,7 +23,7 @@
 	}
 	terms, choice := s.call.Route.Policy, a.to.choice
 	fields := []any{"request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
-		"group", s.group, "attempt", a.number, "hedge", a.isHedge, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
+		"group", a.to.target.Group, "attempt", a.number, "hedge", a.isHedge, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
 		"reason", choice.Reason, "considered", choice.Considered, "alone", s.admission.Alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
 	if s.streams() {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -161,7 +161,7 @@
 		return false
 	}
 	possible := s.hedgeFailure()
-	possible.TakeRetry = func() bool { return s.r.opts.Budget.MayRetry(s.service, s.started, time.Now()) }
+	possible.TakeRetry = func() bool { return s.r.opts.Budget.MayRetry(s.target.Service, s.started, time.Now()) }
 	if d := recovery.Decide(possible); d.Step == recovery.GiveUp {
 		s.logNoHedge(a, string(d.Reason)) // before a choice, which uses up part of a replica's rate
 		return false
@@ -221,27 +221,29 @@
 	}
 	if s.unreachable() && !s.call.HandedOver {
 		if node, why := s.nextNode(time.Now()); node != nil {
-			return destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable, chosen: why}, nil
+			return destination{node: node, peer: peerOfNode(node), target: s.target, reason: handOverUnreachable, chosen: why}, nil
 		}
 	}
+	s.retarget()
 	now := time.Now()
-	if s.call.Model != "" && a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
+	if s.target.OfModel && a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
 		return destination{}, errMostSilent
 	}
-	if s.call.Model != "" && !s.r.limits.begin(s.group, unlimitedShare, now) {
-		return destination{}, &routing.FullError{Group: s.group}
+	if s.target.OfModel && !s.r.limits.begin(s.target.Group, unlimitedShare, now) {
+		return destination{}, &routing.FullError{Group: s.target.Group}
 	}
 	choice, err := s.r.opts.Router.Choose(s.hedgeRequest(a, now))
 	if err != nil {
-		s.endLimit()
+		s.endLimit(s.target)
 		return destination{}, err
 	}
 	peer, listed := s.r.opts.Peer(choice)
+	to := destination{choice: choice, peer: peer, target: s.target}
 	if !listed {
-		s.endChoice(choice, routing.Result{Canceled: true})
+		s.release(to)
 		return destination{}, errNotListed
 	}
-	return destination{choice: choice, peer: peer}, nil
+	return to, nil
 }
 
 // hedgeRequest asks for a replica that is not silent. Unless the first attempt is lost, it must have a
@@ -252,7 +254,7 @@
 	for _, other := range s.inFlight {
 		req.Exclude = append(req.Exclude, other.to.choice.Replica.ID)
 	}
-	if s.call.Model != "" && a.isSilent() {
+	if s.target.OfModel && a.isSilent() {
 		req.Limit = routing.Limit{PerSlot: 1}
 		if a.idleFor(now) < severalStalledDelay {
 			req.Limit.PerSlot = earlyHedgeRoom
--- a/internal/relay/nodechoice.go
+++ b/internal/relay/nodechoice.go
@@ -99,7 +99,7 @@
 		if slices.ContainsFunc(s.nodesTried, func(other Node) bool { return other.Zone == node.Zone }) {
 			c.rank += 4
 		}
-		if s.r.nodeBackoffs.contains(now, backoffKey{zone: node.Zone}, backoffKey{node: node.ID, group: s.group}) {
+		if s.r.nodeBackoffs.contains(now, backoffKey{zone: node.Zone}, backoffKey{node: node.ID, group: s.target.Group}) {
 			c.rank += 2
 		}
 		if node.Zone != s.r.opts.Zone {
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -137,7 +137,7 @@
 		return false, nil
 	}
 	if node, why := s.nextNode(time.Now()); node != nil {
-		s.next = destination{node: node, peer: peerOfNode(node), reason: handOverUnreachable, chosen: why}
+		s.next = destination{node: node, peer: peerOfNode(node), target: s.target, reason: handOverUnreachable, chosen: why}
 		return true, nil
 	}
 	if unreachable && !reach.SomeReachable() && !s.started { // a begun answer waits for a server
@@ -165,7 +165,7 @@
 	if node == nil {
 		return false
 	}
-	s.next = destination{node: node, peer: peerOfNode(node), reason: handOverPushback, chosen: why}
+	s.next = destination{node: node, peer: peerOfNode(node), target: s.target, reason: handOverPushback, chosen: why}
 	return true
 }
 
@@ -179,7 +179,7 @@
 	candidates := s.candidates(now)
 	for i := range candidates {
 		c := &candidates[i]
-		c.backedOff = c.backedOff || s.r.nodeBackoffs.contains(now, backoffKey{node: c.node.ID, group: s.group})
+		c.backedOff = c.backedOff || s.r.nodeBackoffs.contains(now, backoffKey{node: c.node.ID, group: s.target.Group})
 	}
 	return nodeChoice{candidates: candidates}.choose()
 }
@@ -231,7 +231,7 @@
 	handOverRefused.Inc()
 	s.r.nodeBackoffs.taken(time.Now())
 	if a.to.reason == handOverPushback {
-		s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: a.to.node.ID, group: s.group})
+		s.r.nodeBackoffs.add(max(refusal.Refusal.RetryAfter, nodeBackoff), time.Now(), backoffKey{node: a.to.node.ID, group: a.to.target.Group})
 	}
 	ran := refusal.Refusal.Run != fennelerr.NotRun
 	switch mustGoOn := a.isHedge || s.started; {
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -57,13 +57,13 @@
 
 // failNoReplica ends a call for which no replica is left.
 func (s *session) failNoReplica(err error) {
-	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Policy.Name, "group", s.group, "excluded", len(s.excluded()),
+	s.r.opts.Log.Info("no replica", "request", s.call.ID, "route", s.call.Route.Policy.Name, "group", s.target.Group, "excluded", len(s.excluded()),
 		"held", time.Since(s.call.ReceivedAt), "err", err.Error())
 	s.finish(err, func() *fennelerr.Error {
 		if full, ok := errors.Into[*routing.FullError](err); ok {
 			return fennelerr.Wrap(err, fennelerr.Overloaded, "no room for the call").WithRetryAfter(s.retryAfterFull(full))
 		}
-		return fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.group).WithRetryAfter(retryAfterNoReplica)
+		return fennelerr.Wrap(err, fennelerr.NoReplica, "no replica of %s may take the call", s.target.Group).WithRetryAfter(retryAfterNoReplica)
 	})
 }
 
@@ -73,7 +73,7 @@
 	if full.OnlyPushback {
 		return full.Pushback.Left + time.Duration(rand.Float64()*float64(pushbackRetrySpread))
 	}
-	return s.r.advisor.refuse(s.group, time.Now())
+	return s.r.advisor.refuse(s.target.Group, time.Now())
 }
 
 // pushbackRetrySpread is the time over which the callers return that were refused because of
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
@@ -45,11 +46,14 @@
 	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
 
-// Options are the dependencies of a Relay. All are required except OnLeaving, OnStall, Reach, Paths and Log.
+// Options are the dependencies of a Relay. All are required except Rules, OnLeaving, OnStall, Reach, Paths and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
 	Budget  *Budget
+	// Rules returns the set of rules in force; nil if none is known, and then calls keep the route that
+	// they came with.
+	Rules func() *rules.Set
 	// Peer returns the process that serves a replica, or false if it is not listed.
 	Peer     func(choice routing.Choice) (conns.Peer, bool)
 	Suspects Suspects
@@ -118,6 +122,9 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
+	if opts.Rules == nil {
+		opts.Rules = func() *rules.Set { return nil }
+	}
 	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), crashes: newCrashDetector(opts), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
@@ -22,12 +21,11 @@
 // session is a call in progress. It implements recovery.Call and reports the final
 // result to the caller through the sink.
 type session struct {
-	r       *Relay
-	call    *call.Call
-	sink    call.Sink
-	service cluster.Service
-	group   cluster.GroupName
-	end     time.Time
+	r      *Relay
+	call   *call.Call
+	sink   call.Sink
+	target Target
+	end    time.Time
 	// suspect identifies the request over all of its caller's attempts.
 	suspect suspect.Request
 
@@ -92,12 +90,11 @@
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter,
 		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body), Model: c.Model, Parts: suspect.PartsOf(c.Model, c.PromptParts)}}
-	s.service = c.Route.Policy.Pick(xxhash.Sum64String(c.ID))
-	s.group = GroupOf(s.service, c.Model)
+	s.retarget()
 	if c.HandedOver {
 		takenOverTotal.Inc() // the node that handed it over has recorded it
 	} else {
-		r.opts.Budget.RecordCall(s.service, c.ReceivedAt)
+		r.opts.Budget.RecordCall(s.target.Service, c.ReceivedAt)
 	}
 	if !s.end.IsZero() {
 		var cancel context.CancelFunc
@@ -107,15 +104,6 @@
 	_ = recovery.Run(ctx, s) // the error has been logged and reported to the caller
 }
 
-// GroupOf returns the group of replicas that can serve a call: the replicas of a model, or
-// the servers of a plain service.
-func GroupOf(service cluster.Service, model string) cluster.GroupName {
-	if model != "" {
-		return cluster.GroupName(model)
-	}
-	return cluster.GroupName("service:" + string(service))
-}
-
 // Choose implements recovery.Call.
 func (s *session) Choose(ctx context.Context) error {
 	s.remaining = time.Until(s.end)
@@ -144,10 +132,10 @@
 		peer, listed := s.r.opts.Peer(choice)
 		err = s.r.opts.Suspects.Refuse(s.suspect) // a quarantine may have begun while the call waited
 		if listed && err == nil {
-			s.next = destination{choice: choice, peer: peer}
+			s.next = destination{choice: choice, peer: peer, target: s.target}
 			return nil
 		}
-		s.endChoice(choice, routing.Result{Canceled: true})
+		s.release(destination{choice: choice, target: s.target})
 		if err != nil {
 			return s.failNotAdmitted(err)
 		}
@@ -236,9 +224,9 @@
 	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
 	a.suspectRun.End(suspectOutcome(result, a.lossCause == lossCrash))
 	if result.OK {
-		s.r.advisor.recordCompleted(s.group, time.Now())
+		s.r.advisor.recordCompleted(a.to.target.Group, time.Now())
 	}
-	s.endChoice(a.to.choice, result)
+	s.endChoice(a.to, result)
 	s.logAttempt(a, result, err)
 	s.finishAttempt(a, err)
 	return err
@@ -255,22 +243,22 @@
 }
 
 // endChoice ends the count of a request on its replica.
-func (s *session) endChoice(choice routing.Choice, result routing.Result) {
-	s.r.opts.Router.End(choice, result)
-	s.endLimit()
+func (s *session) endChoice(to destination, result routing.Result) {
+	s.r.opts.Router.End(to.choice, result)
+	s.endLimit(to.target)
 }
 
 // endLimit ends the count of a request against the limit of its group.
-func (s *session) endLimit() {
-	if s.call.Model != "" {
-		s.r.limits.end(s.group)
+func (s *session) endLimit(t Target) {
+	if t.OfModel {
+		s.r.limits.end(t.Group)
 	}
 }
 
 // release gives up a destination that gets no attempt.
 func (s *session) release(to destination) {
 	if to.node == nil {
-		s.endChoice(to.choice, routing.Result{Canceled: true})
+		s.endChoice(to, routing.Result{Canceled: true})
 	}
 }
 
@@ -293,15 +281,16 @@
 // left, stalled ones are allowed: when all seem stalled, this node itself is more likely
 // cut off.
 func (s *session) chooseReplica() (routing.Choice, error) {
-	if s.call.Model == "" {
+	s.retarget()
+	if !s.target.OfModel {
 		return s.chooseAnyReplica()
 	}
-	if !s.r.limits.begin(s.group, s.limitShare(), time.Now()) {
-		return routing.Choice{}, &routing.FullError{Group: s.group}
+	if !s.r.limits.begin(s.target.Group, s.limitShare(), time.Now()) {
+		return routing.Choice{}, &routing.FullError{Group: s.target.Group}
 	}
 	choice, err := s.chooseAnyReplica()
 	if err != nil {
-		s.endLimit()
+		s.endLimit(s.target)
 	}
 	return choice, err
 }
@@ -343,7 +332,7 @@
 
 // routingRequest describes the call to the router, without the replicas to exclude.
 func (s *session) routingRequest() routing.Request {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	req := routing.Request{Group: s.target.Group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
 	if s.unreachable() {
 		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
 	}
@@ -352,7 +341,7 @@
 
 // limit returns the largest number of requests that a replica may hold, this one included.
 func (s *session) limit() routing.Limit {
-	if s.call.Model == "" {
+	if !s.target.OfModel {
 		return routing.Limit{PerSlot: requestsPerPlainSlot}
 	}
 	return routing.Limit{PerSlot: 1, Extra: s.allowedExtra()}
@@ -397,7 +386,7 @@
 		// Any replica can continue a stream after the id of its last piece.
 		ResponseStarted: s.started, CanContinue: true,
 		Attempts: s.sent, MaxAttempts: s.call.MaxAttempts(), OutOfTime: time.Until(s.end) < minAttemptTime,
-		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.service, s.started, time.Now()) },
+		TakeRetry: func() bool { return !delivered || s.r.opts.Budget.TryRetry(s.target.Service, s.started, time.Now()) },
 	}
 }
 
@@ -415,7 +404,7 @@
 		if stopping(ctx) {
 			return fennelerr.Wrap(err, fennelerr.NotReady, "the node is stopping")
 		}
-		return fennelerr.Wrap(err, fennelerr.Overloaded, "%s", d.Reason).WithRetryAfter(s.r.advisor.refuse(s.group, time.Now()))
+		return fennelerr.Wrap(err, fennelerr.Overloaded, "%s", d.Reason).WithRetryAfter(s.r.advisor.refuse(s.target.Group, time.Now()))
 	})
 	return err
 }
