--- a/internal/placement/services_test.go
+++ b/internal/placement/services_test.go
@@ -23,7 +23,7 @@
 	for _, service := range []cluster.Service{"a", "b"} {
 		for i := range 8 {
 			id := cluster.VMID(fmt.Sprintf("%s-%d", service, i))
-			in.VMs = append(in.VMs, VM{ID: id, Domain: cluster.DomainID(fmt.Sprintf("%s-rack-%d", service, i/4)), Zone: "z", Service: service, Listed: true, LastSeen: now})
+			in.VMs = append(in.VMs, VM{ID: id, Domain: cluster.DomainID(fmt.Sprintf("rack-%d-%s", i/4, service)), Zone: "z", Service: service, Listed: true, LastSeen: now})
 		}
 	}
 	formed := make(map[cluster.GroupName]int)
