relay: withdraw calls that wait for a connection when a pushback begins

A server whose queue of new connections is full gets opening packets again after a second. Calls that waited for such a connection were sent in the middle of the time for which the server had asked for no requests: the pushback kept new calls away, but not those already chosen.

Each attempt now has a gate that is entered once its connection is open and before anything is sent. When a pushback begins, the gates of the attempts that still wait for the server are closed and their dials canceled; the gate also asks the router, for attempts chosen or connected as the pushback begins. A withdrawn attempt counts as not sent and leaves its replica available to the call, so that the refusal names the end of the pushback. conns.Conn ends a dial with its request; http.Transport lets it go on and keeps the connection.

A pushback now also reaches the process's entry under another replica id.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -99,6 +99,8 @@
 	dialTimeout time.Duration
 	transport   *http.Transport
 	dialed      atomic.Bool
+	opening     opening
+	gate        func() bool
 	uses        int
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -198,23 +200,45 @@
 	return &p.shards[xxhash.Sum64String(peer.Addr)%shardCount]
 }
 
-// dial opens the connection; a second dial fails.
+// dial opens the connection; a second dial fails. It ends with the request.
 func (c *Conn) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if c.dialed.Swap(true) {
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	return sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.opening.request, cancel)()
+	conn, err := sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if !c.opening.adopt(conn) {
+		return nil, errWithheld
+	}
+	if c.withheld() {
+		_ = conn.Close() // nothing was sent
+		return nil, errWithheld
+	}
+	return conn, nil
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
 // can have left this node; after any other error the request may have reached the peer.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
+	if c.dialed.Load() {
+		if c.withheld() {
+			return nil, &NotSentError{Addr: c.peer.Addr, Err: errWithheld}
+		}
+	} else {
+		c.opening.request = req.Context()
+	}
 	var gotConn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !gotConn.Load() {
+			c.opening.abandon()
 			return nil, &NotSentError{Addr: c.peer.Addr, Refused: isRefused(err), Err: err}
 		}
 		return nil, err
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,6 +55,8 @@
 	// resumeAfter and maxAttempts are those of the request.
 	resumeAfter string
 	maxAttempts int
+	// gate keeps the request from being sent during a pushback; nil for an attempt on a node.
+	gate *Gate
 	// state is what the server said of itself.
 	state ServerState
 	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
@@ -79,7 +81,7 @@
 // newAttempt returns an attempt to be run at once. The caller holds s.mu.
 func newAttempt(ctx context.Context, s *session, to destination) *attempt {
 	s.attempts++
-	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(),
+	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(), gate: s.newGate(to),
 		idempotent: to.node == nil && s.call.Route.Policy.Idempotent() && !s.end.IsZero()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if a.idempotent {
@@ -127,14 +129,20 @@
 func (a *attempt) send() (*Reply, error) {
 	attempt := Attempt{
 		Call: a.s.call, Peer: a.to.peer, Replica: a.to.choice.Replica.ID, Timeout: time.Until(a.s.end),
-		ResumeAfter: a.resumeAfter, MaxIdle: a.maxIdle(), MaxAttempts: a.maxAttempts,
+		ResumeAfter: a.resumeAfter, MaxIdle: a.maxIdle(), MaxAttempts: a.maxAttempts, Gate: a.gate,
 	}
 	if a.to.node != nil {
 		return a.s.r.opts.NodeClient.Send(a.ctx, attempt)
 	}
+	if !a.gate.check() {
+		return nil, a.withdrawn()
+	}
 	unanswered := time.AfterFunc(unansweredTimeout, func() { a.s.r.recordFailure(a.to.peer.Addr) })
 	defer unanswered.Stop()
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, attempt)
+	if a.gate.finish() && err != nil {
+		return nil, a.withdrawn()
+	}
 	switch notRun, isNotRun := errors.Into[*NotRunError](err); {
 	case err == nil || isNotRun && notRun.Received:
 		a.s.r.recordAnswer()
@@ -212,7 +220,8 @@
 		return
 	}
 	if a.s.r.opts.Router.ReportPushback(a.to.choice, d, time.Now()) {
-		a.s.r.opts.Log.Info("server wants no requests", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "for", d, "request", a.s.call.ID)
+		withdrawn := a.s.r.withdrawWaiting(a.to.peer)
+		a.s.r.opts.Log.Info("server wants no requests", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "for", d, "request", a.s.call.ID, "withdrawn", withdrawn)
 	}
 }
 
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -23,6 +23,8 @@
 	ResumeAfter string
 	// MaxIdle is the longest idle time of a connection that may be reused.
 	MaxIdle time.Duration
+	// Gate is entered before anything of the request is sent. If it is closed, Send fails with a *NotRunError.
+	Gate *Gate
 	// MaxAttempts is the number of backend servers that may receive a call that is handed over
 	// to another node.
 	MaxAttempts int
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -97,6 +97,8 @@
 	return true
 }
 
+func (*listRouter) PushbackLeft(routing.Choice, time.Time) time.Duration { return 0 }
+
 func (l *listRouter) ReportLeaving(choice routing.Choice, _ time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -306,7 +306,7 @@
 		s.sent++
 	}
 	s.mayHaveRun = s.mayHaveRun || !isNotRun
-	if a.to.node != nil {
+	if a.to.node != nil || s.mayReturn(err) {
 		return
 	}
 	s.excludeAfter(a.to.choice.Replica.ID, uncounted)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,8 @@
 	// ReportPushback records that the chosen replica wants no requests from this node for d. It
 	// reports whether the replica took requests before.
 	ReportPushback(choice routing.Choice, d time.Duration, now time.Time) (began bool)
+	// PushbackLeft returns how much longer the server of the chosen replica wants no requests from this node.
+	PushbackLeft(choice routing.Choice, now time.Time) time.Duration
 	// ReportLeaving records that the server of the chosen replica is about to shut down. It reports
 	// whether the server had not said so before.
 	ReportLeaving(choice routing.Choice, now time.Time) (first bool)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -61,6 +61,8 @@
 	// failedAnswer is a server's error response, returned to the caller if no attempt
 	// succeeds.
 	failedAnswer *storedAnswer
+	// withdrawals counts the attempts that were withdrawn before anything was sent.
+	withdrawals int
 	// refusedBy counts the servers that refused a connection for the call. nodesTried holds the nodes
 	// that it was handed over to.
 	refusedBy  int
--- a/internal/routing/pushback.go
+++ b/internal/routing/pushback.go
@@ -49,6 +49,11 @@
 	return fmt.Sprintf("%d want no requests, %s for another %v as of %v ago", p.Replicas, p.First, p.Left.Round(time.Millisecond), p.Age.Round(time.Millisecond))
 }
 
+// PushbackLeft returns how much longer the server of the chosen replica wants no requests from this node.
+func (t *Table) PushbackLeft(choice Choice, now time.Time) time.Duration {
+	return t.signals.get(choice.process).pushback.left(now)
+}
+
 // ReportPushback records that the server of the chosen replica wants no requests from this node
 // for d. Then one request at a time tests it. It reports whether the server took requests before.
 func (t *Table) ReportPushback(choice Choice, d time.Duration, now time.Time) (began bool) {
--- a/internal/routing/signals.go
+++ b/internal/routing/signals.go
@@ -74,11 +74,29 @@
 // reportSignal changes the signals of the process that the choice was made for.
 func (t *Table) reportSignal(choice Choice, now time.Time, change func(*signals)) {
 	s := t.signals.update(choice.process, now, change)
+	adopted := false
 	t.withEntry(choice.Replica.ID, func(e *entry) {
-		if e.process == choice.process {
+		if adopted = e.process == choice.process; adopted {
 			e.setSignals(s, now)
 		}
 	})
+	if !adopted {
+		t.adoptSignals(choice.process, s, now)
+	}
+}
+
+// adoptSignals sets the signals of a process that now serves another replica than the chosen one.
+func (t *Table) adoptSignals(p process, s signals, now time.Time) {
+	for i := range t.shards {
+		shard := &t.shards[i]
+		shard.mu.Lock()
+		for _, e := range shard.entries {
+			if e.process == p {
+				e.setSignals(s, now)
+			}
+		}
+		shard.mu.Unlock()
+	}
 }
 
 // setSignals adopts the signals of the entry's process. After a pushback, one request at a time
