--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/fennelcourse/fennelcourse/platform/standin"
 )
 
 // ProxyMode determines how a proxy handles the bytes it relays.
@@ -28,7 +30,7 @@
 	target, addr string
 
 	mu       sync.Mutex
-	listener net.Listener // nil while the path is cut
+	listener *standin.Listener // nil while the path is cut
 	mode     ProxyMode
 	conns    map[net.Conn]struct{}
 	wg       sync.WaitGroup
@@ -36,7 +38,7 @@
 
 // NewProxy starts a proxy to the target on an unused loopback address.
 func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +50,7 @@
 // Addr returns the address on which the proxy accepts connections.
 func (p *Proxy) Addr() string { return p.addr }
 
-func (p *Proxy) listen(listener net.Listener) {
+func (p *Proxy) listen(listener *standin.Listener) {
 	p.listener = listener
 	p.wg.Go(func() { p.accept(listener) })
 }
@@ -70,7 +72,7 @@
 
 // Restore reverts Cut. It fails if another process has taken the address.
 func (p *Proxy) Restore() error {
-	listener, err := net.Listen("tcp", p.addr)
+	listener, err := standin.Listen(p.addr)
 	if err != nil {
 		return err
 	}
@@ -81,6 +83,16 @@
 	return nil
 }
 
+// Pause has the proxy accept no connection for some time, as a server with a full queue does.
+func (p *Proxy) Pause(length time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return nil
+	}
+	return p.listener.Pause(length)
+}
+
 // SetMode changes the mode. Disconnect resets open connections at once.
 func (p *Proxy) SetMode(mode ProxyMode) {
 	p.mu.Lock()
@@ -119,7 +131,7 @@
 	return p.mode
 }
 
-func (p *Proxy) accept(listener net.Listener) {
+func (p *Proxy) accept(listener *standin.Listener) {
 	for {
 		client, err := listener.Accept()
 		if err != nil {
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -41,6 +41,9 @@
 		}
 		env.opts.Log("%s: %+v", server.ID(), signals)
 		server.Signal(signals)
+		if signals.Pushback > 0 {
+			env.fillQueue(server)
+		}
 		time.Sleep(length)
 		if late, bound := countLate(server.Arrivals(), length), requestsPerNode*len(env.nodes); late > bound {
 			findings = append(findings, fmt.Sprintf("%s got %d requests against its signal %+v; %d may come", server.ID(), late, signals, bound))
@@ -53,6 +56,22 @@
 	}
 }
 
+// queuePause is how long a server accepts no connection as it asks for no requests. The calls whose opening
+// packets are dropped then would reach it a second later.
+const queuePause = 60 * time.Millisecond
+
+// fillQueue has the queue of the server's new connections fill up.
+func (env *Environment) fillQueue(server *standin.Server) {
+	for _, p := range env.allProxies() {
+		if p.Addr() != server.Addr() {
+			continue
+		}
+		if err := p.Pause(queuePause); err != nil {
+			env.opts.Log("%s: %v", server.ID(), err)
+		}
+	}
+}
+
 // countLate counts the arrivals later than signalReaction after the first one and before the end.
 func countLate(arrivals []time.Time, length time.Duration) (late int) {
 	for _, at := range arrivals {
