--- a/internal/routing/pushback_test.go
+++ b/internal/routing/pushback_test.go
@@ -107,6 +107,19 @@
 	require.Equal(t, cluster.VMID("a"), server, "a late answer of the earlier start")
 }
 
+// Guards against requests in a pushback that was asked for while the server became the head of another replica.
+func TestPushbackFollowsItsServerToAnotherReplica(t *testing.T) {
+	table, now := NewTable(Options{Now: func() time.Time { return time.Unix(1000, 0) }}), time.Unix(1000, 0)
+	setSignalReplicas(table, signalEntry("m/1.1", "a", 1))
+	choice, _ := chooseServer(table, now)
+	setSignalReplicas(table, signalEntry("m/2.2", "a", 1))
+	table.ReportPushback(choice, 3*time.Second, now)
+	require.GreaterOrEqual(t, table.PushbackLeft(choice, now), 3*time.Second)
+	require.Zero(t, table.PushbackLeft(choice, now.Add(3*time.Second+maxPushbackJitter)))
+	_, server := chooseServer(table, now.Add(time.Second))
+	require.Empty(t, server)
+}
+
 // Guards against a refusal that does not know when a replica takes requests again, or who asked for none.
 func TestFullErrorTellsTheFirstEndOfAPushback(t *testing.T) {
 	table, now := NewTable(Options{Seed: 1}), time.Unix(1000, 0)
