soak: move a route of calls with a model between plain services

RouteMoves sends calls with a model over a route that moves between two plain services, and finds those that run anywhere else.

--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -32,6 +32,7 @@
 	serverFaults := flags.BoolLongDefault("ailing", true, "also make backend servers return errors, truncate responses, omit events and swap responses")
 	serverSignals := flags.BoolLongDefault("signals", true, "also make backend servers ask for no requests and say that they leave")
 	serverCuts := flags.BoolLongDefault("cuts", false, "also cut the nodes off from most backend servers, both ways or one way")
+	routeMoves := flags.BoolLongDefault("moves", true, "also move a route of calls with a model between plain services")
 	silence := flags.BoolLong("silence", "stop servers and nodes for about a second during longer streams, in place of all other faults")
 	singleSilences := flags.BoolLong("silence-in-turn", "also stop the servers of one failure domain after the other; only with --silence")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
@@ -49,7 +50,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, Silence: *silence, SingleSilences: *silence && *singleSilences, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, RouteMoves: *routeMoves && !*silence, Silence: *silence, SingleSilences: *silence && *singleSilences, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -86,6 +86,11 @@
 	if call.Unsafe {
 		path, model = "/pay/1", ""
 	}
+	sendTo(client, n, call, path, model)
+}
+
+// sendTo is send with a path.
+func sendTo(client *http.Client, n *node, call *Call, path, model string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.listenAddr()+path, strings.NewReader("body"))
 	if err != nil {
 		call.Err = err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -185,10 +185,12 @@
 	rnd := rand.New(rand.NewPCG(opts.Seed, 0))
 	callers := startCallers(env, opts.Callers, opts.Seed)
 	stopSignals, stopCuts := startBeside(opts.ServerSignals, env.giveSignals), startBeside(opts.ServerCuts, env.cutServers)
+	stopMoves := startBeside(opts.RouteMoves, env.moveRoute)
 	stopSilences := startBeside(opts.SingleSilences, env.silenceInTurn)
 	result.Faults = env.injectFaults(rnd)
 	result.Findings = append(result.Findings, stopSignals()...)
 	result.Findings = append(result.Findings, stopCuts()...)
+	result.Findings = append(result.Findings, stopMoves()...)
 	stopSilences()
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,11 +65,11 @@
 	require.Empty(t, result.Findings)
 }
 
-// Guards against nodes that go on sending requests to servers which ask for none or say that they leave, beside other faults.
+// Guards against nodes that go on sending requests to servers which ask for none or say that they leave, or to services that a moved route never goes to, beside other faults.
 func TestShortSoakWithServerSignals(t *testing.T) {
 	path := buildDaemon(t)
 	for _, seed := range []uint64{4, 5} {
-		result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 12, FaultDuration: 6 * time.Second, ServerSignals: true, Log: t.Logf})
+		result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 12, FaultDuration: 6 * time.Second, ServerSignals: true, RouteMoves: true, Log: t.Logf})
 		require.NoError(t, err)
 		require.Empty(t, result.Findings, "seed %d", seed)
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,6 +34,8 @@
 	ServerSignals bool
 	// ServerCuts separates all nodes from most backend servers in addition, time after time.
 	ServerCuts bool
+	// RouteMoves moves a route of calls with a model between plain services in addition.
+	RouteMoves bool
 	// Silence runs streams that take longer, whose servers, in processes of their own, and nodes are
 	// stopped for about a second, in place of the other faults. The program must call RunHelper.
 	Silence bool
