--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,6 +21,7 @@
 type destination struct {
 	choice routing.Choice
 	peer   conns.Peer
+	target Target
 	// node is nil for a replica. reason is why the call is handed over to the node.
 	node   *Node
 	reason handOverReason
@@ -54,6 +55,8 @@
 	// resumeAfter and maxAttempts are those of the request.
 	resumeAfter string
 	maxAttempts int
+	// gate keeps the request from being sent during a pushback; nil for an attempt on a node.
+	gate *Gate
 	// state is what the server said of itself.
 	state ServerState
 	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
@@ -78,7 +81,7 @@
 // newAttempt returns an attempt to be run at once. The caller holds s.mu.
 func newAttempt(ctx context.Context, s *session, to destination) *attempt {
 	s.attempts++
-	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(),
+	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(), gate: s.newGate(to),
 		idempotent: to.node == nil && s.call.Route.Policy.Idempotent() && !s.end.IsZero()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if a.idempotent {
@@ -131,14 +134,20 @@
 func (a *attempt) send() (*Reply, error) {
 	attempt := Attempt{
 		Call: a.s.call, Peer: a.to.peer, Replica: a.to.choice.Replica.ID, Timeout: time.Until(a.s.end),
-		ResumeAfter: a.resumeAfter, MaxIdle: a.maxIdle(), MaxAttempts: a.maxAttempts,
+		ResumeAfter: a.resumeAfter, MaxIdle: a.maxIdle(), MaxAttempts: a.maxAttempts, Gate: a.gate,
 	}
 	if a.to.node != nil {
 		return a.s.r.opts.NodeClient.Send(a.ctx, attempt)
 	}
+	if !a.gate.check() {
+		return nil, a.withdrawn()
+	}
 	unanswered := time.AfterFunc(unansweredTimeout, func() { a.s.r.recordFailure(a.to.peer.Addr) })
 	defer unanswered.Stop()
 	reply, err := a.s.r.opts.Backend.Send(a.ctx, attempt)
+	if a.gate.finish() && err != nil {
+		return nil, a.withdrawn()
+	}
 	switch notRun, isNotRun := errors.Into[*NotRunError](err); {
 	case err == nil || isNotRun && notRun.Received:
 		a.s.r.recordAnswer()
@@ -216,7 +225,8 @@
 		return
 	}
 	if a.s.r.opts.Router.ReportPushback(a.to.choice, d, time.Now()) {
-		a.s.r.opts.Log.Info("server wants no requests", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "for", d, "request", a.s.call.ID)
+		withdrawn := a.s.r.withdrawWaiting(a.to.peer)
+		a.s.r.opts.Log.Info("server wants no requests", "replica", a.to.choice.Replica.ID, "server", a.to.choice.Replica.Serving, "for", d, "request", a.s.call.ID, "withdrawn", withdrawn)
 	}
 }
 
@@ -239,10 +249,10 @@
 // judgeQueue records whether the call was late because its replica had more requests than
 // slots.
 func (a *attempt) judgeQueue(load *Load, late bool) {
-	if load == nil || load.Slots < 1 || a.s.call.Model == "" {
+	if load == nil || load.Slots < 1 || !a.to.target.OfModel {
 		return
 	}
-	a.s.r.limits.record(a.s.group, float64(load.Running+load.Waiting)/float64(load.Slots), late, time.Now())
+	a.s.r.limits.record(a.to.target.Group, float64(load.Running+load.Waiting)/float64(load.Slots), late, time.Now())
 }
 
 // forwardUnary reads an answer that is not streamed and forwards it once it is complete.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
@@ -26,6 +27,8 @@
 	// ReportPushback records that the chosen replica wants no requests from this node for d. It
 	// reports whether the replica took requests before.
 	ReportPushback(choice routing.Choice, d time.Duration, now time.Time) (began bool)
+	// PushbackLeft returns how much longer the server of the chosen replica wants no requests from this node.
+	PushbackLeft(choice routing.Choice, now time.Time) time.Duration
 	// ReportLeaving records that the server of the chosen replica is about to shut down. It reports
 	// whether the server had not said so before.
 	ReportLeaving(choice routing.Choice, now time.Time) (first bool)
@@ -45,11 +48,14 @@
 	BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run
 }
 
-// Options are the dependencies of a Relay. All are required except OnLeaving, OnStall, Reach, Paths and Log.
+// Options are the dependencies of a Relay. All are required except Rules, OnLeaving, OnStall, Reach, Paths and Log.
 type Options struct {
 	Router  Router
 	Backend Backend
 	Budget  *Budget
+	// Rules returns the set of rules in force; nil if none is known, and then calls keep the route that
+	// they came with.
+	Rules func() *rules.Set
 	// Peer returns the process that serves a replica, or false if it is not listed.
 	Peer     func(choice routing.Choice) (conns.Peer, bool)
 	Suspects Suspects
@@ -118,6 +124,9 @@
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
+	if opts.Rules == nil {
+		opts.Rules = func() *rules.Set { return nil }
+	}
 	return &Relay{opts: opts, stalls: newStallDetector(), advisor: newRetryAdvisor(), limits: newConcurrencyLimits(), crashes: newCrashDetector(opts), running: make(map[cluster.ReplicaID]map[*attempt]struct{})}
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -31,14 +31,14 @@
 func (s *session) runOnReplica(a *attempt) (err error) {
 	var result routing.Result
 	outcome := suspect.Abandoned
-	defer func() { s.endChoice(a.to.choice, result) }()
+	defer func() { s.endChoice(a.to, result) }()
 	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
 	defer func() { a.suspectRun.End(outcome) }()
 	result, err = a.run()
 	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
 	outcome = suspectOutcome(result, a.lossCause == lossCrash)
 	if result.OK {
-		s.r.advisor.recordCompleted(s.group, time.Now())
+		s.r.advisor.recordCompleted(a.to.target.Group, time.Now())
 	}
 	s.logAttempt(a, result, err)
 	return err
