--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/fennelcourse/fennelcourse/platform/standin"
 )
 
 // Call is one request of a caller and its outcome.
@@ -80,17 +82,27 @@
 	return c.calls
 }
 
+// escapedTarget is a payment's path and query with bytes that a URL library encodes, and with an
+// escaped slash where longerRoute has a slash.
+const escapedTarget = "/pay/out%2F1|b?a|b"
+
+// longerRoute is a route with a longer prefix than that of payments. Its service runs no call
+// without a model.
+const longerRoute = `,{"name":"out","host":"a.example","prefix":"/pay/out/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"models","max_attempts":2}`
+
 // send sends one call to a node and records its outcome in the call.
 func send(client *http.Client, n *node, call *Call, model string) {
 	path := "/advice/1"
 	if call.Unsafe {
-		path, model = "/pay/1", ""
+		path, model = escapedTarget, ""
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.listenAddr()+path, strings.NewReader("body"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.listenAddr(), strings.NewReader("body"))
 	if err != nil {
 		call.Err = err
 		return
 	}
+	req.URL.Opaque = path // sent byte for byte
+	req.Header.Set(standin.SentTargetHeader, path)
 	req.GetBody = nil // keeps net/http from sending the request a second time
 	req.Host = "a.example"
 	setRequestHeaders(req.Header, call.ID, model)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -183,7 +183,7 @@
 func (env *Environment) writeConfig(routes string) error {
 	env.mu.Lock()
 	env.version += 3
-	text := fmt.Sprintf(configTemplate, env.version, routes)
+	text := fmt.Sprintf(configTemplate, env.version, longerRoute+routes)
 	env.mu.Unlock()
 	_, err := env.mem.Txn(context.Background(), store.Txn{Then: []store.Op{store.Put(platform.ConfigKey, []byte(text), 0)}})
 	return err
