rules: compare hosts without regard to case

Cause: MatchHost compared the request's Host as it is, so that A.Example got 404 where a.example is served. Change: hosts are compared in lower case and without the dot that ends an absolute name, as servers of the field commonly do. The server gets the Host as the caller sent it.

--- a/internal/rules/match.go
+++ b/internal/rules/match.go
@@ -13,7 +13,7 @@
 	groupByName map[cluster.GroupName]*Group
 	fenceChecks map[string]bool
 	routes      routeIndex
-	// hosts has the routes with a Policy by host, the longest path first.
+	// hosts has the routes with a Policy by normalized host, the longest path first.
 	hosts map[string][]*Route
 }
 
--- a/internal/rules/policy.go
+++ b/internal/rules/policy.go
@@ -106,7 +106,8 @@
 			continue
 		}
 		r.Verbatim = r.format()
-		set.index.hosts[r.Policy.Host] = append(set.index.hosts[r.Policy.Host], r)
+		host := normalizeHost(r.Policy.Host)
+		set.index.hosts[host] = append(set.index.hosts[host], r)
 	}
 	for _, routes := range set.index.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Path), len(a.Path)) })
@@ -123,9 +124,13 @@
 	return &s.Services[at]
 }
 
+// normalizeHost returns the form of a host in which hosts are compared: without regard to case, and
+// without the dot that ends an absolute name.
+func normalizeHost(host string) string { return strings.TrimSuffix(strings.ToLower(host), ".") }
+
 // MatchHost returns the host's route with the longest prefix of path, or nil.
 func (s *Set) MatchHost(host, path string) *Route {
-	for _, r := range s.index.hosts[host] {
+	for _, r := range s.index.hosts[normalizeHost(host)] {
 		if strings.HasPrefix(path, r.Path) {
 			return r
 		}
