platform, entry, httpserver: enforce the limits of the configuration

Cause: the limits on headers and the header timeout were constants, and max_header_bytes and header_timeout_ms were decoded and never read. The idle timeout applied to connections that became idle later only. A configuration without tenants asked for a key that nobody could have. It also refuses a header that exceeds the limit by over 4 KiB, so that no header of any length is held. Lowered timeouts count from the change, lest all idle connections end at once. Without tenants nobody needs a key; with an empty list nobody has one. The tests fail with each part taken out (keyless, header size, hand-over headers, later limits, open connections, lowered timeouts, endless header). go test -race ./internal/httpserver ./internal/entry ./internal/rules and the changed tests of ./platform passed; the rest of ./platform was not run again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 )
 
@@ -46,7 +47,7 @@
 func New(cfg *settings.Settings, p Platform, log *slog.Logger) (*Node, error) {
 	n := &Node{}
 	n.exiting, n.endCalls = context.WithCancel(context.Background())
-	opts := CoreOptions{OnRules: n.applyIdleTimeout, Log: log}
+	opts := CoreOptions{OnRules: n.applyBounds, Log: log}
 	if cfg.Listen.Datagrams != "" {
 		opts.OnDatagramKey = func(c fleet.Change) { n.peers.keyChanged(c) }
 		opts.Broadcast = func(section membership.Section) { n.peers.broadcast(section) }
@@ -68,21 +69,23 @@
 		dest    **httpserver.Server
 		addr    string
 		handler http.Handler
+		header  int // maximum size
 	}{
-		{"callers", &n.callers, n.cfg.Listen.Callers, handler},
-		{"ready", &n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
-		{"admin", &n.admin, n.cfg.Listen.Metrics, n.adminHandler()},
-		{"feeds", &n.feeds, n.cfg.Feeds.Listen, n.feedHandler()},
+		{"callers", &n.callers, n.cfg.Listen.Callers, handler, maxCallerHeader},
+		{"ready", &n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady), maxHeader},
+		{"admin", &n.admin, n.cfg.Listen.Metrics, n.adminHandler(), maxHeader},
+		{"feeds", &n.feeds, n.cfg.Feeds.Listen, n.feedHandler(), maxHeader},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		s, err := newServer(l.name, l.addr, l.handler, n.log)
+		s, err := newServer(l.name, l.addr, l.handler, l.header, n.log)
 		if err != nil {
 			return errors.Wrap(err, l.addr)
 		}
 		*l.dest = s
 	}
+	n.applyBounds(&rules.Set{})
 	return nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,13 +17,16 @@
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
-// Limits on the header of a request.
+// Limits on the header of a request where the rules have none.
 const (
 	headerTimeout = 3 * time.Second
 	maxHeader     = 16 << 10
 )
 
-func newServer(name, addr string, handler http.Handler, log *slog.Logger) (*httpserver.Server, error) {
+// maxCallerHeader bounds what the rules may allow for the header of a request.
+const maxCallerHeader = 16 << 20
+
+func newServer(name, addr string, handler http.Handler, maxHeader int, log *slog.Logger) (*httpserver.Server, error) {
 	socket, err := sockets.Listen(context.Background(), addr)
 	if err != nil {
 		return nil, err
@@ -40,9 +43,17 @@
 	return s.Addr().String()
 }
 
-// applyIdleTimeout adopts the idle timeout of callers' connections from the rules.
-func (n *Node) applyIdleTimeout(set *rules.Set) {
-	n.callers.SetIdleTimeout(set.Bounds.IdleTimeout)
+// applyBounds adopts the limits of callers' requests from the rules. The handler refuses a header by
+// the exact limit.
+func (n *Node) applyBounds(set *rules.Set) {
+	limits := httpserver.Limits{ReadHeader: set.Bounds.HeaderTimeout, Idle: set.Bounds.IdleTimeout, MaxHeader: set.Bounds.MaxHeader}
+	if limits.ReadHeader <= 0 {
+		limits.ReadHeader = headerTimeout
+	}
+	if limits.MaxHeader <= 0 {
+		limits.MaxHeader = maxHeader
+	}
+	n.callers.SetLimits(limits)
 }
 
 // notReadyReason returns why this node should get no calls, or "" if it is ready.
--- a/internal/fennelerr/fennelerr.go
+++ b/internal/fennelerr/fennelerr.go
@@ -27,6 +27,7 @@
 	NotFound         Code = "not_found"
 	ModelNotFound    Code = "model_not_found"
 	TooLarge         Code = "request_too_large"
+	HeaderTooLarge   Code = "request_header_too_large"
 	Conflict         Code = "conflict"
 	KeyReused        Code = "idempotency_key_reused"
 	KeyInProgress    Code = "idempotency_in_progress"
--- a/internal/fennelerr/http.go
+++ b/internal/fennelerr/http.go
@@ -10,6 +10,7 @@
 	NotFound:           http.StatusNotFound,
 	ModelNotFound:      http.StatusNotFound,
 	TooLarge:           http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	Conflict:           http.StatusConflict,
 	KeyReused:          http.StatusUnprocessableEntity,
 	KeyInProgress:      http.StatusConflict,
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -52,12 +52,12 @@
 	received int
 	// receivedAt is when the first of these bytes was read.
 	receivedAt time.Time
+	// headerBytes is the number of bytes read since the last change of the state.
+	headerBytes int64
 	// readDeadline is the one that net/http has set. It applies while a request is answered.
 	readDeadline time.Time
-	// idleTimeout is the one in force when the connection became idle.
-	idleTimeout time.Duration
-	http2       bool
-	closed      bool
+	http2        bool
+	closed       bool
 }
 
 // http2Preface begins every HTTP/2 connection without TLS, and no HTTP/1 request.
@@ -65,6 +65,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.exceedsMaxHeader() {
+		return 0, c.refuseHeader()
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readAfterDeadline(p, err)
@@ -107,6 +110,7 @@
 		c.receivedAt = time.Now()
 	}
 	c.received += len(data)
+	c.headerBytes += int64(len(data))
 	_ = c.applyDeadline() // fails only on a closed connection
 }
 
@@ -143,26 +147,18 @@
 // waitLimit reports whether the connection waits for a request, and if so until when and
 // why; limit is zero for no limit. mu is held.
 func (c *conn) waitLimit() (limit time.Time, reason string, waiting bool) {
-	opts := &c.server.opts
+	limits := c.server.limits.Load()
 	switch {
 	case c.http2 || c.state != http.StateNew && c.state != http.StateIdle:
 		return time.Time{}, "", false
 	case c.received > 0:
-		return after(c.receivedAt, opts.ReadHeaderTimeout), "header timeout", true
+		return limits.headerEnd(c.receivedAt), "header timeout", true
 	case c.server.stopping.Load():
-		return after(c.since, opts.ShutdownIdleTimeout), "shutdown", true
+		return after(c.since, c.server.opts.ShutdownIdleTimeout), "shutdown", true
 	case c.state == http.StateNew:
-		return after(c.since, opts.ReadHeaderTimeout), "unused", true
-	}
-	return after(c.since, c.idleTimeout), "idle timeout", true
-}
-
-// after returns the end of a timeout, or zero if there is none.
-func after(begin time.Time, timeout time.Duration) time.Time {
-	if timeout <= 0 {
-		return time.Time{}
+		return limits.headerEnd(c.since), "unused", true
 	}
-	return begin.Add(timeout)
+	return limits.idleEnd(c.since), "idle timeout", true
 }
 
 func (c *conn) setHTTP2() {
@@ -178,7 +174,7 @@
 	return c.http2
 }
 
-// wake applies the deadlines of a shutdown that has begun.
+// wake applies the deadlines of changed limits or of a shutdown that has begun.
 func (c *conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,10 +208,10 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) setState(state http.ConnState, idleTimeout time.Duration) {
+func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since, c.idleTimeout = state, time.Now(), idleTimeout
+	c.state, c.since, c.headerBytes = state, time.Now(), 0
 	if state == http.StateIdle {
 		c.receivedAt = c.since // of a request whose first bytes came before the answer was complete
 	}
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -370,7 +370,7 @@
 func TestIdleTimeoutSparesConnectionOnWhichRequestArrives(t *testing.T) {
 	const timeout = time.Second
 	r := start(t, Options{})
-	r.SetIdleTimeout(timeout)
+	r.SetLimits(Limits{ReadHeader: waitTimeout, Idle: timeout})
 	c := r.dial()
 	c.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	c.requireAnswer("/a")
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,7 +25,7 @@
 	// header, and the time that a new connection may wait for its first byte.
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout limits how long a connection may wait for its next request; 0 for no limit.
-	// SetIdleTimeout changes it for HTTP/1.
+	// SetLimits changes both timeouts for HTTP/1 without TLS.
 	IdleTimeout time.Duration
 	// ShutdownIdleTimeout is how long a connection must have waited for a request to be closed
 	// by a shutdown; 0 for the default.
@@ -50,8 +50,9 @@
 	socket net.Listener
 	opts   Options
 	http   *http.Server
-	// idleTimeout is a time.Duration; 0 for none.
-	idleTimeout atomic.Int64
+	limits atomic.Pointer[appliedLimits]
+	// plainHTTP1 is set if the server serves HTTP/1 without TLS only.
+	plainHTTP1 bool
 	// last is true once every answer ends its connection.
 	last atomic.Bool
 	// stopping is true once the listener closes.
@@ -71,7 +72,8 @@
 		opts.ShutdownIdleTimeout = DefaultShutdownIdleTimeout
 	}
 	s := &Server{socket: socket, opts: opts, changed: make(chan struct{}, 1), conns: make(map[*conn]struct{})}
-	s.SetIdleTimeout(opts.IdleTimeout)
+	s.plainHTTP1 = opts.TLSConfig == nil && opts.Protocols == nil
+	s.SetLimits(Limits{ReadHeader: opts.ReadHeaderTimeout, Idle: opts.IdleTimeout})
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: opts.ReadHeaderTimeout, IdleTimeout: opts.IdleTimeout,
 		MaxHeaderBytes: opts.MaxHeaderBytes, Protocols: opts.Protocols, TLSConfig: opts.TLSConfig,
@@ -83,10 +85,6 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.socket.Addr() }
 
-// SetIdleTimeout sets how long a connection may wait for its next request; 0 for no limit.
-// It applies to connections that become idle from now on.
-func (s *Server) SetIdleTimeout(d time.Duration) { s.idleTimeout.Store(int64(d)) }
-
 // Serve accepts and serves connections until Shutdown or Close.
 func (s *Server) Serve() error {
 	// http.Server.Serve speaks plain HTTP even with a TLSConfig.
--- a/internal/httpserver/track.go
+++ b/internal/httpserver/track.go
@@ -21,7 +21,7 @@
 		}
 	}
 	if c, ok := inner.(*conn); ok {
-		c.setState(state, time.Duration(s.idleTimeout.Load()))
+		c.setState(state)
 	}
 }
 
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -171,6 +171,8 @@
 	Revision int64
 	Text     string
 	Teams    []Team
+	// Keyless is set if requests need no token on any route.
+	Keyless  bool
 	Services []ServiceDecl
 	Groups   []Group
 	Routes   []Route // in file order
