--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -183,7 +183,7 @@
 		return
 	}
 	if e, ok := errors.Into[*store.Error](err); ok && e.Kind == store.Compacted {
-		m.log.Info("store history compacted; reloading", "revision", m.currentRevision())
+		m.log.Info("store history compacted; reloading", "revision", m.currentRevision(), "err", err.Error())
 		w.compacted = true
 		w.connected() // the store has answered, so that its outage no longer sets the pace
 		w.retry.Reset()
