formation: attempt the lease soon after the store has recovered

Cause: after attempts that failed in an outage of the store, the next one waited for up to 3 s (backoff with jitter) although the store confirmed the list of servers again. Until then no replica was formed. Change: the first contact with the store after a gap of over 3 s ends that delay; the attempt follows within the usual random delay, which keeps nodes from attempting together. While only attempts fail, the backoff stays.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -228,6 +228,7 @@
 	n.control = formation.NewController(formation.Options{
 		Scope: scope, Node: cfg.Node, Store: p.Store, List: n.currentList, Rules: n.rules.Load,
 		Refresh:             n.mirror.Refresh,
+		StoreContact:        n.mirror.LastContact,
 		LeaseHeld:           func() bool { return n.leaseHeld.Load() || !n.mirror.Loaded() },
 		Standby:             n.feed != nil,
 		ServersUnreachable:  n.reach.Unreachable,
--- a/internal/formation/acquire_schedule.go
+++ b/internal/formation/acquire_schedule.go
@@ -23,6 +23,9 @@
 	// not respond.
 	minRetryDelay = 250 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
+	// outageGap is the time between two contacts with the store from which on it counts as having
+	// recovered; an idle watch has one every two seconds.
+	outageGap = 3 * time.Second
 )
 
 // acquireSchedule decides when a node attempts to acquire the lease.
@@ -31,6 +34,10 @@
 	// nextAttempt is when the next attempt is due; zero while the lease is held.
 	nextAttempt time.Time
 	retry       clock.Backoff
+	// failing is true after an attempt to which the store did not respond.
+	failing bool
+	// contact is when the store last confirmed this node's list of servers.
+	contact time.Time
 }
 
 func newAcquireSchedule(standby bool) *acquireSchedule {
@@ -58,6 +65,7 @@
 
 // recordAttempt schedules the next attempt after one that the store responded to or not.
 func (s *acquireSchedule) recordAttempt(responded bool, now time.Time) {
+	s.failing = !responded
 	if responded {
 		s.nextAttempt = now.Add(leaseViewLag + s.randomDelay())
 		s.retry.Reset()
@@ -65,3 +73,20 @@
 	}
 	s.nextAttempt = now.Add(s.retry.Next())
 }
+
+// recordContact records when the store last confirmed this node's list. The first contact after an
+// outage ends the delay that grew during it.
+func (s *acquireSchedule) recordContact(at, now time.Time) {
+	recovered := at.Sub(s.contact) > outageGap
+	if at.After(s.contact) {
+		s.contact = at
+	}
+	if !s.failing || !recovered {
+		return
+	}
+	s.failing = false
+	s.retry.Reset()
+	if soon := now.Add(s.randomDelay()); soon.Before(s.nextAttempt) {
+		s.nextAttempt = soon
+	}
+}
--- a/internal/formation/acquire_schedule_test.go
+++ b/internal/formation/acquire_schedule_test.go
@@ -65,3 +65,39 @@
 	}
 	require.Less(t, attempts, 40, "in 30 s")
 }
+
+// Guards against a lease that stays without a holder for the delay that grew during an outage of the store, and against a short delay while only attempts fail.
+func TestAttemptFollowsTheRecoveryOfTheStore(t *testing.T) {
+	for range 50 {
+		for _, outage := range []bool{true, false} {
+			now := time.Unix(1000, 0)
+			recovery := now.Add(20 * time.Second)
+			schedule := newAcquireSchedule(false)
+			contact, shortest := now, time.Hour
+			var failed, next time.Time
+			for next.IsZero() {
+				now = now.Add(10 * time.Millisecond)
+				if !outage || now.After(recovery) {
+					contact = now
+				}
+				schedule.recordContact(contact, now)
+				if !schedule.due(true, now) {
+					continue
+				}
+				if now.After(recovery) {
+					next = now
+				}
+				if now.Sub(recovery) > -10*time.Second {
+					shortest = min(shortest, now.Sub(failed))
+				}
+				failed = now
+				schedule.recordAttempt(false, now)
+			}
+			if outage {
+				require.LessOrEqual(t, next.Sub(recovery), watcherSpread+20*time.Millisecond)
+			} else {
+				require.Greater(t, shortest, maxRetryDelay/2-20*time.Millisecond)
+			}
+		}
+	}
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -40,6 +40,8 @@
 	// LeaseHeld reports whether, as far as this node knows, the store holds a lease key. It
 	// avoids attempts that would cost store calls.
 	LeaseHeld func() bool
+	// StoreContact returns when the store last confirmed the list; may be nil.
+	StoreContact func() time.Time
 	// Standby is set on nodes that learn of the lease through other nodes. They leave the first
 	// attempts to the nodes that watch the store directly.
 	Standby bool
@@ -125,6 +127,9 @@
 		list, listed := c.opts.List()
 		c.recordListed(list, time.Now())
 		free := listed && c.opts.Rules() != nil && !c.opts.LeaseHeld() && !c.serversUnreachable()
+		if c.opts.StoreContact != nil {
+			schedule.recordContact(c.opts.StoreContact(), time.Now())
+		}
 		if schedule.due(free, time.Now()) {
 			schedule.recordAttempt(c.tryAcquire(ctx), time.Now())
 		}
