sockets, conns: keep connections to slow readers

Cause: TCP_USER_TIMEOUT (3 s) on callers' and backend servers' connections also ends a connection whose peer keeps its receive window closed, although the peer acknowledges the probes. The transport also closes the connection of a server that answers more than 50 ms before it has read the body.

Change: connections of callers and backend servers are watched through TCP_INFO while data is outstanding, and closed if neither data nor window probes are acknowledged for 3 s. The option stays on all other connections. A connection stays open until a server that has answered early has read the body.

Weighed: a longer user timeout (with it keep-alive probes also end an idle connection over a dead path only after that time, and a request sent over a dead path waits as long), keep-alive alone (not sent while data is outstanding), a check during blocked writes only (does not see a small request whose answer never comes).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -99,6 +99,8 @@
 	dialTimeout time.Duration
 	transport   *http.Transport
 	dialed      atomic.Bool
+	upload      upload
+	socket      atomic.Pointer[lingeringConn]
 	uses        int
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -140,8 +142,12 @@
 	return nil
 }
 
-// Put returns a connection to the pool. Its last response must have been read to the end.
+// Put returns a connection to the pool. Its last response must have been read to the end. A
+// connection whose server still reads the request's body carries no further request.
 func (p *Pool) Put(c *Conn, now time.Time) {
+	if c.upload.isPending() {
+		return
+	}
 	c.idleSince = now
 	s := p.shard(c.peer)
 	s.mu.Lock()
@@ -204,7 +210,13 @@
 		return nil, errConnClosed
 	}
 	dialsTotal.Inc()
-	return sockets.Dialer(c.dialTimeout).DialContext(ctx, network, addr)
+	conn, err := sockets.DialWatched(ctx, c.dialTimeout, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	socket := &lingeringConn{Conn: conn, upload: &c.upload}
+	c.socket.Store(socket)
+	return socket, nil
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
@@ -212,21 +224,29 @@
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
 	var gotConn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	req.Body = c.upload.begin(req.Context(), req.Body)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		if !gotConn.Load() {
 			return nil, &NotSentError{Addr: c.peer.Addr, Refused: isRefused(err), Err: err}
 		}
 		return nil, err
 	}
+	c.upload.answered.Store(true)
 	if timeout, ok := keepAliveTimeout(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = max(timeout-idleTimeoutMargin, 0)
 	}
 	return resp, nil
 }
 
-// Close closes the connection if no request is in flight on it.
-func (c *Conn) Close() { c.transport.CloseIdleConnections() }
+// Close closes the connection. No request may be in flight on it.
+func (c *Conn) Close() {
+	if socket := c.socket.Load(); socket != nil && c.upload.isPending() {
+		socket.abort()
+	}
+	c.transport.CloseIdleConnections()
+}
 
 // keepAliveTimeout parses the timeout parameter of a Keep-Alive header.
 func keepAliveTimeout(header string) (time.Duration, bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
 // Node is one running node: a Core and its listeners.
@@ -67,17 +68,18 @@
 		name    string
 		dest    **httpserver.Server
 		addr    string
+		listen  listenFunc
 		handler http.Handler
 	}{
-		{"callers", &n.callers, n.cfg.Listen.Callers, handler},
-		{"ready", &n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
-		{"admin", &n.admin, n.cfg.Listen.Metrics, n.adminHandler()},
-		{"feeds", &n.feeds, n.cfg.Feeds.Listen, n.feedHandler()},
+		{"callers", &n.callers, n.cfg.Listen.Callers, sockets.ListenWatched, handler},
+		{"ready", &n.ready, n.cfg.Listen.Ready, sockets.Listen, http.HandlerFunc(n.serveReady)},
+		{"admin", &n.admin, n.cfg.Listen.Metrics, sockets.Listen, n.adminHandler()},
+		{"feeds", &n.feeds, n.cfg.Feeds.Listen, sockets.Listen, n.feedHandler()},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		s, err := newServer(l.name, l.addr, l.handler, n.log)
+		s, err := newServer(l.name, l.addr, l.listen, l.handler, n.log)
 		if err != nil {
 			return errors.Wrap(err, l.addr)
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,7 +14,6 @@
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/operator"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
-	"github.com/fennelcourse/fennelcourse/internal/sockets"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb/wirepbconnect"
 )
 
@@ -23,8 +23,11 @@
 	maxHeader     = 16 << 10
 )
 
-func newServer(name, addr string, handler http.Handler, log *slog.Logger) (*httpserver.Server, error) {
-	socket, err := sockets.Listen(context.Background(), addr)
+// listenFunc opens a listener.
+type listenFunc func(ctx context.Context, addr string) (net.Listener, error)
+
+func newServer(name, addr string, listen listenFunc, handler http.Handler, log *slog.Logger) (*httpserver.Server, error) {
+	socket, err := listen(context.Background(), addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -217,7 +217,8 @@
 	defer c.mu.Unlock()
 	c.state, c.since, c.idleTimeout = state, time.Now(), idleTimeout
 	if state == http.StateIdle {
-		c.receivedAt = c.since // of a request whose first bytes came before the answer was complete
+		c.receivedAt = c.since                   // of a request whose first bytes came before the answer was complete
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // that of the last answer; fails only on a closed connection
 	}
 	_ = c.applyDeadline() // fails only on a closed connection
 }
