memory: one account of the bytes held for callers and servers

Cause: each body was read by io.ReadAll, which copies it as the buffer grows, and nothing limited the sum of bodies and answers: 82 bodies of 4 MiB at once exceed a process of 414 MB.

Change: package memory accounts for bodies, for what waits in the kernel while a body is read, for answers until their callers have taken them, and for 32 kB per call. The limit is derived from process.memory_mb. A request that does not fit is refused with 503, not-run and Retry-After, with its body unread. Large requests get five eighths of the limit, small ones seven, answers all of it; answers wait for room and one at a time may exceed the limit. Bodies are read into buffers of their length, or of accounted steps. A body has to arrive by the deadline of its call.

--- a/cmd/fenneld/main.go
+++ b/cmd/fenneld/main.go
@@ -17,6 +17,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/daemon"
 	"github.com/fennelcourse/fennelcourse/internal/entry"
 	"github.com/fennelcourse/fennelcourse/internal/logqueue"
+	"github.com/fennelcourse/fennelcourse/internal/memory"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/platform"
 )
@@ -126,14 +127,9 @@
 	return daemon.New(cfg, versionText(), log)
 }
 
-// heapMemoryFraction is the fraction of the process's memory that is set as the Go memory
-// limit, above which the garbage collector works harder. The rest is for stacks, kernel
-// buffers that are charged to the process, and garbage not yet collected.
-const heapMemoryFraction = 0.6
-
 func limitMemory(p settings.Process) {
 	if p.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(p.MemoryMB) * heapMemoryFraction * (1 << 20)))
+		debug.SetMemoryLimit(memory.HeapLimit(p.MemoryMB))
 	}
 }
 
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
+	"github.com/fennelcourse/fennelcourse/internal/memory"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
@@ -21,6 +22,8 @@
 	// Header holds the caller's headers that are forwarded to the backend server.
 	Header http.Header
 	Body   []byte
+	// Memory accounts for the body and for the answers read for the call; may be nil.
+	Memory *memory.Hold
 
 	// Route is the rule that the call matched, RulesRevision the revision of its rule set, and
 	// RulesAge the time since the store last confirmed that set when the call arrived.
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -223,10 +223,10 @@
 // can have left this node; after any other error the request may have reached the peer.
 func (c *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
 	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	req.Body = c.upload.begin(req.Context(), req.Body)
-	resp, err := c.transport.RoundTrip(req)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { c.upload.finish() }}
+	c.upload.begin(req.Context(), req.Body)
+	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !gotConn.Load() {
 			return nil, &NotSentError{Addr: c.peer.Addr, Refused: isRefused(err), Err: err}
--- a/internal/conns/linger.go
+++ b/internal/conns/linger.go
@@ -20,45 +20,68 @@
 
 // upload is the state of the request that a connection sends.
 type upload struct {
-	// unfinished is true until the whole body was read by the transport, answered once the head
-	// of the response was received, and aborted if the connection is not to be used any longer.
-	unfinished, answered, aborted atomic.Bool
+	// answered is true once the head of the response was received, and aborted if the connection
+	// is not to be used any longer.
+	answered, aborted atomic.Bool
 	// writes counts the writes in progress.
 	writes atomic.Int32
+
+	mu sync.Mutex
+	// unfinished is true until the transport has written the whole body, or has failed to; after
+	// is called then.
+	unfinished bool
+	after      func()
 	// until is when the server must have read the body.
 	until time.Time
 }
 
-// begin prepares for a request and returns its body.
-func (u *upload) begin(ctx context.Context, body io.ReadCloser) io.ReadCloser {
+// begin prepares for a request.
+func (u *upload) begin(ctx context.Context, body io.ReadCloser) {
 	u.answered.Store(false)
-	if body == nil || body == http.NoBody {
-		u.unfinished.Store(false)
-		return body
-	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.unfinished = body != nil && body != http.NoBody
 	u.until = time.Now().Add(lingerTimeout)
 	if deadline, ok := ctx.Deadline(); ok && deadline.After(u.until) {
 		u.until = deadline
 	}
-	u.unfinished.Store(true)
-	return &uploadBody{ReadCloser: body, upload: u}
 }
 
-// isPending reports whether a server that has answered is still to get the rest of the body.
-func (u *upload) isPending() bool {
-	return u.unfinished.Load() && u.answered.Load() && !u.aborted.Load()
+func (u *upload) finish() {
+	u.mu.Lock()
+	u.unfinished = false
+	after := u.after
+	u.after = nil
+	u.mu.Unlock()
+	if after != nil {
+		after()
+	}
 }
 
-// uploadBody marks the upload as finished once the transport closes the body.
-type uploadBody struct {
-	io.ReadCloser
-	upload *upload
+func (u *upload) isUnfinished() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.unfinished
 }
 
-// Close implements io.Closer.
-func (b *uploadBody) Close() error {
-	b.upload.unfinished.Store(false)
-	return b.ReadCloser.Close()
+// isPending reports whether a server that has answered is still to get the rest of the body.
+func (u *upload) isPending() bool {
+	return u.answered.Load() && !u.aborted.Load() && u.isUnfinished()
+}
+
+// AfterUpload calls f once the connection no longer uses the body of its request: at once if it
+// has been sent.
+func (c *Conn) AfterUpload(f func()) {
+	u := &c.upload
+	u.mu.Lock()
+	if u.unfinished {
+		u.after = f
+		f = nil
+	}
+	u.mu.Unlock()
+	if f != nil {
+		f()
+	}
 }
 
 // lingeringConn stays open while a server that has answered reads the rest of the request's
@@ -90,8 +113,11 @@
 func (l *lingeringConn) linger() {
 	defer func() { _ = l.Conn.Close() }()
 	finished := time.Now()
-	for time.Now().Before(l.upload.until) && !l.upload.aborted.Load() {
-		if l.upload.unfinished.Load() || l.upload.writes.Load() > 0 {
+	l.upload.mu.Lock()
+	until := l.upload.until
+	l.upload.mu.Unlock()
+	for time.Now().Before(until) && !l.upload.aborted.Load() {
+		if l.upload.isUnfinished() || l.upload.writes.Load() > 0 {
 			finished = time.Now()
 		} else if time.Since(finished) > flushPause {
 			return
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -19,6 +19,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/formation"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/memory"
 	"github.com/fennelcourse/fennelcourse/internal/placement"
 	"github.com/fennelcourse/fennelcourse/internal/reach"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
@@ -68,7 +69,9 @@
 	Serve func(ctx context.Context, c *call.Call, sink call.Sink)
 	// IsHandOver reports whether a proof shows that another node has handed a call over.
 	IsHandOver func(callID string, attempts int, proof string) bool
-	Log        *slog.Logger
+	// Memory accounts for what the calls hold.
+	Memory *memory.Account
+	Log    *slog.Logger
 }
 
 // Core is a node without its listeners: its state, its decisions and the serving of
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/memory"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/internal/sockets"
@@ -63,7 +64,8 @@
 }
 
 func (n *Node) listen() error {
-	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, IsHandOver: n.peers.isHandOver, Log: n.log})
+	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, IsHandOver: n.peers.isHandOver,
+		Memory: memory.New(memory.Limit(n.cfg.Process.MemoryMB)), Log: n.log})
 	for _, l := range []struct {
 		name    string
 		dest    **httpserver.Server
--- a/internal/fennelerr/fennelerr.go
+++ b/internal/fennelerr/fennelerr.go
@@ -46,6 +46,7 @@
 	StreamTruncated    Code = "stream_truncated"
 	AnswerMismatch     Code = "answer_mismatch"
 	NotReady           Code = "not_ready"
+	MemoryFull         Code = "memory_full"
 	StaleFence         Code = "stale_fence"
 	LeaseLost          Code = "lease_lost"
 	Timeout            Code = "timeout"
--- a/internal/fennelerr/http.go
+++ b/internal/fennelerr/http.go
@@ -29,6 +29,7 @@
 	StreamTruncated:    http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	NotReady:           http.StatusServiceUnavailable,
+	MemoryFull:         http.StatusServiceUnavailable,
 	Timeout:            http.StatusGatewayTimeout,
 }
 
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	switch e.Refusal.Code {
-	case fennelerr.ServersUnreachable, fennelerr.NotReady:
+	case fennelerr.ServersUnreachable, fennelerr.NotReady, fennelerr.MemoryFull:
 		return true
 	}
 	return false
