--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -34,6 +34,8 @@
 	serverCuts := flags.BoolLongDefault("cuts", false, "also cut the nodes off from most backend servers, both ways or one way")
 	silence := flags.BoolLong("silence", "stop servers and nodes for about a second during longer streams, in place of all other faults")
 	singleSilences := flags.BoolLong("silence-in-turn", "also stop the servers of one failure domain after the other; only with --silence")
+	uploads := flags.IntLong("uploads", 0, "number of callers that send large bodies at once, some of which read slowly, in place of all other faults")
+	memoryMB := flags.IntLong("memory-mb", 0, "the daemons' memory, over which --uploads must not bring them; 0 for no limit")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
 		ShortHelp: "inject faults into a system of real daemons and check the responses",
@@ -49,7 +51,7 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, Silence: *silence, SingleSilences: *silence && *singleSilences, Log: func(string, ...any) {}}
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence, ServerSignals: *serverSignals && !*silence, ServerCuts: *serverCuts && !*silence, Silence: *silence, SingleSilences: *silence && *singleSilences, Uploads: *uploads, MemoryMB: *memoryMB, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
@@ -82,6 +84,9 @@
 	if opts.Silence {
 		fmt.Printf("  streams: %d begun, %d ended by a node with time left, %d broken off by a server, %d at their deadline\n", result.Begun, result.Ended, result.Broken, result.Late)
 	}
+	if opts.Uploads > 0 {
+		fmt.Printf("  large bodies: %d answered, %d of them read slowly, %d refused; peak memory %d kB of %d MB\n", result.Uploads, result.SlowAnswers, result.RefusedUploads, result.PeakKB, opts.MemoryMB)
+	}
 	if len(result.Findings) == 0 {
 		_ = os.RemoveAll(dir) // only findings need the logs
 		return true
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -20,6 +20,7 @@
 	name, zone                    string
 	binary, settingsPath, logPath string
 	store                         *Proxy
+	memoryMB                      int
 
 	mu      sync.Mutex
 	callers string
@@ -34,12 +35,12 @@
 }
 
 // newNode creates a node and writes its settings file. It starts no process.
-func newNode(dir, binary, name, zone, storeAddr string) (*node, error) {
+func newNode(dir, binary, name, zone, storeAddr string, memoryMB int) (*node, error) {
 	proxy, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{name: name, zone: zone, binary: binary, store: proxy, settingsPath: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
+	n := &node{name: name, zone: zone, binary: binary, store: proxy, memoryMB: memoryMB, settingsPath: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
 	return n, n.assignAddresses()
 }
 
@@ -54,7 +55,7 @@
 		return err
 	}
 	text := fmt.Sprintf("node: %s\nzone: %s\nregion: here\nlisten: {callers: %q, ready: %q}\nplatform: {driver: managed, address: %q}\n"+
-		"retries: {ratio: 0.2, slack: 100}\nprocess: {first_start: true, grace: 8s}\ndrain: {notice: 300ms}\n", n.name, n.zone, callers, ready, n.store.Addr())
+		"retries: {ratio: 0.2, slack: 100}\nprocess: {first_start: true, grace: 8s, memory_mb: %d}\ndrain: {notice: 300ms}\n", n.name, n.zone, callers, ready, n.store.Addr(), n.memoryMB)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.callers = callers
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,9 @@
 	// begun; of those without a complete response, Ended counts those that a node ended with time
 	// left, Broken those that a server broke off, and Late those at their deadline.
 	Begun, Ended, Broken, Late int
+	// Uploads counts the large bodies that were answered, SlowAnswers those of them whose caller read
+	// slowly, RefusedUploads those refused as not executed. PeakKB is the most memory of a node.
+	Uploads, SlowAnswers, RefusedUploads, PeakKB int64
 }
 
 // fault is a kind of fault. The function that inject returns reverts the fault.
@@ -186,7 +189,13 @@
 	callers := startCallers(env, opts.Callers, opts.Seed)
 	stopSignals, stopCuts := startBeside(opts.ServerSignals, env.giveSignals), startBeside(opts.ServerCuts, env.cutServers)
 	stopSilences := startBeside(opts.SingleSilences, env.silenceInTurn)
-	result.Faults = env.injectFaults(rnd)
+	if opts.Uploads > 0 {
+		uploads := env.startUploads(opts.Uploads)
+		time.Sleep(opts.FaultDuration)
+		uploads.stop(&result)
+	} else {
+		result.Faults = env.injectFaults(rnd)
+	}
 	result.Findings = append(result.Findings, stopSignals()...)
 	result.Findings = append(result.Findings, stopCuts()...)
 	stopSilences()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -115,3 +115,16 @@
 	t.Logf("%d completed, %d ran on several replicas", result.Completed, result.Repeated)
 	require.Empty(t, result.Findings)
 }
+
+// Guards against large bodies at once that take more memory than the process has, and against slow readers that lose their answers.
+func TestShortSoakWithLargeBodiesAndSlowReaders(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fenneld")
+	out, err := exec.Command("go", "build", "-o", path, "../../cmd/fenneld").CombinedOutput() // the race detector takes several times the memory
+	require.NoError(t, err, "%s", out)
+	result, err := soak.Run(soak.Options{Binary: path, Dir: t.TempDir(), Seed: 8, Nodes: 1, Callers: 4, FaultDuration: 6 * time.Second, Uploads: 40, MemoryMB: 160, Log: t.Logf})
+	require.NoError(t, err)
+	t.Logf("%d large bodies answered, %d read slowly, %d refused; %d kB", result.Uploads, result.SlowAnswers, result.RefusedUploads, result.PeakKB)
+	require.Empty(t, result.Findings)
+	require.NotZero(t, result.SlowAnswers)
+	require.NotZero(t, result.RefusedUploads)
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -39,6 +39,10 @@
 	Silence bool
 	// SingleSilences stops the servers of one failure domain after the other in addition to Silence.
 	SingleSilences bool
+	// Uploads is the number of callers that send large bodies at once, in place of the other faults.
+	Uploads int
+	// MemoryMB is the nodes' memory; 0 for no limit. With Uploads, a node that takes more is a finding.
+	MemoryMB int
 	Log            func(format string, args ...any)
 }
 
@@ -94,7 +98,7 @@
 		}
 	}
 	for i := range opts.Nodes {
-		n, err := newNode(opts.Dir, opts.Binary, fmt.Sprintf("node-%d", i), zoneName(i), listener.Addr().String())
+		n, err := newNode(opts.Dir, opts.Binary, fmt.Sprintf("node-%d", i), zoneName(i), listener.Addr().String(), opts.MemoryMB)
 		if err != nil {
 			return nil, err
 		}
