--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -43,7 +43,7 @@
 	Uploads int
 	// MemoryMB is the nodes' memory; 0 for no limit. With Uploads, a node that takes more is a finding.
 	MemoryMB int
-	Log            func(format string, args ...any)
+	Log      func(format string, args ...any)
 }
 
 // Environment is the system under test: a stand-in platform and its nodes.
