--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -105,6 +105,8 @@
 	socket      atomic.Pointer[socket] // nil until dialed
 	opening     opening
 	gate        func() bool
+	upload      upload
+	lingering   atomic.Pointer[lingeringConn]
 	uses        int
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -127,7 +129,9 @@
 	}
 	c := &Conn{peer: peer, dialer: p.Dial, idleTimeout: defaultIdleTimeout, uses: 1}
 	if c.dialer == nil {
-		c.dialer = sockets.Dialer(p.dialTimeout).DialContext
+		c.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return sockets.DialWatched(ctx, p.dialTimeout, network, addr)
+		}
 	}
 	c.transport = httpbounds.New(&http.Transport{DialContext: c.dial, DisableCompression: true, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10})
 	return c
@@ -153,8 +157,12 @@
 	return nil
 }
 
-// Put returns a connection to the pool. Its last response must have been read to the end.
+// Put returns a connection to the pool. Its last response must have been read to the end. A
+// connection whose server still reads the request's body carries no further request.
 func (p *Pool) Put(c *Conn, now time.Time) {
+	if c.upload.isPending() {
+		return
+	}
 	c.idleSince = now
 	s := p.shard(c.peer)
 	s.mu.Lock()
@@ -233,7 +241,9 @@
 	}
 	s := &socket{Conn: conn}
 	c.socket.Store(s)
-	return s, nil
+	lingering := &lingeringConn{Conn: s, upload: &c.upload}
+	c.lingering.Store(lingering)
+	return lingering, nil
 }
 
 // RoundTrip sends one request. The error is a *NotSentError if no byte of the request
@@ -247,7 +257,9 @@
 		c.opening.request = req.Context()
 	}
 	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { c.upload.finish() }}
+	c.upload.begin(req.Context(), req.Body)
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !gotConn.Load() {
@@ -256,14 +268,20 @@
 		}
 		return nil, err
 	}
+	c.upload.answered.Store(true)
 	if timeout, ok := keepAliveTimeout(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = max(timeout-idleTimeoutMargin, 0)
 	}
 	return resp, nil
 }
 
-// Close closes the connection if no request is in flight on it.
-func (c *Conn) Close() { c.transport.CloseIdleConnections() }
+// Close closes the connection. No request may be in flight on it.
+func (c *Conn) Close() {
+	if l := c.lingering.Load(); l != nil && c.upload.isPending() {
+		l.abort()
+	}
+	c.transport.CloseIdleConnections()
+}
 
 // keepAliveTimeout parses the timeout parameter of a Keep-Alive header.
 func keepAliveTimeout(header string) (time.Duration, bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,9 +20,11 @@
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
+	"github.com/fennelcourse/fennelcourse/internal/memory"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
+	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
 // Node is one running node: a Core and its listeners.
@@ -63,23 +65,25 @@
 }
 
 func (n *Node) listen() error {
-	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, IsHandOver: n.peers.isHandOver, Log: n.log})
+	handler := n.platform.NewHandler(HandlerOptions{Rules: n.currentRules, Serve: n.serveCall, IsHandOver: n.peers.isHandOver,
+		Memory: memory.New(memory.Limit(n.cfg.Process.MemoryMB)), Log: n.log})
 	for _, l := range []struct {
 		name    string
 		dest    **httpserver.Server
 		addr    string
+		listen  listenFunc
 		handler http.Handler
 		header  int // maximum size
 	}{
-		{"callers", &n.callers, n.cfg.Listen.Callers, handler, maxCallerHeader},
-		{"ready", &n.ready, n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady), maxHeader},
-		{"admin", &n.admin, n.cfg.Listen.Metrics, n.adminHandler(), maxHeader},
-		{"feeds", &n.feeds, n.cfg.Feeds.Listen, n.feedHandler(), maxHeader},
+		{"callers", &n.callers, n.cfg.Listen.Callers, sockets.ListenWatched, handler, maxCallerHeader},
+		{"ready", &n.ready, n.cfg.Listen.Ready, sockets.Listen, http.HandlerFunc(n.serveReady), maxHeader},
+		{"admin", &n.admin, n.cfg.Listen.Metrics, sockets.Listen, n.adminHandler(), maxHeader},
+		{"feeds", &n.feeds, n.cfg.Feeds.Listen, sockets.Listen, n.feedHandler(), maxHeader},
 	} {
 		if l.addr == "" {
 			continue
 		}
-		s, err := newServer(l.name, l.addr, l.handler, l.header, n.log)
+		s, err := newServer(l.name, l.addr, l.listen, l.handler, l.header, n.log)
 		if err != nil {
 			return errors.Wrap(err, l.addr)
 		}
