httpbounds: the test of endless heads ends by itself without the limit

Without MaxResponseHeaderBytes the request waited for go test's timeout (10 min). It has a timeout of 10 s now.

--- a/internal/httpbounds/httpbounds_test.go
+++ b/internal/httpbounds/httpbounds_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
@@ -28,7 +29,9 @@
 		ended <- err
 	}()
 	transport := httpbounds.New(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return ours, nil }})
-	req, reqErr := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", http.NoBody)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Cleanup(cancel)
+	req, reqErr := http.NewRequestWithContext(ctx, http.MethodGet, "http://server/", http.NoBody)
 	require.NoError(t, reqErr)
 	resp, err = transport.RoundTrip(req)
 	return resp, ended, err
