soak: change the limits of callers' requests with the configuration

Every second version of the soak's configuration has other limits for headers and for waiting connections, so that changes of limits happen beside other faults.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -178,12 +179,18 @@
 	return true
 }
 
+// otherLimits replaces the limits of callers' requests in every second version of the configuration.
+var otherLimits = strings.NewReplacer(`"max_header_bytes":16384`, `"max_header_bytes":8192`, `"header_timeout_ms":3000`, `"header_timeout_ms":2000`, `"idle_timeout_ms":15000`, `"idle_timeout_ms":1500`)
+
 // writeConfig writes the next version of the configuration with additional routes, given
 // as JSON.
 func (env *Environment) writeConfig(routes string) error {
 	env.mu.Lock()
 	env.version += 3
 	text := fmt.Sprintf(configTemplate, env.version, longerRoute+routes)
+	if env.version%2 == 0 {
+		text = otherLimits.Replace(text)
+	}
 	env.mu.Unlock()
 	_, err := env.mem.Txn(context.Background(), store.Txn{Then: []store.Op{store.Put(platform.ConfigKey, []byte(text), 0)}})
 	return err
