routing: choose replicas by predicted first piece

Cause: nodes compare replicas by requests in flight, which says little about prompts that are still to be prefilled, and learn of each other's requests later than a prompt takes to prefill.

Change: enginemodel.Work holds what is assigned to a replica; Profile.PredictFirstPiece estimates the first piece from it. The table counts a node's own calls exactly and takes other nodes' unread tokens from load reports (field load_unread, ignored by older nodes; absent from them). Where engine figures are published, the Predictive policy picks the earliest predicted first piece. A change of a node's work is reported at once to as many peers as the budget for gossip allows.

Race tests of the changed packages and of platform pass.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -132,7 +132,10 @@
 // defaultRouting samples enough replicas to compare all replicas of a model in a
 // deployment of a few dozen VMs. Zones are a millisecond apart, so a replica of another
 // zone is chosen when the share of its slots in use is lower by a tenth.
-var defaultRouting = routing.Weighted{SampleLocal: 8, SampleOther: 8, ZonePenalty: 0.1}
+var defaultRouting = routing.Predictive{
+	Otherwise:   routing.Weighted{SampleLocal: 8, SampleOther: 8, ZonePenalty: 0.1},
+	ZonePenalty: 5 * time.Millisecond,
+}
 
 // Policies replace a node's default policies; a nil field keeps the default.
 type Policies struct {
@@ -152,6 +155,9 @@
 	// TriggerHeartbeat requests an early heartbeat to the other nodes; may be nil. It must
 	// not block.
 	TriggerHeartbeat func()
+	// ReportWork requests that this node's work is reported to other nodes soon; may be nil. It must
+	// not block.
+	ReportWork func()
 	// Responsible reports whether this node is one of the given number of live nodes that are
 	// responsible for a task, as membership defines it; nil if nothing is known of other nodes.
 	Responsible func(task string, nodes int) bool
@@ -185,7 +191,7 @@
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.paths = reach.NewReports(cfg.Node)
 	n.pathLog.Interval = pathLogInterval
-	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL, Shares: nodeShares{n}})
+	n.table = routing.NewTable(routing.Options{Zone: cfg.Zone, Seed: uint64(time.Now().UnixNano()), Policy: opts.Policies.Route, PeerExpiry: loadReportTTL, Shares: nodeShares{n}, OnAssigned: opts.ReportWork})
 	scope := cluster.ZoneID(cfg.Region)
 	n.quarantines = newQuarantineWriter(p.Store, scope, cfg.Node, log)
 	n.suspects = suspect.New(suspect.Options{Node: cfg.Node, TriggerHeartbeat: opts.TriggerHeartbeat, Peers: n.livePeers, Rank: opts.Rank,
--- a/internal/entry/derive.go
+++ b/internal/entry/derive.go
@@ -181,6 +181,7 @@
 	out := routingEntries(replicas, servers, set, n.serving)
 	out = slices.DeleteFunc(out, func(e routing.Entry) bool { return list.IsEvacuated(e.Replica.Zone) })
 	n.limitCold(out, list, set)
+	setEngineFigures(out, set)
 	return out
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,7 @@
 		opts.Nodes = func() []relay.Node { return n.peers.nodes() }
 		opts.Rank = func(key string) int { return n.peers.rank(key) }
 		opts.TriggerHeartbeat = func() { n.peers.triggerHeartbeat() }
+		opts.ReportWork = func() { n.peers.triggerGossip() }
 	}
 	n.Core = NewCore(cfg, p, opts)
 	n.peers = newRegionPeers(n.Core, cfg, log)
--- a/internal/entry/loadreport.go
+++ b/internal/entry/loadreport.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
 	"github.com/fennelcourse/fennelcourse/internal/workload"
 )
@@ -16,9 +18,13 @@
 // replicas look full.
 const loadReportTTL = time.Second
 
-// loadEntrySize is the size in bytes of one replica's count in a datagram: a 4-byte id
-// and a small number.
-const loadEntrySize = 5
+const (
+	// loadEntrySize is the size in bytes of one replica's work in a datagram: a 4-byte id, a small
+	// number and up to two bytes of unread tokens.
+	loadEntrySize = 7
+	// unreadUnit is the number of tokens in a unit of reported unread tokens.
+	unreadUnit = 32
+)
 
 // LoadReport returns this node's report to the other nodes of its region, in at most
 // budget bytes: whether it has seen a request, whether it reaches the servers, and how many requests it runs on each
@@ -35,13 +41,7 @@
 	n.addRelayedPaths(&out, budget)
 	remaining := (budget - membership.SectionSize(out) - 4*loadEntrySize) / loadEntrySize
 	remaining = n.addRateLimits(&out, remaining)
-	for id, count := range n.table.Outstanding() {
-		if remaining--; remaining < 0 {
-			break // map order varies, so that other replicas are reported in other rounds
-		}
-		out.LoadIDs = append(out.LoadIDs, replicaHash(id))
-		out.LoadCounts = append(out.LoadCounts, uint32(count))
-	}
+	n.addWork(&out, remaining)
 	return out
 }
 
@@ -97,17 +97,35 @@
 	n.receiveWork(node, report, now)
 }
 
-// applyLoads records another node's counts of requests. A replica that the report does
-// not name has none of that node's requests.
+// addWork adds this node's work on at most limit replicas, those with the most unread tokens first:
+// what the others do not know of these makes the most requests late.
+func (n *Core) addWork(out *membership.Section, limit int) {
+	work := n.table.OwnWork()
+	ids := slices.Collect(maps.Keys(work)) // map order varies, so that other replicas without unread tokens are reported in other rounds
+	slices.SortStableFunc(ids, func(a, b cluster.ReplicaID) int { return work[b].UnreadTokens - work[a].UnreadTokens })
+	for _, id := range ids[:min(max(limit, 0), len(ids))] {
+		w := work[id]
+		out.LoadIDs = append(out.LoadIDs, replicaHash(id))
+		out.LoadCounts = append(out.LoadCounts, uint32(w.Requests))
+		out.LoadUnread = append(out.LoadUnread, uint32((w.UnreadTokens+unreadUnit-1)/unreadUnit))
+	}
+}
+
+// applyLoads records another node's work. A replica that the report does not name has none of that
+// node's requests. A report of unread tokens that does not fit its counts is ignored.
 func (n *Core) applyLoads(node cluster.NodeID, report membership.Section, now time.Time) {
-	counts := make(map[uint32]int, len(report.LoadIDs))
+	reported := make(map[uint32]enginemodel.Work, len(report.LoadIDs))
 	for i := range min(len(report.LoadIDs), len(report.LoadCounts)) {
-		counts[report.LoadIDs[i]] = int(report.LoadCounts[i])
+		w := enginemodel.Work{Requests: int(report.LoadCounts[i])}
+		if len(report.LoadUnread) == len(report.LoadIDs) {
+			w.UnreadTokens = int(report.LoadUnread[i]) * unreadUnit
+		}
+		reported[report.LoadIDs[i]] = w
 	}
 	n.servingMu.Lock()
 	serving := n.serving
 	n.servingMu.Unlock()
 	for id := range serving {
-		n.table.ObservePeerOutstanding(node, id, counts[replicaHash(id)], now)
+		n.table.ObservePeerWork(node, id, reported[replicaHash(id)], now)
 	}
 }
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -141,7 +141,7 @@
 	members.AddSource(r.core.SuspectReport)
 	members.AddSource(r.core.LoadReport)
 	members.OnDatagram(func(from membership.Member, d *wirepb.Datagram) {
-		r.core.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, WorkIDs: d.WorkIds, WorkRates: d.WorkRates,
+		r.core.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, LoadUnread: d.LoadUnread, WorkIDs: d.WorkIds, WorkRates: d.WorkRates,
 			LimitIDs: d.LimitIds, LimitRates: d.LimitRates})
 		r.core.ReceivePathReport(from.Node, membership.Section{Path: d.Path, PathIDs: d.PathIds, PathReports: d.PathReports, PathAgesMs: d.PathAgesMs}, time.UnixMilli(d.SentUnixMs))
 		r.core.ReceiveStallReport(from.Node, membership.Section{StalledIDs: d.StalledIds, WorkingIDs: d.WorkingIds})
@@ -217,6 +217,13 @@
 	return members != nil && members.Responsible(task, nodes)
 }
 
+// triggerGossip requests that this node's work is reported soon, if a membership service runs.
+func (r *regionPeers) triggerGossip() {
+	if members := r.members.Load(); members != nil {
+		members.TriggerGossip()
+	}
+}
+
 // triggerHeartbeat requests an early heartbeat if a membership service runs.
 func (r *regionPeers) triggerHeartbeat() {
 	if members := r.members.Load(); members != nil {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,11 +1,8 @@
 package membership
 
 import (
-	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
@@ -103,25 +100,6 @@
 	return m.view(now), true
 }
 
-// sendGossip sends gossip to one peer after the other until ctx is done.
-func (s *Service) sendGossip(ctx context.Context) {
-	maxPeers := s.gossip.MaxPeers()
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		send := s.state.Gossip(maxPeers)
-		s.mu.Unlock()
-		pause := gossipIdleInterval
-		if len(send.Addrs) > 0 {
-			fill(send.Datagram, send.Limit, s.gossip.Sources, s.log)
-			s.transmit(send)
-			pause = s.gossip.interval(proto.Size(send.Datagram))
-		}
-		if !wait(ctx, pause) {
-			return
-		}
-	}
-}
-
 // minGossipBody is the size of a gossip body that reports a few values.
 const minGossipBody = 80
 
--- a/internal/membership/section.go
+++ b/internal/membership/section.go
@@ -17,6 +17,8 @@
 	Demands     []*wirepb.TeamDemand
 	// LoadIDs and LoadCounts are the node's own requests in flight per replica.
 	LoadIDs, LoadCounts []uint32
+	// LoadUnread are the unread prompt tokens of these requests, in units of 32; empty if unknown.
+	LoadUnread []uint32
 	// Asked is set once the node has received a request.
 	Asked bool
 	// StalledIDs are replicas that the node found stalled; WorkingIDs are replicas that
@@ -43,7 +45,7 @@
 func SectionSize(s Section) int {
 	return proto.Size(&wirepb.Datagram{
 		Replicas: s.Replicas, Quarantines: s.Quarantines, Crashes: s.Crashes,
-		Suspects: s.Suspects, Demands: s.Demands, Asked: s.Asked, LoadIds: s.LoadIDs, LoadCounts: s.LoadCounts, StalledIds: s.StalledIDs, WorkingIds: s.WorkingIDs,
+		Suspects: s.Suspects, Demands: s.Demands, Asked: s.Asked, LoadIds: s.LoadIDs, LoadCounts: s.LoadCounts, LoadUnread: s.LoadUnread, StalledIds: s.StalledIDs, WorkingIds: s.WorkingIDs,
 		WorkIds: s.WorkIDs, WorkRates: s.WorkRates, LimitIds: s.LimitIDs, LimitRates: s.LimitRates,
 		Path: s.Path, PathIds: s.PathIDs, PathReports: s.PathReports, PathAgesMs: s.PathAgesMs,
 	})
@@ -72,6 +74,7 @@
 		d.Demands = append(d.Demands, section.Demands...)
 		d.LoadIds = append(d.LoadIds, section.LoadIDs...)
 		d.LoadCounts = append(d.LoadCounts, section.LoadCounts...)
+		d.LoadUnread = append(d.LoadUnread, section.LoadUnread...)
 		d.StalledIds = append(d.StalledIds, section.StalledIDs...)
 		d.WorkingIds = append(d.WorkingIds, section.WorkingIDs...)
 		d.WorkIds = append(d.WorkIds, section.WorkIDs...)
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -69,6 +69,10 @@
 	log       *slog.Logger
 	interval  time.Duration
 	triggered chan struct{}
+	// gossipTriggered requests gossip about a change.
+	gossipTriggered chan struct{}
+	// lastChange is when a change was last sent; it is used by sendGossip only.
+	lastChange time.Time
 
 	checkDuplicate CheckDuplicate
 	background     sync.WaitGroup
@@ -118,6 +122,8 @@
 		interval:  opts.Timing.withDefaults().Interval,
 		triggered: make(chan struct{}, 1),
 
+		gossipTriggered: make(chan struct{}, 1),
+
 		checkDuplicate: opts.CheckDuplicate,
 		gossip:         opts.Gossip,
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -292,6 +292,7 @@
 		}
 		if pieces == 0 {
 			first = time.Since(a.started)
+			a.to.choice.RecordFirstPiece(first)
 			a.judgeQueue(reply.State.Load, first > a.s.call.Route.Policy.Target)
 		}
 		pieces++
--- a/internal/relay/attemptlog.go
+++ b/internal/relay/attemptlog.go
@@ -29,6 +29,9 @@
 	if s.streams() {
 		fields = append(fields, "prompt", s.call.PromptTokens, "expected", s.call.ExpectedOutputTokens(), "work", s.call.EstimatedWork, "pieces", result.Tokens, "pause", s.longestGap(), "pause_target", terms.TargetGap)
 	}
+	if choice.Predicted > 0 {
+		fields = append(fields, "predicted", choice.Predicted, "unread", choice.UnreadTokens)
+	}
 	if len(s.suspect.Parts) > 0 {
 		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -343,7 +343,7 @@
 
 // routingRequest describes the call to the router, without the replicas to exclude.
 func (s *session) routingRequest() routing.Request {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, PromptTokens: s.call.PromptTokens, OutputTokens: s.call.ExpectedOutputTokens(), Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
 	if s.unreachable() {
 		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
 	}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -66,7 +66,7 @@
 	if g == nil {
 		return Pick{}
 	}
-	v := view{table: t, snap: g.current(t.opts, now), group: req.Group, now: now}
+	v := view{table: t, snap: g.current(t.opts, now), group: req.Group, now: now, correction: g.accuracy.correction()}
 	return t.opts.Policy.Pick(v, req, rnd)
 }
 
@@ -78,9 +78,15 @@
 	if !ok {
 		return Choice{}, false
 	}
+	if g := (*t.groups.Load())[req.Group]; g != nil {
+		choice.accuracy = g.accuracy
+	}
 	for _, h := range req.PrefixHashes {
 		t.prefix.add(h, e, epoch, now)
 	}
+	if choice.Predicted > 0 && t.opts.OnAssigned != nil {
+		t.opts.OnAssigned()
+	}
 	return choice, true
 }
 
@@ -93,6 +99,7 @@
 	e.history.record(now, e.outstanding)
 	e.limit.take()
 	e.outstanding++
+	unread := e.peerUnread(now, peerUnreadExpiry) + e.work.UnreadTokens
 	trial := e.speed.onTrial && !e.speed.avoided(now)
 	if trial {
 		e.speed.trials++
@@ -103,6 +110,7 @@
 	return Choice{
 		Replica: e.replica, Addr: e.addr, Reason: pick.Reason, Considered: pick.Considered,
 		Alone: req.Alone, entry: e, process: e.process, trial: trial,
+		Predicted: pick.Predicted, UnreadTokens: unread, assigned: e.assign(req),
 	}, e.cacheEpoch, true
 }
 
@@ -119,6 +127,7 @@
 	defer e.lock.Unlock()
 	e.history.record(now, e.outstanding)
 	e.outstanding--
+	e.unassign(choice.assigned)
 	if choice.trial {
 		e.speed.trials = max(e.speed.trials-1, 0)
 	}
--- a/internal/routing/entry.go
+++ b/internal/routing/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 )
 
 // entry is the state of one replica. All other fields are guarded by lock, which is the lock of
@@ -19,6 +20,7 @@
 	slots     int
 	coldUntil time.Time
 	coldRate  float64
+	engine    *enginemodel.Profile
 	limit     rateLimit
 	// process serves the replica, signals is what it has said of itself.
 	process process
@@ -28,11 +30,13 @@
 	healthyGeneration int64
 
 	outstanding int
-	suspects    int
-	history     history
-	report      loadReport
-	peers       []peerCount
-	speed       speed
+	// work is this node's work on the replica.
+	work     enginemodel.Work
+	suspects int
+	history  history
+	report   loadReport
+	peers    []peerCount
+	speed    speed
 
 	// cacheBoot and cacheEpoch invalidate prefix entries of an earlier engine process.
 	cacheBoot  string
@@ -48,11 +52,13 @@
 	ownAtReport int
 }
 
-// peerCount is another node's outstanding requests on the replica.
+// peerCount is another node's outstanding requests on the replica, and how many of their prompt
+// tokens are unread.
 type peerCount struct {
-	node cluster.NodeID
-	n    int
-	at   time.Time
+	node   cluster.NodeID
+	n      int
+	unread int
+	at     time.Time
 }
 
 // eligible reports whether the replica may receive new requests.
@@ -117,15 +123,15 @@
 	return total
 }
 
-func (e *entry) setPeer(node cluster.NodeID, n int, now time.Time, expiry time.Duration) {
+func (e *entry) setPeer(count peerCount, expiry time.Duration) {
 	kept := e.peers[:0]
 	for _, p := range e.peers {
-		if p.node != node && now.Sub(p.at) < expiry {
+		if p.node != count.node && count.at.Sub(p.at) < expiry {
 			kept = append(kept, p)
 		}
 	}
-	if n > 0 {
-		kept = append(kept, peerCount{node: node, n: n, at: now})
+	if count.n > 0 {
+		kept = append(kept, count)
 	}
 	e.peers = kept
 }
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -16,6 +16,7 @@
 	snapshot atomic.Pointer[snapshot]
 	dirty    atomic.Bool
 	building atomic.Bool
+	accuracy *accuracy
 }
 
 // snapshot lists the eligible replicas, those of the own zone first.
@@ -174,6 +175,8 @@
 	snap  *snapshot
 	group cluster.GroupName
 	now   time.Time
+	// correction is the factor on predictions for the group.
+	correction float64
 }
 
 func (v view) Len() int      { return len(v.snap.entries) }
@@ -197,6 +200,7 @@
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
 		Trial:   e.speed.onTrial, Suspects: e.suspects, Limited: e.limited(v.now, v.table.opts.Shares),
 		PushbackLeft: e.signals.pushback.left(v.now), PushbackAge: v.now.Sub(e.signals.pushback.askedAt), entry: e,
+		Work: e.totalWork(v.now, o), Engine: e.engine, Correction: v.correction,
 	}
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
 
@@ -38,6 +39,11 @@
 	// PushbackLeft is how much longer the replica wants no requests from this node; 0 if it takes
 	// them. PushbackAge is how long ago it asked for that.
 	PushbackLeft, PushbackAge time.Duration
+	// Work estimates the work of all nodes on the replica. Engine holds its engine's figures, nil
+	// if unknown, and Correction the factor on predictions from them.
+	Work       enginemodel.Work
+	Engine     *enginemodel.Profile
+	Correction float64
 
 	entry *entry
 }
@@ -70,6 +76,8 @@
 	Pushback   Pushback
 	Reason     string
 	Considered int
+	// Predicted is the predicted first piece on the candidate; 0 if it was not predicted.
+	Predicted time.Duration
 }
 
 // Policy picks the replica for a request. It is deterministic: the same view, request and
@@ -195,10 +203,16 @@
 	}
 }
 
+// scorer scores a candidate for a request of whose prompt the replica caches a part. Lower is
+// better.
+type scorer interface {
+	score(c Candidate, req Request, match float64) float64
+}
+
 // selection keeps the best candidate offered so far, and the best avoided one as a fallback
 // if there is no other.
 type selection struct {
-	policy     Weighted
+	policy     scorer
 	req        Request
 	considered int
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 )
 
 // Options configure a Table. Zero fields take the defaults below.
@@ -38,6 +39,9 @@
 	ReviewInterval time.Duration
 	// Shares splits the limits that replicas name between the nodes; default SingleNode.
 	Shares Shares
+	// OnAssigned is called after a request is assigned to a replica whose engine figures are
+	// known. It must not block; may be nil.
+	OnAssigned func()
 	// Now is the clock of Choose and End; default time.Now.
 	Now func() time.Time
 }
@@ -92,6 +96,8 @@
 	// ColdRate requests per second from all nodes together.
 	ColdUntil time.Time
 	ColdRate  float64
+	// Engine holds the published figures of the replica's engine; nil if there are none.
+	Engine *enginemodel.Profile
 }
 
 // Table holds the replicas of all groups and their load. All methods are safe for
@@ -223,6 +229,7 @@
 		e.setSignals(t.signals.get(p), t.opts.Now())
 	}
 	e.replica, e.addr, e.slots, e.coldUntil, e.coldRate = in.Replica, in.Addr, in.Slots, in.ColdUntil, in.ColdRate
+	e.engine = in.Engine
 	return regroup
 }
 
@@ -252,7 +259,7 @@
 	for name, list := range members {
 		g := old[name]
 		if g == nil {
-			g = &group{}
+			g = &group{accuracy: newAccuracy(name)}
 		}
 		g.setMembers(list)
 		next[name] = g
@@ -303,7 +310,7 @@
 
 // ObservePeerOutstanding records another node's count of its requests on the replica.
 func (t *Table) ObservePeerOutstanding(node cluster.NodeID, id cluster.ReplicaID, n int, now time.Time) {
-	t.withEntry(id, func(e *entry) { e.setPeer(node, n, now, t.opts.PeerExpiry) })
+	t.withEntry(id, func(e *entry) { e.setPeer(peerCount{node: node, n: n, at: now}, t.opts.PeerExpiry) })
 }
 
 // Outstanding returns the number of this node's own requests on each replica that has any.
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -30,6 +30,9 @@
 	MayRetryOn func(cluster.ReplicaID) bool
 	// MayUse restricts the replicas by the address of their serving VM; nil allows all.
 	MayUse func(addr string) bool
+	// PromptTokens and OutputTokens are the length of the prompt and the expected length of the
+	// output; 0 if unknown.
+	PromptTokens, OutputTokens int
 	// Limit limits the requests on the chosen replica, this one included. The zero value
 	// means no limit.
 	Limit Limit
@@ -84,9 +87,18 @@
 	// Alone is copied from the request.
 	Alone bool
 
+	// Predicted is the predicted first piece; 0 if it was not predicted. UnreadTokens is the known
+	// number of unread prompt tokens of other requests on the replica.
+	Predicted    time.Duration
+	UnreadTokens int
+
 	// entry is the table entry on which the request is counted until End.
 	entry   *entry
 	process process
+	// assigned is the request's part of the work on the entry, accuracy that of the group's
+	// predictions.
+	assigned *assignment
+	accuracy *accuracy
 	// trial marks a request that tests whether an avoided replica has recovered.
 	trial bool
 }
