--- a/internal/entry/loadreport.go
+++ b/internal/entry/loadreport.go
@@ -45,6 +45,13 @@
 	return out
 }
 
+// WorkReport returns the part of LoadReport that changes with each request, in at most budget bytes.
+func (n *Core) WorkReport(budget int) membership.Section {
+	out := membership.Section{Asked: n.requestSeen.Load(), Path: n.ownPath().Encode()}
+	n.addWork(&out, (budget-membership.SectionSize(out)-4*loadEntrySize)/loadEntrySize)
+	return out
+}
+
 // workUnit is the number of units of reported work in a replica kept fully busy.
 const workUnit = 1000
 
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -136,7 +136,8 @@
 	r.ring.Store(ring)
 	members := membership.New(membership.Options{
 		Node: r.cfg.Node, Zone: cluster.ZoneID(r.cfg.Region), Seeds: r.seeds(), PeerAddr: r.cfg.Feeds.Listen, Transport: transport, Log: r.log,
-		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Sources: []membership.Source{r.core.UrgentSuspectReport, r.core.LoadReport}, Budget: gossipBudget, TTL: loadReportTTL},
+		SendBudget: heartbeatBudget, Gossip: membership.Gossip{Sources: []membership.Source{r.core.UrgentSuspectReport, r.core.LoadReport},
+			Changes: []membership.Source{r.core.UrgentSuspectReport, r.core.WorkReport}, Budget: gossipBudget, TTL: loadReportTTL},
 	})
 	members.AddSource(r.core.SuspectReport)
 	members.AddSource(r.core.LoadReport)
--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -86,7 +86,12 @@
 	s.mu.Lock()
 	send := Outgoing{Datagram: s.state.briefDatagram(), Limit: maxGossipBody}
 	s.mu.Unlock()
-	fill(send.Datagram, send.Limit, s.gossip.Sources, s.log)
+	sources := s.gossip.Changes
+	full := sources == nil || now.Sub(s.lastFull) >= fullGossipInterval
+	if full {
+		sources = s.gossip.Sources
+	}
+	fill(send.Datagram, send.Limit, sources, s.log)
 	size := proto.Size(send.Datagram) + packetOverhead
 	peers := budget.peersNow(size, now)
 	if peers == 0 {
@@ -96,6 +101,9 @@
 	send.Addrs = s.state.nextGossipPeers(peers)
 	s.mu.Unlock()
 	s.lastChange = now
+	if full {
+		s.lastFull = now
+	}
 	if len(send.Addrs) > 0 {
 		budget.spend(size*len(send.Addrs), now)
 		s.transmit(send)
@@ -113,6 +121,7 @@
 	}
 	fill(send.Datagram, send.Limit, s.gossip.Sources, s.log)
 	s.transmit(send)
+	s.lastFull = s.now()
 	size := proto.Size(send.Datagram)
 	budget.spend(size+packetOverhead, now)
 	return s.gossip.interval(size)
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -16,6 +16,10 @@
 type Gossip struct {
 	// Sources are called in this order, and each gets an equal part of the space that is left.
 	Sources []Source
+	// Changes are the sources of gossip that TriggerGossip requests; nil means Sources. The smaller
+	// such a datagram is, the more peers get it at once. Those with Sources are then sent at least
+	// every fullGossipInterval.
+	Changes []Source
 	// Budget is in bytes per second, including IP and UDP headers. With fewer peers, each
 	// one receives gossip more often.
 	Budget int
@@ -27,6 +31,9 @@
 const (
 	// minGossipInterval is the minimum time between two gossip datagrams.
 	minGossipInterval = 25 * time.Millisecond
+	// fullGossipInterval is the longest time between two datagrams with all sources while changes use
+	// up the budget.
+	fullGossipInterval = 250 * time.Millisecond
 	// gossipIdleInterval is the time until the next attempt if there is no peer to send to.
 	gossipIdleInterval = 250 * time.Millisecond
 	// maxGossipBody limits the body of a gossip datagram, in bytes.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -71,8 +71,9 @@
 	triggered chan struct{}
 	// gossipTriggered requests gossip about a change.
 	gossipTriggered chan struct{}
-	// lastChange is when a change was last sent; it is used by sendGossip only.
-	lastChange time.Time
+	// lastChange is when a change was last sent, lastFull when all sources were. Only sendGossip uses
+	// them.
+	lastChange, lastFull time.Time
 
 	checkDuplicate CheckDuplicate
 	background     sync.WaitGroup
