routing: requests leave their zone when the predicted first piece pays for it

Cause: a fixed penalty on a load figure decided whether a request left its zone, whatever the delay between zones, the price of bytes and the neighbour's own load.

Change: the configuration's delays between zones are decoded, and the setting zones.price (seconds of first piece per MB; 0 = off) is read. A request leaves if it gains more than it costs, or if its zone's slots are nearly in use; how many is limited by this node's share of the room that the other zone has beyond its own callers. Thresholds are lower while this node has requests there. Without delays, and for groups without engine figures, choices are as before. Log fields and metrics show it.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -179,14 +179,16 @@
 // NewCore builds a node's components. Nothing runs before Run.
 func NewCore(cfg *settings.Settings, p Platform, opts CoreOptions) *Core {
 	log := opts.Log
+	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), nodePool: conns.NewPoolWithTimeout(nodeDialTimeout), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
+		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	if opts.Policies.Route == nil {
-		opts.Policies.Route = defaultRouting
+		route := defaultRouting
+		route.Leaving = &routing.Leaving{Delay: n.zoneDelay, Price: cfg.Zones.Price, Nodes: func() int { return n.livePeers() + 1 }}
+		opts.Policies.Route = route
 	}
 	if opts.Policies.Place == nil {
 		opts.Policies.Place = placement.Mix{}
 	}
-	n := &Core{onRules: opts.OnRules, broadcast: opts.Broadcast, responsible: opts.Responsible, cfg: cfg, platform: p, log: log, pool: conns.NewPool(), nodePool: conns.NewPoolWithTimeout(nodeDialTimeout), work: workload.NewMeter(), serving: make(map[cluster.ReplicaID]bool),
-		reopenedAt: make(map[cluster.ZoneID]time.Time)}
 	n.handover, n.endHandover = context.WithCancel(context.Background())
 	n.outages = newOutageRecorder(cfg.Node, cluster.ZoneID(cfg.Region), time.Now())
 	n.paths = reach.NewReports(cfg.Node)
--- a/internal/entry/figures.go
+++ b/internal/entry/figures.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 )
@@ -16,3 +18,12 @@
 		}
 	}
 }
+
+// zoneDelay returns the one-way delay to a zone, and false if the configuration names none.
+func (n *Core) zoneDelay(zone cluster.ZoneID) (time.Duration, bool) {
+	set := n.rules.Load()
+	if set == nil {
+		return 0, false
+	}
+	return set.Delays.Between(n.cfg.Zone, zone)
+}
--- a/internal/entry/region_test.go
+++ b/internal/entry/region_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/enginemodel"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/httpserver"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
@@ -106,3 +108,41 @@
 	_, err = n.table.ChooseAt(time.Now().Add(2*time.Second), request)
 	require.NoError(t, err, "a report that is two seconds old has expired")
 }
+
+// Guards against unread prompt tokens that are lost on the way to another node, and against reports of
+// an older build or with lists that do not fit each other being taken for something else.
+func TestUnreadTokensAreReported(t *testing.T) {
+	n, other := newTestNode(t), newTestNode(t)
+	ids := []cluster.ReplicaID{"m/1.1", "m/2.2"}
+	figures := enginemodel.Profile{Slots: 4, BaseStep: time.Millisecond, PrefillPerSecond: 10_000}
+	for _, c := range []*Node{n, other} {
+		var entries []routing.Entry
+		for _, id := range ids {
+			c.serving[id] = true
+			entries = append(entries, routing.Entry{Replica: cluster.Replica{ID: id, Group: "m", Zone: "z", Generation: 1, Serving: cluster.VMID(id)}, Addr: string(id), Slots: 4, Engine: &figures})
+		}
+		c.table.SetReplicas("", entries)
+		for _, id := range ids {
+			c.table.SetHealthy(id, 1, true)
+		}
+	}
+	request := routing.Request{Group: "m", PromptTokens: 1000, OutputTokens: 10}
+	taken, err := n.table.Choose(request)
+	require.NoError(t, err)
+	report := n.WorkReport(200)
+	require.LessOrEqual(t, membership.SectionSize(report), 200)
+	require.Equal(t, []uint32{32}, report.LoadUnread) // 1,024 tokens
+	other.ReceiveLoadReport("n", report)
+	predicted := func() time.Duration {
+		choice, err := other.table.Choose(routing.Request{Group: "m", PromptTokens: 1000, Exclude: slices.DeleteFunc(slices.Clone(ids), func(id cluster.ReplicaID) bool { return id == taken.Replica.ID })})
+		require.NoError(t, err)
+		other.table.End(choice, routing.Result{})
+		return choice.Predicted
+	}
+	require.Greater(t, predicted(), 200*time.Millisecond)
+	for _, unread := range [][]uint32{nil, {90, 2, 3}} {
+		report.LoadUnread = unread
+		other.ReceiveLoadReport("n", report)
+		require.Less(t, predicted(), 200*time.Millisecond, "%v", unread)
+	}
+}
--- a/internal/relay/attemptlog.go
+++ b/internal/relay/attemptlog.go
@@ -32,6 +32,9 @@
 	if choice.Predicted > 0 {
 		fields = append(fields, "predicted", choice.Predicted, "unread", choice.UnreadTokens)
 	}
+	if choice.PredictedHome > 0 {
+		fields = append(fields, "predicted_home", choice.PredictedHome)
+	}
 	if len(s.suspect.Parts) > 0 {
 		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -341,9 +341,13 @@
 	return excluded
 }
 
+// bytesPerToken is the assumed length of a piece of an answer that holds one token.
+const bytesPerToken = 64
+
 // routingRequest describes the call to the router, without the replicas to exclude.
 func (s *session) routingRequest() routing.Request {
-	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, PromptTokens: s.call.PromptTokens, OutputTokens: s.call.ExpectedOutputTokens(), Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
+	req := routing.Request{Group: s.group, Prefer: s.call.Route.Prefer, PromptTokens: s.call.PromptTokens, OutputTokens: s.call.ExpectedOutputTokens(),
+		Target: s.call.Route.Policy.Target, Bytes: len(s.call.Body) + s.call.ExpectedOutputTokens()*bytesPerToken, Limit: s.limit(), Alone: s.admission.Alone, MayRetryOn: s.r.opts.Suspects.MayRetryOn}
 	if s.unreachable() {
 		req.MayUse = s.r.opts.Reach.Reachable // the others would cost the caller a timeout each
 	}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -110,7 +110,7 @@
 	return Choice{
 		Replica: e.replica, Addr: e.addr, Reason: pick.Reason, Considered: pick.Considered,
 		Alone: req.Alone, entry: e, process: e.process, trial: trial,
-		Predicted: pick.Predicted, UnreadTokens: unread, assigned: e.assign(req),
+		Predicted: pick.Predicted, PredictedHome: pick.PredictedHome, UnreadTokens: unread, assigned: e.assign(req),
 	}, e.cacheEpoch, true
 }
 
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -194,7 +194,7 @@
 	o := v.table.opts
 	capacity := boundedCapacity(e.capacity(), v.snap.capacity)
 	return Candidate{
-		ID: e.replica.ID, Addr: e.addr, Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
+		ID: e.replica.ID, Addr: e.addr, Zone: e.replica.Zone, Own: e.outstanding, LoadKnown: e.loadKnown(v.now, o), Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
 		InFlight: e.inFlight(v.now, o, capacity, v.snap.meanRemote), Capacity: capacity,
 		Load:    float64(e.outstanding) + e.remoteLoad(v.now, o),
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
--- a/internal/routing/play_test.go
+++ b/internal/routing/play_test.go
@@ -30,10 +30,12 @@
 	periodic    bool
 	// falsify changes a node's report before it is received.
 	falsify func(node int, w enginemodel.Work) enginemodel.Work
-	zones   int
-	delay   time.Duration
-	// skew is the zone whose nodes get this many times as many requests as the others.
-	skew float64
+	// zones is the number of zones, delay the one-way delay between them. Nodes of the first zone get
+	// skew times as many requests as others. With leave, the policy decides by Leaving.
+	zones int
+	delay time.Duration
+	skew  float64
+	leave bool
 }
 
 const (
@@ -70,22 +72,23 @@
 	replica *playReplica
 	at      time.Duration
 	choice  Choice
+	local   bool
 	begun   bool
 }
 
 type playState struct {
 	play
-	rnd       *rand.Rand
-	now       time.Duration
-	events    eventQueue
-	tables    []*Table
-	replicas  []*playReplica
-	calls     map[*enginemodel.Job]*playCall
-	tokens    []float64
-	spentAt   []time.Duration
-	nextPeer  []int
-	onTime, n int
-	local     int
+	rnd      *rand.Rand
+	now      time.Duration
+	events   eventQueue
+	tables   []*Table
+	replicas []*playReplica
+	calls    map[*enginemodel.Job]*playCall
+	tokens   []float64
+	spentAt  []time.Duration
+	nextPeer []int
+	// onTime, n and local count requests by the zone of their node.
+	onTime, n, local []int
 }
 
 func (s *playState) after(d time.Duration, do func()) {
@@ -94,10 +97,17 @@
 
 func (s *playState) clock() time.Time { return start.Add(s.now) }
 
-// run returns the share of the requests whose first piece is on time, and of those sent within their zone.
-func (p play) run(seed uint64) (onTime, local float64) {
-	s := &playState{play: p, rnd: rand.New(rand.NewPCG(seed, 1)), calls: make(map[*enginemodel.Job]*playCall)}
+// playResult holds the share of the requests whose first piece is on time, and of those sent within
+// their zone: of all, and by the zone of the node.
+type playResult struct {
+	onTime, local         float64
+	zoneOnTime, zoneLocal []float64
+}
+
+func (p play) run(seed uint64) playResult {
 	p.zones = max(p.zones, 1)
+	s := &playState{play: p, rnd: rand.New(rand.NewPCG(seed, 1)), calls: make(map[*enginemodel.Job]*playCall),
+		onTime: make([]int, p.zones), n: make([]int, p.zones), local: make([]int, p.zones)}
 	zoneOf := func(i int) cluster.ZoneID { return cluster.ZoneID(fmt.Sprint("z", i%p.zones)) }
 	byZone := map[cluster.ZoneID][]Entry{}
 	for i := range p.size {
@@ -106,7 +116,12 @@
 		byZone[zoneOf(i)] = append(byZone[zoneOf(i)], Entry{Replica: cluster.Replica{ID: id, Group: "g", Zone: zoneOf(i), Generation: 1}, Addr: string(id), Slots: p.profile.Slots, Engine: &s.replicas[i].engine.Profile})
 	}
 	for n := range p.nodes {
-		t := NewTable(Options{Zone: zoneOf(n), Policy: p.policy, Seed: seed + uint64(n), PeerExpiry: time.Second, Now: s.clock})
+		policy := p.policy
+		if predictive, ok := policy.(Predictive); ok && p.leave {
+			predictive.Leaving = &Leaving{Delay: func(cluster.ZoneID) (time.Duration, bool) { return p.delay, true }, Nodes: func() int { return p.nodes }}
+			policy = predictive
+		}
+		t := NewTable(Options{Zone: zoneOf(n), Policy: policy, Seed: seed + uint64(n), PeerExpiry: time.Second, Now: s.clock})
 		for zone, entries := range byZone {
 			t.SetReplicas(zone, entries)
 		}
@@ -126,7 +141,18 @@
 		s.now = e.at
 		e.do()
 	}
-	return float64(s.onTime) / float64(s.n), float64(s.local) / float64(s.n)
+	return s.result()
+}
+
+func (s *playState) result() (out playResult) {
+	onTime, n, local := 0, 0, 0
+	for z := range s.n {
+		out.zoneOnTime = append(out.zoneOnTime, float64(s.onTime[z])/float64(s.n[z]))
+		out.zoneLocal = append(out.zoneLocal, float64(s.local[z])/float64(s.n[z]))
+		onTime, n, local = onTime+s.onTime[z], n+s.n[z], local+s.local[z]
+	}
+	out.onTime, out.local = float64(onTime)/float64(n), float64(local)/float64(n)
+	return out
 }
 
 // arrive has a request arrive after a random time and all further ones after it.
@@ -151,10 +177,7 @@
 		delay = s.delay
 	}
 	j := &enginemodel.Job{PromptTokens: prompt, OutputTokens: output}
-	s.calls[j] = &playCall{node: node, replica: r, at: s.now - delay, choice: c}
-	if delay == 0 && s.now > playWarmUp {
-		s.local++
-	}
+	s.calls[j] = &playCall{node: node, replica: r, at: s.now - delay, choice: c, local: delay == 0}
 	r.work.Add(prompt, output)
 	s.after(delay, func() {
 		r.engine.Add(j)
@@ -175,7 +198,7 @@
 			return cmp.Compare(s.profile.PredictFirstPiece(a.work, prompt), s.profile.PredictFirstPiece(b.work, prompt))
 		}), Choice{}
 	}
-	c, err := s.tables[node].ChooseAt(s.clock(), Request{Group: "g", PromptTokens: prompt, OutputTokens: output})
+	c, err := s.tables[node].ChooseAt(s.clock(), Request{Group: "g", PromptTokens: prompt, OutputTokens: output, Target: s.target})
 	if err != nil {
 		panic(err)
 	}
@@ -204,9 +227,13 @@
 		first := s.now - c.at
 		r.work.Read(j.PromptTokens)
 		if s.now > playWarmUp {
-			s.n++
+			zone := c.node % s.zones
+			s.n[zone]++
 			if first <= s.target {
-				s.onTime++
+				s.onTime[zone]++
+			}
+			if c.local {
+				s.local[zone]++
 			}
 		}
 		if !s.perfect {
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -15,6 +15,7 @@
 	ID cluster.ReplicaID
 	// Addr is the ip:port of the serving VM.
 	Addr string
+	Zone cluster.ZoneID
 	// Local is true for a replica in this node's availability zone.
 	Local bool
 	// Healthy is false for a replica that became ineligible since the view was made.
@@ -25,6 +26,10 @@
 	InFlight float64
 	// Load is the same estimate with the known remote load counted in full.
 	Load float64
+	// Own is the number of this node's requests on it. LoadKnown is true if the replica or another
+	// node has reported its load recently.
+	Own       int
+	LoadKnown bool
 	// Capacity is the replica's batch size, at least 1.
 	Capacity float64
 	// Avoided is true for a straggler and for a replica whose last requests failed.
@@ -78,6 +83,8 @@
 	Considered int
 	// Predicted is the predicted first piece on the candidate; 0 if it was not predicted.
 	Predicted time.Duration
+	// PredictedHome is that of the own zone for a request that leaves it.
+	PredictedHome time.Duration
 }
 
 // Policy picks the replica for a request. It is deterministic: the same view, request and
--- a/internal/routing/predictive_test.go
+++ b/internal/routing/predictive_test.go
@@ -33,11 +33,11 @@
 	} {
 		load, exact := c.load, c.load
 		load.policy, load.reportBytes, load.periodic = byLoad, reportBudget, true
-		before, _ := load.run(1)
+		before := load.run(1).onTime
 		load.policy, load.periodic = byPredicted, false
-		now, _ := load.run(1)
+		now := load.run(1).onTime
 		exact.perfect = true
-		best, _ := exact.run(1)
+		best := exact.run(1).onTime
 		t.Log(name, before, now, best)
 		require.Greater(t, now, before+c.gain, name)
 		require.Greater(t, now, best-c.behindPerfect, name)
@@ -48,7 +48,7 @@
 // predictions do.
 func TestMissingAndFalseReportsDoNoHarm(t *testing.T) {
 	load := play{nodes: 75, size: 6, profile: largeEngine, target: 500 * time.Millisecond, utilization: 0.7, policy: byLoad, reportBytes: reportBudget, periodic: true}
-	before, _ := load.run(1)
+	before := load.run(1).onTime
 	load.policy, load.periodic = byPredicted, false
 	for name, falsify := range map[string]func(int, enginemodel.Work) enginemodel.Work{
 		"missing": func(int, enginemodel.Work) enginemodel.Work { return enginemodel.Work{} },
@@ -66,7 +66,7 @@
 		},
 	} {
 		load.falsify = falsify
-		got, _ := load.run(1)
+		got := load.run(1).onTime
 		t.Log(name, before, got)
 		require.Greater(t, got, before-0.02, name)
 	}
@@ -97,6 +97,17 @@
 	require.Zero(t, table.shard("r0").entries["r0"].peerTotal(start.Add(time.Second), time.Second))
 }
 
+// Guards against a false report that keeps requests away from a replica for more than a bounded
+// prediction, or attracts them by negative numbers.
+func TestReportedWorkIsBounded(t *testing.T) {
+	table := newEngineFleet()
+	e := table.shard("r0").entries["r0"]
+	table.ObservePeerWork("n2", "r0", enginemodel.Work{Requests: 1 << 30, UnreadTokens: 1 << 40}, start)
+	require.Equal(t, enginemodel.Work{Requests: maxReportedRequests, UnreadTokens: maxReportedUnread, OutputTokens: maxReportedRequests * 85}, e.totalWork(start, table.opts))
+	table.ObservePeerWork("n2", "r0", enginemodel.Work{Requests: -3, UnreadTokens: -9}, start)
+	require.Zero(t, e.totalWork(start, table.opts))
+}
+
 // Guards against work that stays counted on a replica after its request has ended, in whatever order
 // first piece and end are recorded.
 func TestOwnWorkEndsWithTheRequest(t *testing.T) {
@@ -110,7 +121,9 @@
 	table.EndAt(start, c, Result{OK: true})
 	require.Empty(t, table.OwnWork())
 	table.EndAt(start, choose(t, table, start, req), Result{})
-	require.Zero(t, table.shard(c.Replica.ID).entries[c.Replica.ID].work)
+	for _, id := range []cluster.ReplicaID{"r0", "r1"} {
+		require.Zero(t, table.shard(id).entries[id].work)
+	}
 }
 
 // Guards against engine figures that are wrong by any factor leading to a correction without bounds.
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -33,6 +33,10 @@
 	// PromptTokens and OutputTokens are the length of the prompt and the expected length of the
 	// output; 0 if unknown.
 	PromptTokens, OutputTokens int
+	// Target is the time within which the first piece is on time; 0 if unknown. Bytes is the expected
+	// length of the request and its answer.
+	Target time.Duration
+	Bytes  int
 	// Limit limits the requests on the chosen replica, this one included. The zero value
 	// means no limit.
 	Limit Limit
@@ -91,6 +95,8 @@
 	// number of unread prompt tokens of other requests on the replica.
 	Predicted    time.Duration
 	UnreadTokens int
+	// PredictedHome is the predicted first piece in the own zone, for a request that left it.
+	PredictedHome time.Duration
 
 	// entry is the table entry on which the request is counted until End.
 	entry   *entry
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -75,6 +75,11 @@
 	}
 }
 
+// loadKnown reports whether the replica's load was reported recently, by itself or by another node.
+func (e *entry) loadKnown(now time.Time, o Options) bool {
+	return !e.report.receivedAt.IsZero() && now.Sub(e.report.receivedAt) < o.ReportExpiry || e.peerTotal(now, o.PeerExpiry) > 0
+}
+
 func (e *entry) meanOutput() int {
 	if e.engine == nil {
 		return 0
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -180,6 +180,8 @@
 	Bounds CallerBounds
 	// Weights limits the loading of weights; the zero value if the settings do.
 	Weights WeightStore
+	// Delays are the delays between zones.
+	Delays ZoneDelays
 
 	index index
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -110,6 +110,7 @@
 	if s.Retries.Nodes < 1 {
 		c.reject("retries.nodes", fmt.Sprint(s.Retries.Nodes), "at least 1")
 	}
+	c.zones(s.Zones)
 	if s.Process.MemoryMB < 0 {
 		c.reject("process.memory_mb", fmt.Sprint(s.Process.MemoryMB), "a number of at least 0")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,10 +35,11 @@
 	Control  Control  `yaml:"control"`
 	Drain    Drain    `yaml:"drain"`
 	Log      Log      `yaml:"log"`
-	// Retries, Feeds and Process apply only with platform.driver managed.
+	// Retries, Feeds, Process and Zones apply only with platform.driver managed.
 	Retries Retries `yaml:"retries"`
 	Feeds   Feeds   `yaml:"feeds"`
 	Process Process `yaml:"process"`
+	Zones   Zones   `yaml:"zones"`
 }
 
 // Listen holds the addresses that the node serves on, each as ip:port.
