--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -132,10 +132,10 @@
 // defaultRouting samples enough replicas to compare all replicas of a model in a
 // deployment of a few dozen VMs. Zones are a millisecond apart, so a replica of another
 // zone is chosen when the share of its slots in use is lower by a tenth, or its predicted first
-// piece earlier by ZonePenalty, which keeps about as many requests in their zone.
+// piece earlier by ZonePenalty. A longer one makes requests late while other zones have room.
 var defaultRouting = routing.Predictive{
 	Otherwise:   routing.Weighted{SampleLocal: 8, SampleOther: 8, ZonePenalty: 0.1},
-	ZonePenalty: 40 * time.Millisecond,
+	ZonePenalty: 5 * time.Millisecond,
 }
 
 // Policies replace a node's default policies; a nil field keeps the default.
