--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,11 +1,8 @@
 package membership
 
 import (
-	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/wire/wirepb"
 )
@@ -19,6 +16,10 @@
 type Gossip struct {
 	// Sources are called in this order, and each gets an equal part of the space that is left.
 	Sources []Source
+	// Changes are the sources of gossip that TriggerGossip requests; nil means Sources. The smaller
+	// such a datagram is, the more peers get it at once. Those with Sources are then sent at least
+	// every fullGossipInterval.
+	Changes []Source
 	// Budget is in bytes per second, including IP and UDP headers. With fewer peers, each
 	// one receives gossip more often.
 	Budget int
@@ -30,6 +31,9 @@
 const (
 	// minGossipInterval is the minimum time between two gossip datagrams.
 	minGossipInterval = 25 * time.Millisecond
+	// fullGossipInterval is the longest time between two datagrams with all sources while changes use
+	// up the budget.
+	fullGossipInterval = 250 * time.Millisecond
 	// gossipIdleInterval is the time until the next attempt if there is no peer to send to.
 	gossipIdleInterval = 250 * time.Millisecond
 	// maxGossipBody limits the body of a gossip datagram, in bytes.
@@ -103,25 +107,6 @@
 	return m.view(now), true
 }
 
-// sendGossip sends gossip to one peer after the other until ctx is done.
-func (s *Service) sendGossip(ctx context.Context) {
-	maxPeers := s.gossip.MaxPeers()
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		send := s.state.Gossip(maxPeers)
-		s.mu.Unlock()
-		pause := gossipIdleInterval
-		if len(send.Addrs) > 0 {
-			fill(send.Datagram, send.Limit, s.gossip.Sources, s.log)
-			s.transmit(send)
-			pause = s.gossip.interval(proto.Size(send.Datagram))
-		}
-		if !wait(ctx, pause) {
-			return
-		}
-	}
-}
-
 // minGossipBody is the size of a gossip body that reports a few values.
 const minGossipBody = 80
 
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -16,6 +16,7 @@
 	snapshot atomic.Pointer[snapshot]
 	dirty    atomic.Bool
 	building atomic.Bool
+	accuracy *accuracy
 }
 
 // snapshot lists the eligible replicas, those of the own zone first.
@@ -174,6 +175,8 @@
 	snap  *snapshot
 	group cluster.GroupName
 	now   time.Time
+	// correction is the factor on predictions for the group.
+	correction float64
 }
 
 func (v view) Len() int      { return len(v.snap.entries) }
@@ -191,12 +194,13 @@
 	o := v.table.opts
 	capacity := boundedCapacity(e.capacity(), v.snap.capacity)
 	return Candidate{
-		ID: e.replica.ID, Addr: e.addr, Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
+		ID: e.replica.ID, Addr: e.addr, Zone: e.replica.Zone, Own: e.outstanding, LoadKnown: e.loadKnown(v.now, o), Local: e.replica.Zone == o.Zone, Healthy: e.eligible(),
 		InFlight: e.inFlight(v.now, o, capacity, v.snap.meanRemote), Capacity: capacity,
 		Load:    float64(e.outstanding) + e.remoteLoad(v.now, o),
 		Avoided: e.speed.avoided(v.now) || e.speed.trialRunning(),
 		Trial:   e.speed.onTrial, Suspects: e.suspects, Limited: e.limited(v.now, v.table.opts.Shares),
 		PushbackLeft: e.signals.pushback.left(v.now), PushbackAge: v.now.Sub(e.signals.pushback.askedAt), entry: e,
+		Work: e.totalWork(v.now, o), Engine: e.engine, Correction: v.correction,
 	}
 }
 
