relay: count a hedge beside servers that were counted

Cause: an attempt on a replica that lost a member did not count, even when the call had already run on another server that stayed sound; the head of the replica went on until the replica ended, 0.4 s after the call had left it. Change: such an attempt counts while it is in progress if an earlier attempt was counted. Hypothesis tried first and dropped: count every attempt on a replica that lost a member; three tests of calls that move off lost replicas fail with it. Without the change the new test reaches three servers.

--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -201,7 +201,9 @@
 	f := s.failureState(true)
 	f.MayHaveRun = true
 	for _, inFlight := range s.inFlight {
-		if inFlight.hedgeReason != hedgeReplicaLost {
+		// The server of a replica that lost a member may run the call until the replica ends. Beside
+		// servers that were counted it is one more.
+		if inFlight.hedgeReason != hedgeReplicaLost || s.sent > 0 {
 			f.Attempts++
 		}
 	}
--- a/internal/relay/hedge_guard_test.go
+++ b/internal/relay/hedge_guard_test.go
@@ -168,3 +168,21 @@
 		require.Len(t, f.backend.sent(), 1)
 	})
 }
+
+// Guards against a call that runs on more servers than its route allows: the server of a replica that lost a
+// member may go on, and the call was counted on another one before.
+func TestLostReplicaBesideACountedServerIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		f := newFixture(t, 10, []cluster.ReplicaID{"a", "b", "c"}, handlers{
+			"a": streamWithSilence(start, period{100 * time.Millisecond, time.Minute}, 60, 50*time.Millisecond),
+			"b": streamWithSilence(start, period{2 * time.Second, 3 * time.Second}, 60, 50*time.Millisecond),
+			"c": streamPieces(60, io.EOF),
+		})
+		time.AfterFunc(2300*time.Millisecond, func() { f.relay.ReplicaLost("b") })
+		terms := resumableTerms
+		terms.MaxAttempts, terms.Timeout = 2, time.Minute
+		require.Equal(t, answerOf(60), f.serve(t.Context(), terms).text)
+		require.Len(t, f.backend.sent(), 2)
+	})
+}
