soak: a panic that a handler recovered is a finding as well

Cause: net/http recovers the panic of a first attempt, so that the node's log had only msg=panic, which the check of logs did not look for.

--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -192,5 +193,5 @@
 // Go runtime or a data race.
 func (n *node) logShowsCrash() bool {
 	text, err := os.ReadFile(n.logPath)
-	return err == nil && (bytes.Contains(text, []byte("panic:")) || bytes.Contains(text, []byte("fatal error:")) || bytes.Contains(text, []byte("DATA RACE")))
+	return err == nil && slices.ContainsFunc([]string{"panic:", "msg=panic", "fatal error:", "DATA RACE"}, func(sign string) bool { return bytes.Contains(text, []byte(sign)) })
 }
