--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -142,3 +142,18 @@
 		require.Less(t, limit+32*mb, memory.HeapLimit(mbytes))
 	}
 }
+
+// Guards against new bodies that take the room for which a large response waits.
+func TestBodiesAreRefusedWhileAResponseWaits(t *testing.T) {
+	a := memory.New(16 * mb)
+	first, _ := a.Admit(mb)
+	second, _ := a.Admit(mb)
+	require.NoError(t, <-grown(first, 16*mb))
+	waiting := grown(second, 15*mb)
+	first.Shrink(14 * mb)
+	require.Empty(t, waiting)
+	_, ok := a.Admit(mb)
+	require.False(t, ok)
+	_, ok = a.Admit(100 << 10)
+	require.True(t, ok, "a small request")
+}
