--- a/internal/sockets/path_test.go
+++ b/internal/sockets/path_test.go
@@ -47,7 +47,7 @@
 func TestSlowReaderKeepsItsConnection(t *testing.T) {
 	t.Parallel()
 	directions(t, func(t *testing.T, writer, peer net.Conn) {
-		const size = 4 << 20
+		const size = 16 << 20 // more than the kernel's largest buffers hold
 		written := make(chan error, 1)
 		go func() {
 			_, err := writer.Write(make([]byte, size))
