relay: a panic between the choice of a replica and its attempt ends the counts

What callers saw: none has been seen by a caller. A panic between the choice and the attempt (the look-up of the server, the second check of suspects, the choice of a hedge) was left: the call stayed counted on the replica and against the limit of its model for as long as the process ran, and its caller lost the connection.

Cause: the counts of a choice were ended by the attempt alone, and nothing recovered a panic outside of attempts.

Change: reservation holds both counts and can be ended once; the session ends those that are open when the call ends, however it ends. Serve recovers a panic into an answer: not run before the first attempt, unknown after it. Gauges of open calls, running attempts, limited and outstanding requests at the metrics address; each soak run pauses its callers at the end and finds a node that still counts any of them, or bytes held.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -96,6 +96,9 @@
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wirepbconnect.NewOperatorServiceHandler(operator.New(operatorAPI{n}.parts())))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.writeGauges(w)
+		metrics.WritePrometheus(w, true)
+	})
 	return mux
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -22,6 +22,8 @@
 	choice routing.Choice
 	peer   conns.Peer
 	target Target
+	// reserved holds the counts of an attempt on a replica; nil for a node.
+	reserved *reservation
 	// node is nil for a replica. reason is why the call is handed over to the node.
 	node   *Node
 	reason handOverReason
@@ -36,6 +38,13 @@
 	return string(d.choice.Replica.ID)
 }
 
+// release gives up a destination that gets no attempt.
+func (d destination) release() {
+	if d.reserved != nil {
+		d.reserved.cancel()
+	}
+}
+
 // attempt sends a session's call to one destination and forwards the answer.
 type attempt struct {
 	s  *session
--- a/internal/relay/concurrency.go
+++ b/internal/relay/concurrency.go
@@ -102,6 +102,16 @@
 	return free / inFlight
 }
 
+// Limited returns the number of requests in flight that count against the limits of models.
+func (r *Relay) Limited() (count int) {
+	r.limits.mu.Lock()
+	defer r.limits.mu.Unlock()
+	for _, g := range r.limits.groups {
+		count += g.inFlight
+	}
+	return count
+}
+
 // Room returns the share of this node's room for calls that is free.
 func (r *Relay) Room() float64 { return r.limits.room() }
 
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -174,7 +174,7 @@
 		return false
 	}
 	if d := recovery.Decide(s.hedgeFailure()); d.Step == recovery.GiveUp {
-		s.release(to)
+		to.release()
 		s.logNoHedge(a, string(d.Reason))
 		return false
 	}
@@ -233,18 +233,14 @@
 	if s.target.OfModel && a.isSilent() && s.r.stalls.silenceSpread(now) == commonSilence {
 		return destination{}, errMostSilent
 	}
-	if s.target.OfModel && !s.r.limits.begin(s.target.Group, unlimitedShare, now) {
-		return destination{}, &routing.FullError{Group: s.target.Group}
-	}
-	choice, err := s.r.opts.Router.Choose(s.hedgeRequest(a, now))
+	reserved, err := s.reserve(unlimitedShare, func() (routing.Choice, error) { return s.r.opts.Router.Choose(s.hedgeRequest(a, now)) })
 	if err != nil {
-		s.endLimit(s.target)
 		return destination{}, err
 	}
-	peer, listed := s.r.opts.Peer(choice)
-	to := destination{choice: choice, peer: peer, target: s.target}
+	peer, listed := s.r.opts.Peer(reserved.choice)
+	to := destination{choice: reserved.choice, peer: peer, target: reserved.target, reserved: reserved}
 	if !listed {
-		s.release(to)
+		to.release()
 		return destination{}, errNotListed
 	}
 	return to, nil
--- a/internal/relay/hedge_outcome_test.go
+++ b/internal/relay/hedge_outcome_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -211,15 +212,20 @@
 	})
 }
 
-// countingRouter counts its choices, each of which uses up part of a replica's rate.
+// countingRouter counts its choices, each of which uses up part of a replica's rate, and those that found a
+// replica.
 type countingRouter struct {
 	listRouter
-	choices int
+	choices, chosen atomic.Int64
 }
 
 func (r *countingRouter) Choose(req routing.Request) (routing.Choice, error) {
-	r.choices++
-	return r.listRouter.Choose(req)
+	r.choices.Add(1)
+	choice, err := r.listRouter.Choose(req)
+	if err == nil {
+		r.chosen.Add(1)
+	}
+	return choice, err
 }
 
 // Guards against hedges that use up a replica's rate though the call has no attempt left.
@@ -230,7 +236,7 @@
 		terms := resumableTerms
 		terms.MaxAttempts = 1
 		require.True(t, f.serve(t.Context(), terms).ended)
-		require.Equal(t, 1, router.choices)
+		require.EqualValues(t, 1, router.choices.Load())
 	})
 }
 
@@ -240,7 +246,7 @@
 		router := &countingRouter{listRouter: listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}
 		f := newFixtureWith(t, 0, router, &fakeBackend{handlers: handlers{"a": streamWithSilence(time.Now(), period{0, 4 * time.Second}, 3, 10*time.Millisecond), "b": streamPieces(3, io.EOF)}})
 		require.True(t, f.serve(t.Context(), resumableTerms).ended)
-		require.Equal(t, 1, router.choices)
+		require.EqualValues(t, 1, router.choices.Load())
 	})
 }
 
--- a/internal/relay/panic_test.go
+++ b/internal/relay/panic_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,11 @@
 
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
+	"github.com/fennelcourse/fennelcourse/internal/conns"
 	"github.com/fennelcourse/fennelcourse/internal/engine"
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/relay"
+	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
@@ -105,3 +109,56 @@
 	require.Len(t, f.router.canceled, 18)
 	require.Zero(t, f.relay.Running())
 }
+
+// panicAt returns a function that panics when it is called for the nth time.
+func panicAt(n int64) func() {
+	var calls atomic.Int64
+	return func() {
+		if calls.Add(1) == n {
+			panic("bad list")
+		}
+	}
+}
+
+// Guards against a panic between the choice of a replica and its attempt that leaves the call counted there, or its caller without an answer.
+func TestPanicBetweenChoiceAndAttemptEndsTheCounts(t *testing.T) {
+	silentOnce := handlers{"a": streamWithSilence(time.Time{}, period{}, 3, 1500*time.Millisecond), "b": streamPieces(3, io.EOF)}
+	failsOnce := handlers{"a": streamPieces(0, io.ErrUnexpectedEOF), "b": streamPieces(3, io.EOF)}
+	for name, c := range map[string]struct {
+		handlers handlers
+		peerCall int64 // the look-up of a replica's server that panics
+		answered bool
+		run      fennelerr.RunState
+	}{
+		"first attempt":  {handlers: silentOnce, peerCall: 1, run: fennelerr.NotRun},
+		"second attempt": {handlers: failsOnce, peerCall: 2, run: fennelerr.Unknown},
+		"hedge":          {handlers: silentOnce, peerCall: 2, answered: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log bytes.Buffer
+				router := &countingRouter{listRouter: listRouter{ids: ab, loads: make(map[cluster.ReplicaID]engine.Load)}}
+				panics := panicAt(c.peerCall)
+				f := newFixtureWith(t, 10, router, &fakeBackend{handlers: c.handlers}, func(o *relay.Options) {
+					o.Log = slog.New(slog.NewTextHandler(&log, nil))
+					peer := o.Peer
+					o.Peer = func(choice routing.Choice) (conns.Peer, bool) {
+						panics()
+						return peer(choice)
+					}
+				})
+				got := f.serve(t.Context(), resumableTerms)
+				if c.answered {
+					require.Equal(t, answerOf(3), got.text)
+				} else {
+					require.NotNil(t, got.refused)
+					require.Equal(t, c.run, got.refused.Run)
+				}
+				require.Contains(t, log.String(), "panicked\" request=id-1")
+				require.Len(t, router.canceled, int(router.chosen.Load()))
+				require.Zero(t, f.relay.Running())
+				require.InDelta(t, 1, f.relay.Room(), 0, "requests are still counted")
+			})
+		})
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
+	"github.com/fennelcourse/fennelcourse/internal/fennelerr"
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
@@ -31,7 +32,7 @@
 func (s *session) runOnReplica(a *attempt) (err error) {
 	var result routing.Result
 	outcome := suspect.Abandoned
-	defer func() { s.endChoice(a.to, result) }()
+	defer func() { a.to.reserved.end(result) }()
 	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
 	defer func() { a.suspectRun.End(outcome) }()
 	result, err = a.run()
@@ -69,6 +70,29 @@
 	}
 }
 
+// close ends what the call has left open. A panic between the attempts, which they do not recover, ends the
+// call with an answer; its replicas count it no longer.
+func (s *session) close() {
+	defer func() {
+		s.hedges.Wait()
+		s.reservations.cancelOpen()
+	}()
+	if v := recover(); v != nil {
+		s.failPanicked(errors.Errorf("panic: %v", v))
+	}
+}
+
+// failPanicked ends the call after a panic. An attempt may have been sent that recorded nothing.
+func (s *session) failPanicked(err error) {
+	panicsTotal.Inc()
+	s.r.opts.Log.Error("call panicked", "request", s.call.ID, "attempts", s.attempts, "err", err.Error(), "stack", string(debug.Stack()))
+	if s.answered {
+		return
+	}
+	s.mayHaveRun = s.mayHaveRun || s.attempts > 0
+	s.finish(err, func() *fennelerr.Error { return fennelerr.Wrap(err, fennelerr.Internal, "the node failed") })
+}
+
 func (a *attempt) logPanic(event string, err error) {
 	panicsTotal.Inc()
 	a.s.r.opts.Log.Error(event, "request", a.s.call.ID, "attempt", a.number, "hedge", a.isHedge, "to", a.to.name(), "err", err.Error(), "stack", string(debug.Stack()))
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -28,6 +28,8 @@
 	end    time.Time
 	// suspect identifies the request over all of its caller's attempts.
 	suspect suspect.Request
+	// reservations holds those of all attempts.
+	reservations reservations
 
 	// remaining is the time to the call's deadline, as of the last check.
 	remaining time.Duration
@@ -92,14 +94,16 @@
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter,
 		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body), Model: c.Model, Parts: suspect.PartsOf(c.Model, c.PromptParts)}}
+	defer s.close()
 	s.retarget()
 	if c.HandedOver {
 		takenOverTotal.Inc() // the node that handed it over has recorded it
 	} else {
 		r.opts.Budget.RecordCall(s.target.Service, c.ReceivedAt)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	if !s.end.IsZero() {
-		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.end)
 		defer cancel()
 	}
@@ -120,7 +124,7 @@
 	}
 	s.pauseAfterRefusals(ctx)
 	for {
-		choice, err := s.awaitReplica(ctx)
+		reserved, err := s.awaitReplica(ctx)
 		if err != nil && s.chooseNodeInPushback(err) {
 			return nil
 		}
@@ -131,17 +135,17 @@
 			s.failNoReplica(err)
 			return err
 		}
-		peer, listed := s.r.opts.Peer(choice)
+		peer, listed := s.r.opts.Peer(reserved.choice)
 		err = s.r.opts.Suspects.Refuse(s.suspect) // a quarantine may have begun while the call waited
 		if listed && err == nil {
-			s.next = destination{choice: choice, peer: peer, target: s.target}
+			s.next = destination{choice: reserved.choice, peer: peer, target: reserved.target, reserved: reserved}
 			return nil
 		}
-		s.release(destination{choice: choice, target: s.target})
+		reserved.cancel()
 		if err != nil {
 			return s.failNotAdmitted(err)
 		}
-		s.exclude = append(s.exclude, choice.Replica.ID)
+		s.exclude = append(s.exclude, reserved.choice.Replica.ID)
 	}
 }
 
@@ -156,19 +160,19 @@
 // awaitReplica chooses a replica. A suspect waits for one that runs no other suspect and that
 // it is this node's turn to use. A call whose answer has begun waits for one with room: there is no
 // refusal that its caller would get.
-func (s *session) awaitReplica(ctx context.Context) (routing.Choice, error) {
+func (s *session) awaitReplica(ctx context.Context) (*reservation, error) {
 	waitEnd := time.Now().Add(maxChooseWait)
 	if latest := s.end.Add(-minAttemptTime); !s.end.IsZero() && latest.Before(waitEnd) {
 		waitEnd = latest
 	}
 	for {
-		choice, err := s.chooseReplica()
+		reserved, err := s.chooseReplica()
 		if err == nil || !s.mayWaitFor(err) || time.Now().After(waitEnd) {
-			return choice, err
+			return reserved, err
 		}
 		clock.Pause(ctx, choosePollInterval)
 		if ctx.Err() != nil {
-			return choice, err
+			return nil, err
 		}
 	}
 }
@@ -216,26 +220,6 @@
 	return err
 }
 
-// endChoice ends the count of a request on its replica.
-func (s *session) endChoice(to destination, result routing.Result) {
-	s.r.opts.Router.End(to.choice, result)
-	s.endLimit(to.target)
-}
-
-// endLimit ends the count of a request against the limit of its group.
-func (s *session) endLimit(t Target) {
-	if t.OfModel {
-		s.r.limits.end(t.Group)
-	}
-}
-
-// release gives up a destination that gets no attempt.
-func (s *session) release(to destination) {
-	if to.node == nil {
-		s.endChoice(to, routing.Result{Canceled: true})
-	}
-}
-
 // hasStarted reports whether part of the answer was sent to the caller.
 func (s *session) hasStarted() bool {
 	s.mu.Lock()
@@ -254,19 +238,9 @@
 // chooseReplica chooses a replica that has room and is not stalled. If no such replica is
 // left, stalled ones are allowed: when all seem stalled, this node itself is more likely
 // cut off.
-func (s *session) chooseReplica() (routing.Choice, error) {
+func (s *session) chooseReplica() (*reservation, error) {
 	s.retarget()
-	if !s.target.OfModel {
-		return s.chooseAnyReplica()
-	}
-	if !s.r.limits.begin(s.target.Group, s.limitShare(), time.Now()) {
-		return routing.Choice{}, &routing.FullError{Group: s.target.Group}
-	}
-	choice, err := s.chooseAnyReplica()
-	if err != nil {
-		s.endLimit(s.target)
-	}
-	return choice, err
+	return s.reserve(s.limitShare(), s.chooseAnyReplica)
 }
 
 // limitShare returns the share of the limit that the call may fill. A call that was sent to a
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -37,6 +37,9 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 
+	// pausing is held for reading during each call, and for writing during a pause.
+	pausing sync.RWMutex
+
 	mu    sync.Mutex
 	calls []Call
 }
@@ -65,7 +68,9 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		n := c.env.nodes[rnd.IntN(len(c.env.nodes))]
 		call := Call{ID: fmt.Sprintf("%s-%d", name, i), Unsafe: rnd.IntN(3) == 0, Node: n.name, Deadline: deadline}
+		c.pausing.RLock()
 		send(client, n, &call, []string{"m3", "m2"}[rnd.IntN(2)])
+		c.pausing.RUnlock()
 		c.mu.Lock()
 		c.calls = append(c.calls, call)
 		c.mu.Unlock()
@@ -75,6 +80,13 @@
 	}
 }
 
+// pause waits until no call is under way and lets none begin until resume is called. The callers keep their
+// connections.
+func (c *callers) pause() (resume func()) {
+	c.pausing.Lock()
+	return c.pausing.Unlock
+}
+
 // stopAndCollect stops the callers and returns all their calls.
 func (c *callers) stopAndCollect() []Call {
 	c.stop()
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -23,9 +23,9 @@
 	store                         *Proxy
 	memoryMB                      int
 
-	mu      sync.Mutex
-	callers string
-	process *os.Process // nil while no process runs
+	mu               sync.Mutex
+	callers, metrics string
+	process          *os.Process // nil while no process runs
 	// exited is closed when the process has exited; err is then its exit status.
 	exited chan struct{}
 	err    error
@@ -55,11 +55,15 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf("node: %s\nzone: %s\nregion: here\nlisten: {callers: %q, ready: %q}\nplatform: {driver: managed, address: %q}\n"+
-		"retries: {ratio: 0.2, slack: 100}\nprocess: {first_start: true, grace: 8s, memory_mb: %d}\ndrain: {notice: 300ms}\n", n.name, n.zone, callers, ready, n.store.Addr(), n.memoryMB)
+	metrics, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("node: %s\nzone: %s\nregion: here\nlisten: {callers: %q, ready: %q, metrics: %q}\nplatform: {driver: managed, address: %q}\n"+
+		"retries: {ratio: 0.2, slack: 100}\nprocess: {first_start: true, grace: 8s, memory_mb: %d}\ndrain: {notice: 300ms}\n", n.name, n.zone, callers, ready, metrics, n.store.Addr(), n.memoryMB)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.callers = callers
+	n.callers, n.metrics = callers, metrics
 	return os.WriteFile(n.settingsPath, []byte(text), 0o600)
 }
 
@@ -70,6 +74,13 @@
 	return n.callers
 }
 
+// metricsAddr returns the address at which the node serves its metrics.
+func (n *node) metricsAddr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.metrics
+}
+
 // freeAddr returns a loopback address on which no process listens at present.
 func freeAddr() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -207,6 +207,9 @@
 	if err := env.awaitServing("afterwards"); err != nil {
 		result.Findings = append(result.Findings, err.Error())
 	}
+	resume := callers.pause()
+	result.Findings = append(result.Findings, env.checkIdle()...)
+	resume()
 	if opts.Silence {
 		callers.stopAndCollect() // a node that stops may end calls
 	}
