feed: refuse a message that names a copy from the future

Cause: a feed's message names the age of its copy in signed milliseconds. A negative age, or one that overflows a duration, made the copy count as confirmed in the future: the follower then took an old copy for fresh and did not watch the store itself until that time had come.

Change: an age outside 0 to 24 h is a malformed message, which ends that feed. The follower takes its transport, so that the fuzz test needs no socket.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 
 	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/httpbounds"
@@ -62,7 +63,12 @@
 // is the ip:port of this node's own feed, if it has one.
 func NewFollower(self string, roots, prefixes []string, log *slog.Logger) *Follower {
 	transport := &http.Transport{DialContext: sockets.Dialer(dialTimeout).DialContext}
-	f := &Follower{prefixes: prefixes, log: log, client: &http.Client{Transport: httpbounds.New(transport)}, self: self, roots: slices.Clone(roots), retryAfter: make(map[string]time.Time)}
+	return NewFollowerOn(httpbounds.New(transport), self, roots, prefixes, log)
+}
+
+// NewFollowerOn is NewFollower with the transport that carries the requests.
+func NewFollowerOn(transport http.RoundTripper, self string, roots, prefixes []string, log *slog.Logger) *Follower {
+	f := &Follower{prefixes: prefixes, log: log, client: &http.Client{Transport: transport}, self: self, roots: slices.Clone(roots), retryAfter: make(map[string]time.Time)}
 	rand.Shuffle(len(f.roots), func(i, j int) { f.roots[i], f.roots[j] = f.roots[j], f.roots[i] })
 	return f
 }
@@ -151,15 +157,32 @@
 		if len(msg.GetRedirect()) > 0 {
 			return msg.GetRedirect(), nil
 		}
+		age, err := sourceAge(msg)
+		if err != nil {
+			return nil, err
+		}
 		if !started {
 			streamsTotal.Inc()
 			f.log.Info("following", "feed", addr)
 		}
 		watchdog.Reset()
-		handle(decode(msg), time.Duration(msg.GetSourceAgeMs())*time.Millisecond)
+		handle(decode(msg), age)
 	}
 	if err := stream.Err(); err != nil {
 		return nil, err
 	}
 	return nil, errStale
 }
+
+// maxReadableAge is the largest age of a feed's copy that a message may name.
+const maxReadableAge = 24 * time.Hour
+
+// sourceAge returns the age of the feed's copy as of the message. A copy from the future would count as
+// confirmed for as long as that is ahead, and keep the node from watching the store.
+func sourceAge(msg *wirepb.FollowResponse) (time.Duration, error) {
+	ms := msg.GetSourceAgeMs()
+	if ms < 0 || ms > maxReadableAge.Milliseconds() {
+		return 0, errors.Wrapf(errMalformed, "an age of %d ms", ms)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
