--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -30,7 +30,7 @@
 
 // testPlatform returns a platform with an in-memory store, whose configuration is just
 // its version number.
-func testPlatform(t *testing.T) Platform {
+func testPlatform(t testing.TB) Platform {
 	t.Helper()
 	mem := memstore.New(memstore.Options{})
 	t.Cleanup(mem.Close)
--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -141,13 +141,7 @@
 	})
 	members.AddSource(r.core.SuspectReport)
 	members.AddSource(r.core.LoadReport)
-	members.OnDatagram(func(from membership.Member, d *wirepb.Datagram) {
-		r.core.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, LoadUnread: d.LoadUnread, WorkIDs: d.WorkIds, WorkRates: d.WorkRates,
-			LimitIDs: d.LimitIds, LimitRates: d.LimitRates})
-		r.core.ReceivePathReport(from.Node, membership.Section{Path: d.Path, PathIDs: d.PathIds, PathReports: d.PathReports, PathAgesMs: d.PathAgesMs}, time.UnixMilli(d.SentUnixMs))
-		r.core.ReceiveStallReport(from.Node, membership.Section{StalledIDs: d.StalledIds, WorkingIDs: d.WorkingIds})
-		r.core.ReceiveSuspectReport(d)
-	})
+	members.OnDatagram(r.core.receiveDatagram)
 	r.members.Store(members)
 	r.core.SetPeers(members.Peers)
 	ctx, r.stopMembers = context.WithCancel(ctx)
@@ -163,6 +157,15 @@
 	return nil
 }
 
+// receiveDatagram applies what another node reports.
+func (n *Core) receiveDatagram(from membership.Member, d *wirepb.Datagram) {
+	n.ReceiveLoadReport(from.Node, membership.Section{Asked: d.Asked, LoadIDs: d.LoadIds, LoadCounts: d.LoadCounts, LoadUnread: d.LoadUnread, WorkIDs: d.WorkIds, WorkRates: d.WorkRates,
+		LimitIDs: d.LimitIds, LimitRates: d.LimitRates})
+	n.ReceivePathReport(from.Node, membership.Section{Path: d.Path, PathIDs: d.PathIds, PathReports: d.PathReports, PathAgesMs: d.PathAgesMs}, time.UnixMilli(d.SentUnixMs))
+	n.ReceiveStallReport(from.Node, membership.Section{StalledIDs: d.StalledIds, WorkingIDs: d.WorkingIds})
+	n.ReceiveSuspectReport(d)
+}
+
 // seeds returns the datagram addresses of the nodes that feed others. The settings name
 // the feed addresses of these nodes, and all nodes use the same datagram port.
 func (r *regionPeers) seeds() (out []string) {
