entry: write the datagram key as soon as the store answers

What callers saw: nodes that started in an outage of the store exchanged no datagrams after it until something else changed below their views; without load reports each decides by its own requests alone (read, not seen with callers).

Cause: the key was written by one attempt for each change of its view; an attempt that failed was not repeated.

Change: ensureKey tries again after 0.25 to 2 s until the store has answered, one run at a time.

Measured: TestDatagramKeyIsWrittenAfterAnOutage fails on (no key 3 s after an outage of 10 s), passes with -race.

--- a/internal/entry/region.go
+++ b/internal/entry/region.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/fennelcourse/fennelcourse/internal/clock"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/fleet"
 	"github.com/fennelcourse/fennelcourse/internal/membership"
@@ -44,6 +45,8 @@
 	currentKey  string
 	broadcasts  *rate.Limiter
 
+	// writingKey is true while ensureKey runs.
+	writingKey atomic.Bool
 	// ring holds the current key; nil while there is none.
 	ring atomic.Pointer[wire.Keyring]
 	// members is nil while no membership service runs.
@@ -76,18 +79,41 @@
 	return r
 }
 
-// ensureKey writes a key if the store has none. If several nodes do so at once, one of
-// them succeeds, and all read its key from the store.
+// Delays between attempts to write the key while the store does not answer.
+const (
+	minKeyRetryDelay = 250 * time.Millisecond
+	maxKeyRetryDelay = 2 * time.Second
+)
+
+// ensureKey writes a key if the store has none, and tries until the store answers. If several nodes do so at
+// once, one of them succeeds, and all read its key from the store.
 func (r *regionPeers) ensureKey(ctx context.Context) {
+	if !r.writingKey.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.writingKey.Store(false)
+	retry := clock.Backoff{Min: minKeyRetryDelay, Max: maxKeyRetryDelay}
+	for {
+		err := r.writeKey(ctx)
+		if err == nil {
+			return
+		}
+		r.log.Warn("datagram key not written", "err", err.Error())
+		if !clock.Pause(ctx, retry.Next()) {
+			return
+		}
+	}
+}
+
+// writeKey writes a key unless the store has one.
+func (r *regionPeers) writeKey(ctx context.Context) error {
 	secret := make([]byte, datagramKeySize)
 	_, _ = rand.Read(secret) // never fails
 	key := store.DatagramKey(cluster.ZoneID(r.cfg.Region))
 	ctx, cancel := context.WithTimeout(ctx, datagramKeyTimeout)
 	defer cancel()
 	_, err := r.core.platform.Store.Txn(ctx, store.Txn{Guards: []store.Guard{store.Absent(key)}, Then: []store.Op{store.Put(key, secret, 0)}})
-	if err != nil {
-		r.log.Warn("datagram key not written", "key", key, "err", err.Error())
-	}
+	return err
 }
 
 // keyChanged adopts a new key from the store. If there is none, a node that watches the
--- a/internal/entry/region_test.go
+++ b/internal/entry/region_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -18,6 +20,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/routing"
 	"github.com/fennelcourse/fennelcourse/internal/settings"
 	"github.com/fennelcourse/fennelcourse/internal/store"
+	"github.com/fennelcourse/fennelcourse/internal/store/memstore"
 )
 
 // freePort returns a UDP port that is free on 127.0.0.2. The tests use it on 127.0.0.3 as
@@ -70,6 +73,29 @@
 	require.Eventually(t, first.requestSeen.Load, 20*time.Second, 10*time.Millisecond)
 }
 
+// Guards against nodes that exchange no datagrams for want of a key since the store did not answer the only attempt to write one.
+func TestDatagramKeyIsWrittenAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPlatform(t)
+		mem := p.Store.(*memstore.Store)
+		r := &regionPeers{core: &Core{platform: p}, cfg: &settings.Settings{Region: "r"}, log: slog.New(slog.DiscardHandler)}
+		r.ctx, r.cancel = context.WithCancel(t.Context())
+		defer r.Close()
+		mem.SetFaults(memstore.Faults{Down: true})
+		r.keyChanged(fleet.Change{}) // the only change
+		time.Sleep(10 * time.Second)
+		mem.SetFaults(memstore.Faults{})
+		time.Sleep(3 * time.Second)
+		kv, _, err := mem.Get(t.Context(), store.DatagramKey("r"))
+		require.NoError(t, err)
+		require.NotNil(t, kv)
+		require.Len(t, kv.Value, datagramKeySize)
+		calls := mem.Calls()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, calls, mem.Calls(), "no attempt follows one that the store answered")
+	})
+}
+
 // Another node has filled a replica with requests. The engine reports its load only with
 // an answer, so without the other node's report, callers would queue behind them.
 func TestPeerLoadReportFillsReplica(t *testing.T) {
