relay: evidence against parts of prompts is of one service

What callers saw: none has been seen by a caller (one model service a deployment so far). Requests of a model would have been refused with 429 for crashes of another service's model of the same name, and answers there would have cleared crashes here.

Change: the session names the model by its target as nodes do among each other (rules.SharedName: the model alone unless several services have it), again when the call follows its route; an attempt keeps the name that it began with. A call with a model at a plain service has evidence of its own.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -68,7 +68,9 @@
 	gate *Gate
 	// state is what the server said of itself.
 	state ServerState
-	// suspectRun records the run for the tracker of suspects; nil for an attempt on a node.
+	// suspect identifies the request at the attempt's target. suspectRun records the run for the tracker of
+	// suspects; nil for an attempt on a node.
+	suspect    suspect.Request
 	suspectRun suspect.Run
 	// lossCause is why the attempt lost its connection, if it did.
 	lossCause lossCause
@@ -90,7 +92,7 @@
 // newAttempt returns an attempt to be run at once. The caller holds s.mu.
 func newAttempt(ctx context.Context, s *session, to destination) *attempt {
 	s.attempts++
-	a := &attempt{s: s, to: to, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(), gate: s.newGate(to),
+	a := &attempt{s: s, to: to, suspect: s.suspect, parent: ctx, started: time.Now(), number: s.attempts, resumeAfter: s.lastID, maxAttempts: s.attemptsLeft(), gate: s.newGate(to),
 		idempotent: to.node == nil && s.call.Route.Policy.Idempotent() && !s.end.IsZero()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if a.idempotent {
--- a/internal/relay/attemptlog.go
+++ b/internal/relay/attemptlog.go
@@ -22,7 +22,7 @@
 		firstPieceSeconds.Update(result.FirstToken.Seconds())
 	}
 	terms, choice := s.call.Route.Policy, a.to.choice
-	fields := []any{"request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
+	fields := []any{"request", s.call.ID, "fingerprint", a.suspect.Fingerprint.Short(), "route", terms.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge, "team", s.call.Team,
 		"group", a.to.target.Group, "attempt", a.number, "hedge", a.isHedge, "replica", choice.Replica.ID, "server", choice.Replica.Serving, "addr", choice.Addr,
 		"reason", choice.Reason, "considered", choice.Considered, "alone", s.admission.Alone, "waited", a.started.Sub(s.call.ReceivedAt),
 		"first", result.FirstToken, "target", terms.Target, "took", result.Duration}
@@ -35,8 +35,8 @@
 	if choice.PredictedHome > 0 {
 		fields = append(fields, "predicted_home", choice.PredictedHome)
 	}
-	if len(s.suspect.Parts) > 0 {
-		fields = append(fields, "parts", suspect.JoinParts(s.suspect.Parts))
+	if len(a.suspect.Parts) > 0 {
+		fields = append(fields, "parts", suspect.JoinParts(a.suspect.Parts))
 	}
 	if load := a.state.Load; load != nil {
 		fields = append(fields, "running", load.Running, "waiting", load.Waiting, "slots", load.Slots)
--- a/internal/relay/nodes.go
+++ b/internal/relay/nodes.go
@@ -198,7 +198,7 @@
 	refusedBy, sent := s.refusedBy, s.sent
 	s.mu.Unlock()
 	result, err := a.run()
-	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", s.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
+	s.r.opts.Log.Info("handed over", "request", s.call.ID, "fingerprint", a.suspect.Fingerprint.Short(), "route", s.call.Route.Policy.Name, "rules", s.call.RulesRevision, "rules_age", s.call.RulesAge,
 		"attempt", a.number, "hedge", a.isHedge, "node", node.ID, "addr", node.Addr, "reason", a.to.reason, "chosen", a.to.chosen, "refused_by", refusedBy, "unreachable", s.r.opts.Reach.Unreachable(), "sent", sent,
 		"waited", a.started.Sub(s.call.ReceivedAt), "first", result.FirstToken, "took", result.Duration, "outcome", outcomeOf(err))
 	refusal, refused := errors.Into[*NodeRefusalError](err)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -33,7 +33,7 @@
 	var result routing.Result
 	outcome := suspect.Abandoned
 	defer func() { a.to.reserved.end(result) }()
-	a.suspectRun = s.r.opts.Suspects.BeginRequest(s.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
+	a.suspectRun = s.r.opts.Suspects.BeginRequest(a.suspect, a.to.choice.Replica.ID, a.to.choice.Replica.Generation, s.admission)
 	defer func() { a.suspectRun.End(outcome) }()
 	result, err = a.run()
 	a.lossCause = s.r.crashes.lossCause(a.parent, a.to.peer, err)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -26,7 +26,8 @@
 	sink   call.Sink
 	target Target
 	end    time.Time
-	// suspect identifies the request over all of its caller's attempts.
+	// suspect identifies the request over all of its caller's attempts, and the parts of its prompt at the
+	// present target.
 	suspect suspect.Request
 	// reservations holds those of all attempts.
 	reservations reservations
@@ -93,7 +94,7 @@
 // disconnects.
 func (r *Relay) Serve(ctx context.Context, c *call.Call, sink call.Sink) {
 	s := &session{r: r, call: c, sink: sink, end: c.EffectiveDeadline(), lastID: c.ResumeAfter,
-		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body), Model: c.Model, Parts: suspect.PartsOf(c.Model, c.PromptParts)}}
+		suspect: suspect.Request{Fingerprint: suspect.FingerprintOf(c.Team, c.URI, c.Body)}}
 	defer s.close()
 	s.retarget()
 	if c.HandedOver {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -6,6 +6,7 @@
 	"github.com/fennelcourse/fennelcourse/internal/call"
 	"github.com/fennelcourse/fennelcourse/internal/cluster"
 	"github.com/fennelcourse/fennelcourse/internal/rules"
+	"github.com/fennelcourse/fennelcourse/internal/suspect"
 )
 
 // Target is the service that a call goes to and the group of its replicas that serves the call.
@@ -38,7 +39,8 @@
 // with its kind of service: a plain service can't continue the answer of a model. It is called
 // while no attempt is in progress, or with s.mu held.
 func (s *session) retarget() {
-	t := TargetOf(s.r.opts.Rules(), s.call, s.target.Service)
+	set := s.r.opts.Rules()
+	t := TargetOf(set, s.call, s.target.Service)
 	if t == s.target || s.started && t.OfModel != s.target.OfModel {
 		return
 	}
@@ -46,4 +48,17 @@
 		s.r.opts.Log.Info("call follows its route", "request", s.call.ID, "route", s.call.Route.Policy.Name, "from", s.target.Service, "service", t.Service, "group", t.Group)
 	}
 	s.target = t
+	if s.call.Model != "" {
+		s.suspect.Model = evidenceName(set, s.call.Model, t.Group)
+		s.suspect.Parts = suspect.PartsOf(s.suspect.Model, s.call.PromptParts)
+	}
+}
+
+// evidenceName returns the name under which the nodes keep evidence against parts of prompts: a crash of one
+// service's replicas shows nothing of another service's with a model of the same name.
+func evidenceName(set *rules.Set, model string, group cluster.GroupName) string {
+	if set == nil {
+		return model
+	}
+	return string(set.SharedName(group))
 }
--- a/internal/relay/target_test.go
+++ b/internal/relay/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -33,20 +34,21 @@
 
 // movedRoute is a relay whose only route can be moved. Services a and b have the model m, desk is plain.
 type movedRoute struct {
-	relay   *relay.Relay
-	backend *fakeBackend
-	rules   atomic.Pointer[rules.Set]
+	relay    *relay.Relay
+	backend  *fakeBackend
+	suspects *recordingSuspects
+	rules    atomic.Pointer[rules.Set]
 }
 
 func newMovedRoute(handle map[cluster.ReplicaID]handler) *movedRoute {
-	m := &movedRoute{backend: &fakeBackend{handlers: handle}}
+	m := &movedRoute{backend: &fakeBackend{handlers: handle}, suspects: &recordingSuspects{Suspects: suspect.New(suspect.Options{})}}
 	router := &groupRouter{listRouter: listRouter{loads: make(map[cluster.ReplicaID]engine.Load)}, groups: map[cluster.GroupName][]cluster.ReplicaID{
 		rules.ModelGroupName("a", "m"): {"a1", "a2"}, rules.ModelGroupName("b", "m"): {"b1", "b2"}, rules.PlainGroup("desk"): {"desk1"}}}
 	m.relay = relay.New(relay.Options{
 		Router: router, Backend: m.backend, Rules: m.rules.Load, Log: slog.New(slog.DiscardHandler),
 		Budget:   relay.NewBudget(relay.BudgetOptions{Slack: 10, Window: 10 * time.Second, Nodes: 1}),
 		Peer:     func(c routing.Choice) (conns.Peer, bool) { return conns.Peer{Server: c.Replica.Serving}, true },
-		Suspects: suspect.New(suspect.Options{}), Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
+		Suspects: m.suspects, Departure: func(conns.Peer) relay.Departure { return relay.Departure{} },
 	})
 	m.moveTo("a")
 	return m
@@ -134,3 +136,34 @@
 		})
 	}
 }
+
+// recordingSuspects records the requests of which runs began.
+type recordingSuspects struct {
+	relay.Suspects
+	mu    sync.Mutex
+	begun []suspect.Request
+}
+
+func (r *recordingSuspects) BeginRequest(req suspect.Request, replica cluster.ReplicaID, generation int64, a suspect.Admission) suspect.Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun = append(r.begun, req)
+	return r.Suspects.BeginRequest(req, replica, generation, a)
+}
+
+// Guards against crashes at one service that are evidence against requests of another service's model of the same name.
+func TestEvidenceAgainstPartsIsOfOneService(t *testing.T) {
+	answer := streamPieces(3, io.EOF)
+	m := newMovedRoute(handlers{"a1": answer, "a2": answer, "b1": answer})
+	parts := func(c *call.Call) { c.PromptParts = []uint64{7, 8} }
+	for _, service := range []cluster.Service{"a", "b"} {
+		m.moveTo(service)
+		require.True(t, m.serve(t, parts).ended)
+	}
+	begun := m.suspects.begun
+	require.Len(t, begun, 2)
+	require.Equal(t, begun[0].Fingerprint, begun[1].Fingerprint)
+	require.NotEqual(t, begun[0].Model, begun[1].Model)
+	require.Len(t, begun[0].Parts, 1)
+	require.NotEqual(t, begun[0].Parts, begun[1].Parts)
+}
