entry: outages of services with the same model are recorded apart

Two services with one model's name shared a line of the record: the replacement of one service's replica ended the downtime of the other's. A replica that was replaced within one change of the list stayed down until the next one started.

Change: the recorder keys replicas by their group and keeps the name under which each downtime began; the name is rules.SharedName, so that records of one service read as before. Stops are recorded before starts.

--- a/internal/entry/derive.go
+++ b/internal/entry/derive.go
@@ -78,29 +78,40 @@
 }
 
 // recordServingChanges logs and records which replicas started and stopped taking
-// requests, and moves requests away from those that lost a member.
+// requests, and moves requests away from those that lost a member. One that starts replaces one that stops at
+// the same time.
 func (n *Core) recordServingChanges(serving map[cluster.ReplicaID]bool, replicas []fleet.Replica, revision int64) {
-	for id := range serving {
-		if !n.serving[id] {
-			n.logServingChange(id, true, false, revision)
-			if groupOf(id) != "" {
-				n.outages.replicaUp(id, time.Now())
-			}
-		}
-	}
 	for id := range n.serving {
 		if serving[id] {
 			continue
 		}
 		cause := n.downCause(id, replicas)
 		n.logServingChange(id, false, cause == causeMemberLost, revision)
-		if groupOf(id) != "" {
+		if isOfModel(id) {
 			n.outages.replicaDown(id, cause, time.Now())
 		}
 		if cause == causeMemberLost {
 			n.relay.ReplicaLost(id)
 		}
 	}
+	for id := range serving {
+		if !n.serving[id] {
+			n.logServingChange(id, true, false, revision)
+			if isOfModel(id) {
+				n.outages.replicaUp(id, n.recordedGroup(id, replicas), time.Now())
+			}
+		}
+	}
+}
+
+// recordedGroup returns the group of one of the replicas, as the record of outages names it.
+func (n *Core) recordedGroup(id cluster.ReplicaID, replicas []fleet.Replica) recordedGroup {
+	at := slices.IndexFunc(replicas, func(r fleet.Replica) bool { return r.ID() == id })
+	if at < 0 {
+		return recordedGroup{}
+	}
+	group := replicas[at].Group
+	return recordedGroup{group: group, name: n.rules.Load().SharedName(group)}
 }
 
 // downCause returns why a replica takes no more requests; the caller holds n.servingMu.
@@ -162,7 +173,7 @@
 // as one of its members. It is false for a server of a plain service: one that is no
 // longer listed may be leaving, and finishes the calls that it has.
 func lostMember(id cluster.ReplicaID, replicas []fleet.Replica) bool {
-	if groupOf(id) == "" {
+	if !isOfModel(id) {
 		return false
 	}
 	for i := range replicas {
--- a/internal/entry/outages.go
+++ b/internal/entry/outages.go
@@ -49,13 +49,28 @@
 	recorder *ledger.Recorder
 	windows  []ledger.Window
 	lastCut  time.Time
+	// groups holds the groups of the replicas that serve.
+	groups map[cluster.ReplicaID]recordedGroup
 	// unreplaced holds the replicas that went down and have not been replaced, oldest first.
-	unreplaced map[cluster.GroupName][]cluster.ReplicaID
+	unreplaced map[cluster.GroupName][]downReplica
+	// stranded holds the last counts of stranded accelerators.
+	stranded map[strandedKey]int
+}
+
+// recordedGroup is a group and its name in the record, which is that of the model unless several services
+// have the model.
+type recordedGroup struct{ group, name cluster.GroupName }
+
+// downReplica is a replica that is down and the name of its group in the record.
+type downReplica struct {
+	id   cluster.ReplicaID
+	name cluster.GroupName
 }
 
 func newOutageRecorder(node cluster.NodeID, zone cluster.ZoneID, now time.Time) *outageRecorder {
 	options := ledger.RecorderOptions{Observer: node, Incarnation: uint64(now.UnixNano()), Zone: zone}
-	return &outageRecorder{zone: zone, recorder: ledger.NewRecorder(options, now), lastCut: now, unreplaced: make(map[cluster.GroupName][]cluster.ReplicaID)}
+	return &outageRecorder{zone: zone, recorder: ledger.NewRecorder(options, now), lastCut: now,
+		groups: make(map[cluster.ReplicaID]recordedGroup), unreplaced: make(map[cluster.GroupName][]downReplica)}
 }
 
 // persist has the record written to the store from now on.
@@ -82,39 +97,46 @@
 func (o *outageRecorder) replicaDown(id cluster.ReplicaID, cause ledger.Cause, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	group := groupOf(id)
-	o.unreplaced[group] = append(o.unreplaced[group], id)
-	o.apply(ledger.Event{Kind: ledger.ReplicaDown, At: now, Group: group, Replica: id, Cause: cause, Evidence: "list of servers"})
+	g, known := o.groups[id]
+	if !known {
+		return
+	}
+	delete(o.groups, id)
+	o.unreplaced[g.group] = append(o.unreplaced[g.group], downReplica{id, g.name})
+	o.apply(ledger.Event{Kind: ledger.ReplicaDown, At: now, Group: g.name, Replica: id, Cause: cause, Evidence: "list of servers"})
 }
 
 // replicaUp records that a replica serves. It ends the downtime of that replica, if it was
 // down, and otherwise of the one of its group that has been down longest.
-func (o *outageRecorder) replicaUp(id cluster.ReplicaID, now time.Time) {
+func (o *outageRecorder) replicaUp(id cluster.ReplicaID, g recordedGroup, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	group := groupOf(id)
-	unreplaced := o.unreplaced[group]
+	o.groups[id] = g
+	unreplaced := o.unreplaced[g.group]
 	if len(unreplaced) == 0 {
 		return
 	}
-	i := max(slices.Index(unreplaced, id), 0)
-	o.apply(ledger.Event{Kind: ledger.ReplicaGone, At: now, Group: group, Replica: unreplaced[i]})
-	o.unreplaced[group] = slices.Delete(unreplaced, i, i+1)
+	i := max(slices.IndexFunc(unreplaced, func(r downReplica) bool { return r.id == id }), 0)
+	o.apply(ledger.Event{Kind: ledger.ReplicaGone, At: now, Group: unreplaced[i].name, Replica: unreplaced[i].id})
+	o.unreplaced[g.group] = slices.Delete(unreplaced, i, i+1)
 }
 
-// groupOf returns the model of a replica, whose name its id begins with. The record knows groups by their
-// models, as earlier versions wrote it.
-func groupOf(id cluster.ReplicaID) cluster.GroupName {
-	return cluster.GroupName(fleet.ModelOf(string(id)))
-}
+// isOfModel reports whether a replica is one of a model: the model's name begins its id.
+func isOfModel(id cluster.ReplicaID) bool { return fleet.ModelOf(string(id)) != "" }
 
 // recordStranded records how many accelerators are stranded, by group and cause.
 func (o *outageRecorder) recordStranded(counts map[strandedKey]int, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for key := range o.stranded {
+		if _, counted := counts[key]; !counted { // the rules no longer have the group
+			o.apply(ledger.Event{Kind: ledger.StrandedCount, At: now, Group: key.group, Cause: key.cause})
+		}
+	}
 	for key, n := range counts {
 		o.apply(ledger.Event{Kind: ledger.StrandedCount, At: now, Group: key.group, Cause: key.cause, Count: n})
 	}
+	o.stranded = counts
 	o.recorder.Tick(now)
 	if now.Sub(o.lastCut) < windowLength {
 		return
@@ -159,7 +181,7 @@
 	engines := make(map[cluster.Service]bool)
 	for _, g := range set.Groups {
 		engines[g.Servers] = true
-		counts[strandedKey{cluster.GroupName(g.Model), causeUnassigned}] = 0
+		counts[strandedKey{set.SharedName(g.Name), causeUnassigned}] = 0
 	}
 	n.servingMu.Lock()
 	serving := n.serving
@@ -170,7 +192,8 @@
 		case !engines[s.Service] || s.Draining:
 		case m != nil && serving[fleet.ReplicaID(m.Replica, m.Epoch)]:
 		case len(s.Staged) > 0:
-			counts[strandedKey{cluster.GroupName(s.Staged[0]), causeUnassigned}]++
+			group, _ := set.TargetGroup(s.Service, s.Staged[0])
+			counts[strandedKey{set.SharedName(group), causeUnassigned}]++
 		default:
 			counts[strandedKey{"", causeNoWeights}]++
 		}
