--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -28,6 +28,8 @@
 	Deadline, Held time.Duration
 	Ended          time.Time
 	Begun          bool
+	// Key is the caller's key if not the default.
+	Key string
 }
 
 // callers is a set of concurrent callers that send requests to random nodes until
@@ -123,6 +125,9 @@
 	req.GetBody = nil // keeps net/http from sending the request a second time
 	req.Host = "a.example"
 	setRequestHeaders(req.Header, call.ID, model)
+	if call.Key != "" {
+		req.Header.Set("Authorization", "Token "+call.Key)
+	}
 	if call.Deadline > 0 {
 		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
 	}
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 	binary, settingsPath, logPath string
 	store                         *Proxy
 	memoryMB                      int
+	// seeds are the addresses of the feeds that the node follows; empty if it watches the store itself.
+	seeds []string
 
 	mu               sync.Mutex
 	callers, metrics string
@@ -35,13 +38,14 @@
 	unexpectedExits []string
 }
 
-// newNode creates a node and writes its settings file. It starts no process.
-func newNode(dir, binary, name, zone, storeAddr string, memoryMB int) (*node, error) {
+// newNode creates a node that follows the feeds at the seeds, if there are any, and writes its settings file.
+// It starts no process.
+func newNode(dir, binary, name, zone, storeAddr string, memoryMB int, seeds []string) (*node, error) {
 	proxy, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
 	}
-	n := &node{name: name, zone: zone, binary: binary, store: proxy, memoryMB: memoryMB, settingsPath: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
+	n := &node{name: name, zone: zone, binary: binary, store: proxy, memoryMB: memoryMB, seeds: seeds, settingsPath: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
 	return n, n.assignAddresses()
 }
 
@@ -61,6 +65,13 @@
 	}
 	text := fmt.Sprintf("node: %s\nzone: %s\nregion: here\nlisten: {callers: %q, ready: %q, metrics: %q}\nplatform: {driver: managed, address: %q}\n"+
 		"retries: {ratio: 0.2, slack: 100}\nprocess: {first_start: true, grace: 8s, memory_mb: %d}\ndrain: {notice: 300ms}\n", n.name, n.zone, callers, ready, metrics, n.store.Addr(), n.memoryMB)
+	if len(n.seeds) > 0 {
+		feed, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		text += fmt.Sprintf("feeds: {listen: %q, seeds: [\"%s\"]}\n", feed, strings.Join(n.seeds, `", "`))
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.callers, n.metrics = callers, metrics
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,12 +13,14 @@
 type ProxyMode int
 
 // Modes of a proxy. Delay relays all bytes late. DropResponses discards the bytes that
-// the target sends, so that connections stay open and deliver nothing. Disconnect
+// the target sends, so that connections stay open and deliver nothing. Silence discards
+// both directions, and a connection that lost bytes stays silent afterwards. Disconnect
 // resets open connections and closes new ones.
 const (
 	Forward ProxyMode = iota
 	Delay
 	DropResponses
+	Silence
 	Disconnect
 )
 
@@ -180,13 +182,15 @@
 // from the target.
 func (p *Proxy) copy(to, from net.Conn, isResponse bool) {
 	buf := make([]byte, 16<<10)
+	silent := false
 	for {
 		n, err := from.Read(buf)
 		mode := p.currentMode()
+		silent = silent || mode == Silence && n > 0
 		if mode == Delay {
 			time.Sleep(forwardDelay)
 		}
-		if n > 0 && (mode != DropResponses || !isResponse) {
+		if n > 0 && !silent && (mode != DropResponses || !isResponse) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -193,11 +193,14 @@
 	stopSignals, stopCuts := startBeside(opts.ServerSignals, env.giveSignals), startBeside(opts.ServerCuts, env.cutServers)
 	stopMoves := startBeside(opts.RouteMoves, env.moveRoute)
 	stopSilences := startBeside(opts.SingleSilences, env.silenceInTurn)
-	if opts.Uploads > 0 {
+	switch {
+	case opts.StoreOutages > 0:
+		result.Findings = append(result.Findings, env.playStoreOutages()...)
+	case opts.Uploads > 0:
 		uploads := env.startUploads(opts.Uploads)
 		time.Sleep(opts.FaultDuration)
 		uploads.stop(&result)
-	} else {
+	default:
 		result.Faults = env.injectFaults(rnd)
 	}
 	result.Findings = append(result.Findings, stopSignals()...)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -116,6 +116,13 @@
 	require.Empty(t, result.Findings)
 }
 
+// Guards against nodes without a live feed that run calls with a removed key for longer than the bounds allow after outages of the store.
+func TestShortSoakWithOutagesOfTheStore(t *testing.T) {
+	result, err := soak.Run(soak.Options{Binary: buildDaemon(t), Dir: t.TempDir(), Seed: 12, Nodes: 4, Callers: 4, FaultDuration: time.Second, StoreOutages: 3, Log: t.Logf})
+	require.NoError(t, err)
+	require.Empty(t, result.Findings)
+}
+
 // Guards against large bodies at once that take more memory than the process has, and against slow readers that lose their answers.
 func TestShortSoakWithLargeBodiesAndSlowReaders(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "fenneld")
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -44,6 +44,9 @@
 	SingleSilences bool
 	// Uploads is the number of callers that send large bodies at once, in place of the other faults.
 	Uploads int
+	// StoreOutages is the number of outages of the store in a row, after each of which a key is removed, in
+	// place of the other faults. All nodes but the first know only feeds that are gone.
+	StoreOutages int
 	// MemoryMB is the nodes' memory; 0 for no limit. With Uploads, a node that takes more is a finding.
 	MemoryMB int
 	Log      func(format string, args ...any)
@@ -62,6 +65,8 @@
 	plain   []string // the ids of the servers of the plain service
 	servers int
 	version int
+	// keys are those of the callers beside the default.
+	keys []string
 
 	// domains are the processes of servers that fall silent.
 	domains  []*helper
@@ -101,7 +106,11 @@
 		}
 	}
 	for i := range opts.Nodes {
-		n, err := newNode(opts.Dir, opts.Binary, fmt.Sprintf("node-%d", i), zoneName(i), listener.Addr().String(), opts.MemoryMB)
+		seeds, err := env.seedsOf(i)
+		if err != nil {
+			return nil, err
+		}
+		n, err := newNode(opts.Dir, opts.Binary, fmt.Sprintf("node-%d", i), zoneName(i), listener.Addr().String(), opts.MemoryMB, seeds)
 		if err != nil {
 			return nil, err
 		}
@@ -194,6 +203,9 @@
 	env.mu.Lock()
 	env.version += 3
 	text := fmt.Sprintf(configTemplate, env.version, longerRoute+routes)
+	for _, key := range env.keys {
+		text = strings.Replace(text, `"api_keys":[`, fmt.Sprintf(`"api_keys":[%q,`, key), 1)
+	}
 	if env.version%2 == 0 {
 		text = otherLimits.Replace(text)
 	}
