--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stage2 replica|truncated")
+		fmt.Fprintln(os.Stderr, "usage: stage2 replica|truncated|drained")
 		os.Exit(exitFailed)
 	}
 	switch os.Args[1] {
@@ -25,6 +25,8 @@
 			fmt.Println(err)
 			os.Exit(exitFailed)
 		}
+	case "drained":
+		os.Exit(runCase(drained))
 	case "truncated":
 		os.Exit(runCase(truncated))
 	default:
