fleet: a log line for each recovery of the copy, with the entries that are kept

The log said that the store was reached again and, seconds later, how many expired entries were removed. It did not say which entries a node kept although it had read their removal, from which revision on, why, and until when.

Two lines for each recovery now: 'copy confirmed again' with the silence, the revision, the kept keys (at most 8) and the rest of the grace, and 'expired entries removed' with the keys, the revisions of their removals and the time since the recovery. No change of behaviour.

--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -74,14 +75,17 @@
 	notifyMu    sync.Mutex
 	mu          sync.Mutex
 	entries     map[string]store.KV
-	expired     map[string]struct{}
-	revision    int64
-	loaded      bool
+	// expired maps the entries that are kept after their removal to the revision at which it was read.
+	expired  map[string]int64
+	revision int64
+	loaded   bool
 	// lastContact is when the store last confirmed the copy, and feedContact when it last
 	// confirmed the one that the feed sent.
 	lastContact, feedContact time.Time
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
+	// silence is how long the store had not confirmed the copy when it last recovered.
+	silence time.Duration
 	// pending holds the changed keys of which the views have not been notified, and
 	// viewRevision the revision up to which they have.
 	pending         map[string]struct{}
@@ -98,7 +102,7 @@
 // NewMirror returns a Mirror with the given views. Run fills it from the feed, and from the
 // source while the feed does not confirm the copy. The feed may be nil.
 func NewMirror(source Source, feed Feed, log *slog.Logger, views ...View) *Mirror {
-	return &Mirror{views: views, source: source, feed: feed, feedConfirmed: make(chan struct{}, 1), log: log, followers: make(map[chan store.WatchBatch][]string), entries: make(map[string]store.KV), expired: make(map[string]struct{}), pending: make(map[string]struct{})}
+	return &Mirror{views: views, source: source, feed: feed, feedConfirmed: make(chan struct{}, 1), log: log, followers: make(map[chan store.WatchBatch][]string), entries: make(map[string]store.KV), expired: make(map[string]int64), pending: make(map[string]struct{})}
 }
 
 // commonPrefix returns the longest prefix that all views share.
@@ -191,7 +195,7 @@
 		m.mu.Unlock()
 		return false
 	}
-	m.recordContact(confirmedAt)
+	recovered := m.recordContact(confirmedAt)
 	m.notifyDifference(fresh, revision)
 	before := m.entries
 	for key, kv := range m.entries {
@@ -200,7 +204,7 @@
 		}
 		if now.Sub(m.recoveredAt) < expiryGracePeriod {
 			fresh[key] = kv
-			m.expired[key] = struct{}{}
+			m.expired[key] = revision
 		}
 	}
 	for key := range m.expired {
@@ -209,6 +213,9 @@
 		}
 	}
 	m.entries, m.revision, m.loaded = fresh, revision, true
+	if recovered {
+		m.logRecovery()
+	}
 	m.mu.Unlock()
 	m.notifyViews(changedKeys(before, fresh), revision, true)
 	return true
@@ -229,14 +236,36 @@
 	return keys
 }
 
-// recordContact records when the store last answered; the caller holds m.mu.
-func (m *Mirror) recordContact(at time.Time) {
-	if m.loaded && at.Sub(m.lastContact) > outageThreshold+watchIdleInterval {
-		m.recoveredAt = time.Now()
+// recordContact records when the store last answered, and reports whether that ended an outage; the
+// caller holds m.mu.
+func (m *Mirror) recordContact(at time.Time) (recovered bool) {
+	silence := at.Sub(m.lastContact)
+	if m.loaded && silence > outageThreshold+watchIdleInterval {
+		m.recoveredAt, m.silence, recovered = time.Now(), silence, true
 	}
 	if at.After(m.lastContact) {
 		m.lastContact = at
 	}
+	return recovered
+}
+
+// logRecovery logs the end of an outage and the entries that are kept although the first changes read
+// after it remove them; the caller holds m.mu.
+func (m *Mirror) logRecovery() {
+	m.log.Info("copy confirmed again", "silence", m.silence.String(), "revision", m.revision, "kept", len(m.expired), "keys", sampleKeys(m.expired),
+		"grace", time.Until(m.recoveredAt.Add(expiryGracePeriod)).String())
+}
+
+// maxLoggedKeys limits the keys in one line of the log.
+const maxLoggedKeys = 8
+
+// sampleKeys returns some of the keys, in order and with the revisions at which their removal was read.
+func sampleKeys(removed map[string]int64) string {
+	var sample []string
+	for _, key := range slices.Sorted(maps.Keys(removed))[:min(len(removed), maxLoggedKeys)] {
+		sample = append(sample, fmt.Sprintf("%s@%d", key, removed[key]))
+	}
+	return strings.Join(sample, ",")
 }
 
 // watchIdleInterval is the longest time between batches of an idle watch; drivers send an empty
@@ -251,7 +280,7 @@
 		m.mu.Unlock()
 		return
 	}
-	m.recordContact(confirmedAt)
+	recovered := m.recordContact(confirmedAt)
 	m.notifyFollowers(batch)
 	var changed []string
 	for _, ev := range batch.Events {
@@ -268,12 +297,15 @@
 			continue
 		}
 		if _, ok := m.entries[ev.KV.Key]; ok && now.Sub(m.recoveredAt) < expiryGracePeriod {
-			m.expired[ev.KV.Key] = struct{}{}
+			m.expired[ev.KV.Key] = ev.KV.ModRevision
 			continue
 		}
 		delete(m.entries, ev.KV.Key)
 	}
 	m.revision = max(m.revision, batch.Revision)
+	if recovered {
+		m.logRecovery()
+	}
 	if len(changed) == 0 && len(m.pending) == 0 {
 		m.viewRevision = m.revision
 	}
@@ -325,14 +357,15 @@
 // dropExpired removes the expired entries that were not written again.
 func (m *Mirror) dropExpired() {
 	m.mu.Lock()
-	expired := slices.Collect(maps.Keys(m.expired))
+	expired, sample := slices.Collect(maps.Keys(m.expired)), sampleKeys(m.expired)
 	for _, key := range expired {
 		delete(m.entries, key)
 	}
 	clear(m.expired)
+	recoveredAt := m.recoveredAt
 	m.mu.Unlock()
 	if count := len(expired); count > 0 {
-		m.log.Info("expired entries removed", "count", count, "reason", "not renewed after the store recovered")
+		m.log.Info("expired entries removed", "count", count, "keys", sample, "since_recovery", time.Since(recoveredAt).String(), "reason", "not renewed after the store recovered")
 		m.notifySoon(expired)
 	}
 }
