fleet: a removal is in force within 2.8 s of the end of an outage, whenever it is noticed

Cause: two waits that each kept to their bound added up. - The end of a silent cut was noticed up to a second late: a lost read had to time out (probeTimeout, 1 s) before the next began, and a node with feeds waited up to 1.8 s between attempts. - The grace for entries that may have expired in vain (2.5 s) counted from that moment, and a removal that was read within it was kept back for all of it. The two seconds in which live servers register again run from the store's return, not from the node's first answer.

Ruled out: a feed with an old copy (the node has none), removals read late (the revision is in the first batch), a removal that is overtaken by an older entry (no write follows).

The fix: - After an attempt that timed out, small reads begin one interval of the backoff after the other and do not wait for those that are lost. While there is a copy an interval is at most 0.75 s, with feeds as well. - The node knows when the outage may have ended at the earliest: when the last attempt began that was not answered. The grace ends 2.3 s after the first answer, but 2.8 s after that moment at the latest. - The removal of kept entries is a timer of the copy and no longer of one watch, so that it does not wait for the next batch of a feed or for a watch that has failed. While the store is lost again the entries are kept, and the grace begins anew.

Why it works: the last unanswered attempt began before the end of the cut, so that no removal that was read is kept for more than 2.8 s from it, whatever was late. Live servers are back 2 s after the store's return, which is at most 0.75 s after that attempt: 2.75 s.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -24,9 +24,6 @@
 	defer m.recordFeedContact(batch.Revision, confirmedAt)
 	if !first {
 		m.apply(batch, confirmedAt)
-		if wait, pending := m.graceRemaining(); pending && wait <= 0 {
-			m.dropExpired()
-		}
 		return
 	}
 	fresh := make(map[string]store.KV, len(batch.Events))
@@ -76,7 +73,7 @@
 	defer m.mu.Unlock()
 	first := store.WatchBatch{Revision: m.revision}
 	for key, kv := range m.entries {
-		if _, expired := m.expired[key]; !expired && hasAnyPrefix(key, prefixes) {
+		if _, expired := m.grace.expired[key]; !expired && hasAnyPrefix(key, prefixes) {
 			first.Events = append(first.Events, store.Event{KV: kv})
 		}
 	}
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -17,19 +16,9 @@
 	"github.com/fennelcourse/fennelcourse/internal/store"
 )
 
-// Timing parameters of a Mirror.
-const (
-	// readTimeout bounds one read. A healthy store answers within milliseconds, a slow one
-	// within a few hundred.
-	readTimeout = 2 * time.Second
-	// expiryGracePeriod is how long an entry that expired during a store outage is kept after
-	// the store recovers. Live servers are required to be listed again within about two seconds.
-	expiryGracePeriod = 2500 * time.Millisecond
-	// outageThreshold is the silence of the store, beyond watchIdleInterval, after which
-	// entries may have expired because they could not be renewed. It is shorter than the
-	// shortest heartbeat interval in use.
-	outageThreshold = time.Second
-)
+// readTimeout bounds one read. A healthy store answers within milliseconds, a slow one within a few
+// hundred.
+const readTimeout = 2 * time.Second
 
 // Source reads and watches keys of the store by prefix.
 type Source interface {
@@ -62,7 +51,7 @@
 //
 // During a store outage the Mirror keeps its entries. Entries missing after recovery may have
 // expired only because their leases could not be renewed. Dropping them at once would empty the
-// list of servers that are alive, so they are kept for expiryGracePeriod.
+// list of servers that are alive, so they are kept for a grace period.
 type Mirror struct {
 	views  []View
 	source Source
@@ -75,17 +64,12 @@
 	notifyMu    sync.Mutex
 	mu          sync.Mutex
 	entries     map[string]store.KV
-	// expired maps the entries that are kept after their removal to the revision at which it was read.
-	expired  map[string]int64
-	revision int64
-	loaded   bool
+	revision    int64
+	loaded      bool
 	// lastContact is when the store last confirmed the copy, and feedContact when it last
 	// confirmed the one that the feed sent.
 	lastContact, feedContact time.Time
-	// recoveredAt is when the store last recovered from an outage.
-	recoveredAt time.Time
-	// silence is how long the store had not confirmed the copy when it last recovered.
-	silence time.Duration
+	grace                    expiryGrace
 	// pending holds the changed keys of which the views have not been notified, and
 	// viewRevision the revision up to which they have.
 	pending         map[string]struct{}
@@ -102,7 +86,7 @@
 // NewMirror returns a Mirror with the given views. Run fills it from the feed, and from the
 // source while the feed does not confirm the copy. The feed may be nil.
 func NewMirror(source Source, feed Feed, log *slog.Logger, views ...View) *Mirror {
-	return &Mirror{views: views, source: source, feed: feed, feedConfirmed: make(chan struct{}, 1), log: log, followers: make(map[chan store.WatchBatch][]string), entries: make(map[string]store.KV), expired: make(map[string]int64), pending: make(map[string]struct{})}
+	return &Mirror{views: views, source: source, feed: feed, feedConfirmed: make(chan struct{}, 1), log: log, followers: make(map[chan store.WatchBatch][]string), entries: make(map[string]store.KV), grace: expiryGrace{expired: make(map[string]int64)}, pending: make(map[string]struct{})}
 }
 
 // commonPrefix returns the longest prefix that all views share.
@@ -123,14 +107,6 @@
 
 var mirrorReloads = metrics.NewCounter("fennel_mirror_reloads_total")
 
-// graceRemaining returns how much longer expired entries are kept; pending is false if there
-// are none.
-func (m *Mirror) graceRemaining() (wait time.Duration, pending bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return time.Until(m.recoveredAt.Add(expiryGracePeriod)), len(m.expired) > 0
-}
-
 // Refresh reloads all entries, regardless of the watch.
 func (m *Mirror) Refresh(ctx context.Context) error { return m.reload(ctx) }
 
@@ -202,20 +178,18 @@
 		if _, ok := fresh[key]; ok {
 			continue
 		}
-		if now.Sub(m.recoveredAt) < expiryGracePeriod {
+		if now.Before(m.grace.end) {
 			fresh[key] = kv
-			m.expired[key] = revision
+			m.grace.expired[key] = revision
 		}
 	}
-	for key := range m.expired {
+	for key := range m.grace.expired {
 		if kv, ok := fresh[key]; !ok || kv.ModRevision > m.entries[key].ModRevision {
-			delete(m.expired, key)
+			delete(m.grace.expired, key)
 		}
 	}
 	m.entries, m.revision, m.loaded = fresh, revision, true
-	if recovered {
-		m.logRecovery()
-	}
+	m.continueGrace(recovered)
 	m.mu.Unlock()
 	m.notifyViews(changedKeys(before, fresh), revision, true)
 	return true
@@ -236,38 +210,6 @@
 	return keys
 }
 
-// recordContact records when the store last answered, and reports whether that ended an outage; the
-// caller holds m.mu.
-func (m *Mirror) recordContact(at time.Time) (recovered bool) {
-	silence := at.Sub(m.lastContact)
-	if m.loaded && silence > outageThreshold+watchIdleInterval {
-		m.recoveredAt, m.silence, recovered = time.Now(), silence, true
-	}
-	if at.After(m.lastContact) {
-		m.lastContact = at
-	}
-	return recovered
-}
-
-// logRecovery logs the end of an outage and the entries that are kept although the first changes read
-// after it remove them; the caller holds m.mu.
-func (m *Mirror) logRecovery() {
-	m.log.Info("copy confirmed again", "silence", m.silence.String(), "revision", m.revision, "kept", len(m.expired), "keys", sampleKeys(m.expired),
-		"grace", time.Until(m.recoveredAt.Add(expiryGracePeriod)).String())
-}
-
-// maxLoggedKeys limits the keys in one line of the log.
-const maxLoggedKeys = 8
-
-// sampleKeys returns some of the keys, in order and with the revisions at which their removal was read.
-func sampleKeys(removed map[string]int64) string {
-	var sample []string
-	for _, key := range slices.Sorted(maps.Keys(removed))[:min(len(removed), maxLoggedKeys)] {
-		sample = append(sample, fmt.Sprintf("%s@%d", key, removed[key]))
-	}
-	return strings.Join(sample, ",")
-}
-
 // watchIdleInterval is the longest time between batches of an idle watch; drivers send an empty
 // batch at least that often.
 const watchIdleInterval = 2 * time.Second
@@ -293,19 +235,17 @@
 		changed = append(changed, ev.KV.Key)
 		if ev.Type == store.EventPut {
 			m.entries[ev.KV.Key] = ev.KV
-			delete(m.expired, ev.KV.Key)
+			delete(m.grace.expired, ev.KV.Key)
 			continue
 		}
-		if _, ok := m.entries[ev.KV.Key]; ok && now.Sub(m.recoveredAt) < expiryGracePeriod {
-			m.expired[ev.KV.Key] = ev.KV.ModRevision
+		if _, ok := m.entries[ev.KV.Key]; ok && now.Before(m.grace.end) {
+			m.grace.expired[ev.KV.Key] = ev.KV.ModRevision
 			continue
 		}
 		delete(m.entries, ev.KV.Key)
 	}
 	m.revision = max(m.revision, batch.Revision)
-	if recovered {
-		m.logRecovery()
-	}
+	m.continueGrace(recovered)
 	if len(changed) == 0 && len(m.pending) == 0 {
 		m.viewRevision = m.revision
 	}
@@ -354,22 +294,6 @@
 	m.notifyViews(changed, revision, false)
 }
 
-// dropExpired removes the expired entries that were not written again.
-func (m *Mirror) dropExpired() {
-	m.mu.Lock()
-	expired, sample := slices.Collect(maps.Keys(m.expired)), sampleKeys(m.expired)
-	for _, key := range expired {
-		delete(m.entries, key)
-	}
-	clear(m.expired)
-	recoveredAt := m.recoveredAt
-	m.mu.Unlock()
-	if count := len(expired); count > 0 {
-		m.log.Info("expired entries removed", "count", count, "keys", sample, "since_recovery", time.Since(recoveredAt).String(), "reason", "not renewed after the store recovered")
-		m.notifySoon(expired)
-	}
-}
-
 // notifyViews notifies the views that hold one of the keys, or all views if all is set. The keys
 // are all that changed up to the revision.
 func (m *Mirror) notifyViews(keys []string, upTo int64, all bool) {
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -18,8 +18,7 @@
 	// frequent attempts would only add load to a failing store.
 	retryInterval = 300 * time.Millisecond
 	// maxFeedRetryInterval bounds the backoff on nodes that have a feed: there are many of
-	// them. With its jitter it also bounds the time until such a node sees that the store has
-	// recovered, which has to be well below three seconds.
+	// them. While such a node has a copy, maxProbeInterval bounds the intervals.
 	maxFeedRetryInterval = 1200 * time.Millisecond
 	// A node watches the store itself once its feed has not confirmed the copy for
 	// maxFeedAge, or up to maxFeedAgeJitter longer. A change must be in force within 2 s of
@@ -27,8 +26,6 @@
 	// its followers up to date before they watch the store themselves.
 	maxFeedAge       = 750 * time.Millisecond
 	maxFeedAgeJitter = 200 * time.Millisecond
-	// probeTimeout is how long the store may take to answer a small read after a watch that it did not answer.
-	probeTimeout = time.Second
 	// feedStartTimeout is how long a starting node waits for its feed before it reads the
 	// store itself. When all nodes start together, each of them would otherwise read the whole
 	// store.
@@ -146,14 +143,10 @@
 	if err != nil {
 		return err
 	}
-	grace := time.NewTimer(expiryGracePeriod)
-	defer grace.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-grace.C:
-			m.dropExpired()
 		case <-m.feedConfirmed:
 			if m.untilFeedStale(w.maxAge) > 0 {
 				return errFeedConfirms
@@ -169,25 +162,24 @@
 			w.connected()
 			w.timedOut, w.answeredBetween = false, false
 			m.apply(batch, time.Now())
-			if wait, pending := m.graceRemaining(); pending {
-				grace.Reset(wait)
-			}
 		}
 	}
 }
 
-// checkTimeout reads a key after a watch that the store sent nothing to. A store that is away fails that too. One
-// that answers, and lets the next watch time out again, takes too long to collect the changes: all entries are
-// read anew, page by page.
+// checkTimeout waits for an answer of the store after an attempt that timed out. A store that answers a small
+// read, and lets the next watch time out again, takes too long to collect the changes: all entries are read
+// anew, page by page.
 func (w *storeWatch) checkTimeout(ctx context.Context) error {
-	if !w.timedOut || w.compacted || !w.mirror.Loaded() {
+	if !w.timedOut {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if _, err := w.mirror.source.Range(ctx, w.mirror.views[0].Prefix, store.RangeOptions{Limit: 1}); err != nil {
+	if err := w.awaitAnswer(ctx); err != nil {
 		return err
 	}
+	w.beganAt = time.Now()
+	if w.compacted || !w.mirror.Loaded() {
+		return nil
+	}
 	if w.answeredBetween {
 		w.mirror.log.Info("changes do not arrive in time; reloading", "revision", w.mirror.currentRevision())
 	}
@@ -195,6 +187,75 @@
 	return nil
 }
 
+// probe is a small read of a store that may be away.
+type probe struct {
+	began time.Time
+	err   error
+}
+
+// awaitAnswer sends small reads until the store answers one or refuses it. A read that is lost takes its whole
+// timeout to fail, so that the next ones do not wait for it: the end of an outage is noticed within one interval of
+// the backoff.
+func (w *storeWatch) awaitAnswer(ctx context.Context) error {
+	m := w.mirror
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	done := make(chan probe)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	var latest time.Time // when the latest probe began
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.feedConfirmed:
+			if m.untilFeedStale(w.maxAge) > 0 {
+				return errFeedConfirms
+			}
+		case began := <-next.C:
+			if !latest.IsZero() {
+				m.recordUnanswered(latest)
+			}
+			latest = began
+			running.Go(func() {
+				p := probe{began: began, err: m.readOneKey(ctx)}
+				select {
+				case done <- p:
+				case <-ctx.Done():
+				}
+			})
+			next.Reset(w.nextInterval())
+		case p := <-done:
+			if p.err == nil {
+				return nil
+			}
+			m.recordUnanswered(p.began)
+			if !errors.Is(p.err, context.DeadlineExceeded) {
+				return p.err
+			}
+		}
+	}
+}
+
+// readOneKey reads the first entry of the first view.
+func (m *Mirror) readOneKey(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	_, err := m.source.Range(ctx, m.views[0].Prefix, store.RangeOptions{Limit: 1})
+	return err
+}
+
+// nextInterval returns the time between the beginnings of the last attempt and the next one.
+func (w *storeWatch) nextInterval() time.Duration {
+	interval := w.retry.Next()
+	if w.mirror.Loaded() {
+		interval = min(interval, maxProbeInterval)
+	}
+	return interval
+}
+
 func (w *storeWatch) connected() {
 	if w.disconnected {
 		w.mirror.log.Info("dependency regained", "dependency", "store")
@@ -219,10 +280,11 @@
 		clock.Pause(ctx, time.Until(w.reloadedAt.Add(retryInterval)))
 		return
 	}
+	m.recordUnanswered(w.beganAt)
 	w.timedOut = w.timedOut || errors.Is(err, context.DeadlineExceeded)
 	if !w.disconnected {
 		m.log.Warn("dependency lost", "dependency", "store", "err", err.Error())
 		w.disconnected = true
 	}
-	clock.Pause(ctx, time.Until(w.beganAt.Add(w.retry.Next())))
+	clock.Pause(ctx, time.Until(w.beganAt.Add(w.nextInterval())))
 }
