fleet: only entries that are renewed are kept after an outage

Cause: the grace held for all views of the copy, for keys that nobody writes again too. It is meant for the servers' entries: their writers renew them and register again.

The fix: a view says whether its entries are renewed (View.Renewed); the removal of any other entry is in force when it is read. Quarantines ignore removals, and a node seeks a missing datagram key itself, so that only the lease and the evacuations change.

TestOnlyRenewedEntriesAreKeptAfterAnOutage was red with the condition taken out.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -224,7 +224,7 @@
 	}
 	views = append(views,
 		fleet.View{Prefix: store.QuarantinesPrefix(scope), OnChange: n.quarantinesChanged},
-		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged},
+		fleet.View{Prefix: p.ServersPrefix, OnChange: n.serversChanged, Renewed: true},
 		fleet.View{Prefix: leaseKey, OnChange: func(c fleet.Change) {
 			if len(c.Written)+len(c.Removed) > 0 {
 				n.leaseHeld.Store(len(c.Written) > 0)
--- a/internal/fleet/grace.go
+++ b/internal/fleet/grace.go
@@ -92,6 +92,11 @@
 	return recovered
 }
 
+// keepsRemoved reports whether an entry is kept although the store lacks it; the caller holds m.mu.
+func (m *Mirror) keepsRemoved(key string, now time.Time) bool {
+	return now.Before(m.grace.end) && slices.ContainsFunc(m.views, func(v View) bool { return v.Renewed && strings.HasPrefix(key, v.Prefix) })
+}
+
 // continueGrace schedules the removal of the kept entries; the caller holds m.mu.
 func (m *Mirror) continueGrace(recovered bool) {
 	g := &m.grace
--- a/internal/fleet/grace_test.go
+++ b/internal/fleet/grace_test.go
@@ -175,7 +175,7 @@
 		feeds = noFeed{}
 	}
 	mirror := fleet.NewMirror(source, feeds, slog.New(slog.DiscardHandler),
-		fleet.View{Prefix: "config", OnChange: func(fleet.Change) {}}, fleet.View{Prefix: "servers/", OnChange: l.change})
+		fleet.View{Prefix: "config", OnChange: l.change}, fleet.View{Prefix: "servers/", OnChange: l.change, Renewed: true})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); mirror.Run(ctx) }()
@@ -288,3 +288,21 @@
 		require.LessOrEqual(t, l.removed["servers/gone"].Sub(restored), maxReconnectedDelay)
 	})
 }
+
+// Guards against a lease or an order of the operator that counts as in force for seconds after its end was read.
+func TestOnlyRenewedEntriesAreKeptAfterAnOutage(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			mem := memstore.New(memstore.Options{})
+			write(t, mem, store.Put("config", []byte("x"), 0), store.Put("servers/alive", []byte("x"), 0))
+			l := playOutage(t, outage{state: connRefused, compacted: compacted, offset: 3 * time.Second}, mem, func() {
+				time.Sleep(6 * time.Second)
+				write(t, mem, store.Delete("config"), store.Delete("servers/alive"))
+			}, func(*polledStore) {
+				time.Sleep(time.Second)
+			})
+			require.False(t, l.listed["config"])
+			require.True(t, l.listed["servers/alive"])
+		})
+	}
+}
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -33,6 +33,9 @@
 type View struct {
 	Prefix   string
 	OnChange func(Change)
+	// Renewed is set if each entry has a writer that renews it and writes it again after an outage. Such
+	// entries are kept for a while when they have expired in one.
+	Renewed bool
 }
 
 // Change holds the changes of a view's entries since its last notification.
@@ -49,8 +52,8 @@
 // changes. One watch covers all views, because the store counts calls: a watch on three
 // prefixes costs as much as a watch on one.
 //
-// During a store outage the Mirror keeps its entries. Entries missing after recovery may have
-// expired only because their leases could not be renewed. Dropping them at once would empty the
+// During a store outage the Mirror keeps its entries. Renewed ones that are missing after recovery may
+// have expired only because their leases could not be renewed. Dropping them at once would empty the
 // list of servers that are alive, so they are kept for a grace period.
 type Mirror struct {
 	views  []View
@@ -178,7 +181,7 @@
 		if _, ok := fresh[key]; ok {
 			continue
 		}
-		if now.Before(m.grace.end) {
+		if m.keepsRemoved(key, now) {
 			fresh[key] = kv
 			m.grace.expired[key] = revision
 		}
@@ -238,7 +241,7 @@
 			delete(m.grace.expired, ev.KV.Key)
 			continue
 		}
-		if _, ok := m.entries[ev.KV.Key]; ok && now.Before(m.grace.end) {
+		if _, ok := m.entries[ev.KV.Key]; ok && m.keepsRemoved(ev.KV.Key, now) {
 			m.grace.expired[ev.KV.Key] = ev.KV.ModRevision
 			continue
 		}
--- a/internal/fleet/mirror_test.go
+++ b/internal/fleet/mirror_test.go
@@ -81,7 +81,7 @@
 			defer h.mu.Unlock()
 			h.configChanges++
 		}},
-		fleet.View{Prefix: "servers/", OnChange: func(c fleet.Change) {
+		fleet.View{Prefix: "servers/", Renewed: true, OnChange: func(c fleet.Change) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			applyTo(h.entries, c)
