fleet: a node's first copy from a feed confirms it at once

What was seen: TestAgeDoesNotGrowWithTheDepthOfTheTree failed 2 of 20 and 9 of 720 runs (-race, machine busy; alone 6 of 360): two nodes of a tree watched the store, not one. Each such watch is a call that the store counts, by hundreds of nodes that start together.

Cause: the first batch of a feed made the copy loaded before it recorded when the store had confirmed it, and followStore read the two in the other order, unlocked. In between it took a copy of a moment's age for one that nothing had ever confirmed.

The fix: the confirmation is recorded first, and the age is read after the check for a copy. The test: 0 of 450 with -race on the same busy machine.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -21,7 +21,7 @@
 // applyFeed applies a batch of the feed; the first one holds all entries.
 func (m *Mirror) applyFeed(batch store.WatchBatch, age time.Duration, first bool) {
 	confirmedAt := time.Now().Add(-age)
-	defer m.recordFeedContact(batch.Revision, confirmedAt)
+	m.recordFeedContact(batch.Revision, confirmedAt) // before there is a copy, which would count as not confirmed
 	if !first {
 		m.apply(batch, confirmedAt)
 		return
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -86,9 +86,9 @@
 // startDeadline if there is no copy yet. It reports false if ctx ended.
 func (m *Mirror) awaitStaleFeed(ctx context.Context, maxAge time.Duration, startDeadline time.Time) bool {
 	for {
-		wait := m.untilFeedStale(maxAge)
-		if !m.Loaded() {
-			wait = time.Until(startDeadline)
+		wait := time.Until(startDeadline)
+		if m.Loaded() {
+			wait = m.untilFeedStale(maxAge)
 		}
 		if m.feed == nil || wait <= 0 {
 			return ctx.Err() == nil
