conns: a request that was given up is not sent any more

The callers had left 5.9 s before, and the server ran the request for nobody.

Cause: when a caller leaves, the attempt's connection is closed. The request is still in the kernel's send buffer if the path is down, and the kernel goes on sending it. Its retransmissions back off, so that it arrives seconds after the path is back.

The fix: a connection that is closed while its request is unanswered, and that has data which the peer has not acknowledged, is reset (SO_LINGER 0), as watched connections with a dead path are. Where all data has arrived nothing changes.

--- a/internal/conns/linger.go
+++ b/internal/conns/linger.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fennelcourse/fennelcourse/internal/sockets"
 )
 
 const (
@@ -102,12 +104,21 @@
 // Close implements net.Conn.
 func (l *lingeringConn) Close() error {
 	if !l.upload.isPending() {
-		return l.socket.Close()
+		return l.closeNow()
 	}
 	l.once.Do(func() { go l.linger() })
 	return nil
 }
 
+// closeNow closes the connection. A request that was given up unanswered must not reach the server later, when
+// a path that is down now is back.
+func (l *lingeringConn) closeNow() error {
+	if !l.upload.answered.Load() {
+		_ = sockets.DiscardUnacknowledged(l.socket) // fails on a connection that is closed or has no socket
+	}
+	return l.socket.Close()
+}
+
 // linger closes the connection once the body has been written, or its time is over.
 func (l *lingeringConn) linger() {
 	defer func() { _ = l.socket.Close() }()
@@ -128,5 +139,5 @@
 // abort closes the connection at once.
 func (l *lingeringConn) abort() {
 	l.upload.aborted.Store(true)
-	_ = l.socket.Close()
+	_ = l.closeNow()
 }
