soak: one node is cut off from the store while servers leave

A call that runs on a server more than 2 s after the store has acknowledged its leaving, and more than 3 s after the end of the cut, is a finding.

TestShortSoakWithNodesCutOffFromTheStore is the short run (seed 13).

--- a/cmd/fennel-soak/main.go
+++ b/cmd/fennel-soak/main.go
@@ -37,6 +37,7 @@
 	singleSilences := flags.BoolLong("silence-in-turn", "also stop the servers of one failure domain after the other; only with --silence")
 	uploads := flags.IntLong("uploads", 0, "number of callers that send large bodies at once, some of which read slowly, in place of all other faults")
 	storeOutages := flags.IntLong("store-outages", 0, "number of outages of the store in a row, after each of which a caller's key is removed, in place of all other faults")
+	storeCuts := flags.IntLong("store-cuts", 0, "number of times in a row that one node is cut off from the store while servers leave, in place of all other faults")
 	memoryMB := flags.IntLong("memory-mb", 0, "the daemons' memory, over which --uploads must not bring them; 0 for no limit")
 	verbose := flags.BoolLong("verbose", "print each fault when it is injected")
 	cmd := &ff.Command{Name: "fennel-soak", Usage: "fennel-soak --fenneld PATH [--seed N] [--seeds K]", Flags: flags,
@@ -53,7 +54,8 @@
 	}
 	failed := 0
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
-		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && !*silence && *storeOutages == 0, ServerSignals: *serverSignals && !*silence && *storeOutages == 0, ServerCuts: *serverCuts && !*silence, RouteMoves: *routeMoves && !*silence && *storeOutages == 0, StoreOutages: *storeOutages, Silence: *silence, SingleSilences: *silence && *singleSilences, Uploads: *uploads, MemoryMB: *memoryMB, Log: func(string, ...any) {}}
+		mixed := !*silence && *storeOutages+*storeCuts == 0
+		opts := soak.Options{Binary: *binary, Seed: s, Nodes: *nodes, Callers: *callers, FaultDuration: *faults, ServerFaults: *serverFaults && mixed, ServerSignals: *serverSignals && mixed, ServerCuts: *serverCuts && !*silence, RouteMoves: *routeMoves && mixed, StoreOutages: *storeOutages, StoreCuts: *storeCuts, Silence: *silence, SingleSilences: *silence && *singleSilences, Uploads: *uploads, MemoryMB: *memoryMB, Log: func(string, ...any) {}}
 		if *verbose {
 			opts.Log = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 		}
--- a/internal/soak/outages.go
+++ b/internal/soak/outages.go
@@ -201,10 +201,10 @@
 	return ""
 }
 
-// seedsOf returns the feeds that a node knows: with outages of the store, all nodes but the first know only
-// ones that are gone.
+// seedsOf returns the feeds that a node knows: with outages of the store or cuts from it, all nodes but the first
+// know only ones that are gone.
 func (env *Environment) seedsOf(i int) (seeds []string, err error) {
-	if env.opts.StoreOutages == 0 || i == 0 {
+	if env.opts.StoreOutages+env.opts.StoreCuts == 0 || i == 0 {
 		return nil, nil
 	}
 	for range 2 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -196,6 +196,8 @@
 	switch {
 	case opts.StoreOutages > 0:
 		result.Findings = append(result.Findings, env.playStoreOutages()...)
+	case opts.StoreCuts > 0:
+		result.Findings = append(result.Findings, env.playStoreCuts()...)
 	case opts.Uploads > 0:
 		uploads := env.startUploads(opts.Uploads)
 		time.Sleep(opts.FaultDuration)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -135,3 +135,10 @@
 	require.NotZero(t, result.SlowAnswers)
 	require.NotZero(t, result.RefusedUploads)
 }
+
+// Guards against a node that is cut off from the store alone and uses servers that have left for longer than the bounds allow.
+func TestShortSoakWithNodesCutOffFromTheStore(t *testing.T) {
+	result, err := soak.Run(soak.Options{Binary: buildDaemon(t), Dir: t.TempDir(), Seed: 13, Nodes: 3, Callers: 2, StoreCuts: 3, Log: t.Logf})
+	require.NoError(t, err)
+	require.Empty(t, result.Findings)
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -47,6 +47,9 @@
 	// StoreOutages is the number of outages of the store in a row, after each of which a key is removed, in
 	// place of the other faults. All nodes but the first know only feeds that are gone.
 	StoreOutages int
+	// StoreCuts is the number of times in a row that one node is cut off from the store while servers leave, in
+	// place of the other faults. All nodes but the first know only feeds that are gone.
+	StoreCuts int
 	// MemoryMB is the nodes' memory; 0 for no limit. With Uploads, a node that takes more is a finding.
 	MemoryMB int
 	Log      func(format string, args ...any)
