--- a/internal/fleet/grace.go
+++ b/internal/fleet/grace.go
@@ -114,6 +114,15 @@
 	g.timer.Reset(time.Until(g.end))
 }
 
+// stopGrace leaves the kept entries as they are.
+func (m *Mirror) stopGrace() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.grace.timer != nil {
+		m.grace.timer.Stop()
+	}
+}
+
 // dropExpired removes the expired entries that were not written again. While the store is lost again
 // they are kept.
 func (m *Mirror) dropExpired() {
--- a/internal/fleet/mirror.go
+++ b/internal/fleet/mirror.go
@@ -72,7 +72,8 @@
 	// lastContact is when the store last confirmed the copy, and feedContact when it last
 	// confirmed the one that the feed sent.
 	lastContact, feedContact time.Time
-	grace                    expiryGrace
+	// grace holds the entries that are kept after an outage.
+	grace expiryGrace
 	// pending holds the changed keys of which the views have not been notified, and
 	// viewRevision the revision up to which they have.
 	pending         map[string]struct{}
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -45,6 +45,7 @@
 	}
 	sources.Go(func() { m.followStore(ctx) })
 	sources.Wait()
+	m.stopGrace()
 }
 
 func (m *Mirror) followFeeds(ctx context.Context) {
