relay: an answer without length is whole only if the process that sent it still listens

What callers saw: a node stood still for 2.1 s while the head of a replica crashed in the middle of answers without a length and listened again at its address.

Cause: the end of such an answer counts as regular if the server's address accepts a connection. After a standstill, or a cut of the path, the end is read late, when the successor of the crashed process listens there. The server list names the new start only after its change has been read.

Ruled out: Departure.Replaced, which the list sets later than the end is read; a framed answer, whose length or chunks would tell.

The fix: where the address accepts, the process there is asked for its report. A later start ('born'), or another server (421), means that the answer's process has ended, and the stream is continued or broken off. Only ends of answers without a length ask, as they have opened a connection for it before; those that one crash causes share the result.

--- a/internal/player/backend.go
+++ b/internal/player/backend.go
@@ -73,6 +73,17 @@
 	return v != nil && v.crashed && b.w.reaches(b.zone, v.entry.Zone)
 }
 
+// HasSuccessor implements relay.Backend.
+func (b *backend) HasSuccessor(ctx context.Context, p conns.Peer) bool {
+	if !b.Accepts(ctx, p) {
+		return false
+	}
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	v := b.w.vms[p.Server]
+	return v != nil && v.entry.StartedAt.UnixMilli() > p.StartedUnixMs
+}
+
 // Accepts implements relay.Backend.
 func (b *backend) Accepts(ctx context.Context, p conns.Peer) bool {
 	time.Sleep(roundTrip)
--- a/internal/relay/backend.go
+++ b/internal/relay/backend.go
@@ -75,6 +75,9 @@
 	// Refuses reports whether the peer's address refuses connections: its process has ended.
 	// A peer that does not respond is not known to have ended.
 	Refuses(ctx context.Context, p conns.Peer) bool
+	// HasSuccessor reports whether another process listens at the peer's address: another server, or a later
+	// start of the same one. It returns false if what listens there does not say so before ctx ends.
+	HasSuccessor(ctx context.Context, p conns.Peer) bool
 	// Accepts reports whether the peer's address accepts a connection before ctx ends.
 	Accepts(ctx context.Context, p conns.Peer) bool
 }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -15,6 +15,8 @@
 	// crashCheckTimeout limits the connection attempt that shows whether a process has ended. A
 	// refusal takes one round trip.
 	crashCheckTimeout = 200 * time.Millisecond
+	// successorCheckTimeout limits the question which process listens at an address.
+	successorCheckTimeout = 500 * time.Millisecond
 	// pathSettleTime is how long a path to several servers may take to break or to come back. A crash
 	// counts only if what shows it still holds after that time.
 	pathSettleTime = 50 * time.Millisecond
@@ -37,6 +39,8 @@
 	// refused is set if the address refused a connection, crashed if it went on refusing, or the process
 	// has started again, while other servers were reachable.
 	refused, crashed bool
+	// succeeded is set if another process has taken the address.
+	succeeded bool
 }
 
 func newCrashDetector(opts Options) *crashDetector {
@@ -110,13 +114,14 @@
 }
 
 // endedWith reports whether the process had ended when it ended an answer. It holds for a planned
-// end too.
+// end too. An address that accepts connections proves nothing: this node may have read the end late,
+// after a standstill or a cut of the path, when a successor listens there.
 func (d *crashDetector) endedWith(ctx context.Context, p conns.Peer) bool {
 	if d.opts.Departure(p).Replaced {
-		return true // its successor may listen at the same address
+		return true
 	}
 	c := d.check(ctx, p, true)
-	return c != nil && c.refused
+	return c != nil && (c.refused || c.succeeded)
 }
 
 // check returns the result of a check of the process, or nil if ctx ends before. With fresh set, an
@@ -127,6 +132,7 @@
 		checkCtx := context.WithoutCancel(ctx) // other requests share the check
 		c.refused = d.refuses(checkCtx, p)
 		c.crashed = c.refused && d.crashConfirmed(checkCtx, p)
+		c.succeeded = fresh && !c.refused && d.hasSuccessor(checkCtx, p)
 		close(c.done)
 	}
 	select {
@@ -143,6 +149,12 @@
 	return d.opts.Backend.Refuses(ctx, p)
 }
 
+func (d *crashDetector) hasSuccessor(ctx context.Context, p conns.Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, successorCheckTimeout)
+	defer cancel()
+	return d.opts.Backend.HasSuccessor(ctx, p)
+}
+
 // crashConfirmed reports whether a process whose address has refused a connection has crashed. A path
 // breaks to one server after the other, and comes back so: a refusal and a probe of other servers at
 // one moment don't tell that from a crash.
@@ -178,7 +190,7 @@
 func (c *crashCheck) showsEnd() bool {
 	select {
 	case <-c.done:
-		return c.refused
+		return c.refused || c.succeeded
 	default:
 		return false
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -203,6 +203,22 @@
 	require.True(t, serveKind(b, &outcomeRecorder{}, relay.Departure{}, false, rules.CallStream).ended)
 }
 
+// successorBackend is a fakeBackend whose servers' addresses were taken by other processes.
+type successorBackend struct{ refusingBackend }
+
+func (*successorBackend) HasSuccessor(context.Context, conns.Peer) bool { return true }
+
+// Guards against an answer cut short by a crash that looks complete, as this node stood still while the server's successor began to listen.
+func TestUnframedAnswerOfAServerWithASuccessorIsIncomplete(t *testing.T) {
+	for _, kind := range []rules.CallKind{rules.CallStream, rules.CallUnsafe, rules.CallSafe} {
+		handle := func(ctx context.Context, _ relay.Attempt) (*relay.Reply, error) {
+			return &relay.Reply{Head: call.Head{Status: 200, Header: http.Header{}}, Unframed: true, Body: &fakeBody{ctx: ctx, next: 1, last: 3, err: io.EOF}}, nil
+		}
+		b := &successorBackend{refusingBackend{fakeBackend: fakeBackend{handlers: map[cluster.ReplicaID]handler{"a": handle}}}}
+		require.False(t, serveKind(b, &outcomeRecorder{}, relay.Departure{}, false, kind).ended, "%v", kind)
+	}
+}
+
 // Guards against a check from before the server's end that makes an incomplete answer look complete.
 func TestUnframedAnswerIsCheckedAnew(t *testing.T) {
 	b := &refusingBackend{}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -135,7 +135,9 @@
 }
 
 func (*fakeBackend) Refuses(context.Context, conns.Peer) bool { return false }
-func (*fakeBackend) Accepts(context.Context, conns.Peer) bool { return true }
+
+func (*fakeBackend) HasSuccessor(context.Context, conns.Peer) bool { return false }
+func (*fakeBackend) Accepts(context.Context, conns.Peer) bool      { return true }
 
 func (b *fakeBackend) sent() []relay.Attempt {
 	b.mu.Lock()
